--- /dev/null
+++ b/api/upstream/v1/doc.go
@@ -0,0 +1,2 @@
+// Package upstreampb holds the gRPC services between owner daemons and upstreams.
+package upstreampb
--- /dev/null
+++ b/api/wire/v1/doc.go
@@ -0,0 +1,2 @@
+// Package wirepb holds the datagrams between callers and entry daemons.
+package wirepb
--- /dev/null
+++ b/pkg/events/events.go
@@ -0,0 +1,49 @@
+// Package events defines the numbered log events. docs/EVENTS.md lists them all.
+package events
+
+import "github.com/sirupsen/logrus"
+
+// Event is one kind of log event. Numbers are never reused.
+type Event struct {
+	Number  int
+	Level   logrus.Level
+	Message string
+	// Action tells the operator what to do; empty when nothing needs to be done.
+	Action string
+}
+
+// Log writes the event with its fields.
+func (e Event) Log(log logrus.FieldLogger, fields logrus.Fields) {
+	entry := log.WithFields(fields).WithField("event", e.Number)
+	switch e.Level {
+	case logrus.ErrorLevel:
+		entry.Error(e.Message)
+	case logrus.WarnLevel:
+		entry.Warn(e.Message)
+	case logrus.DebugLevel:
+		entry.Debug(e.Message)
+	default:
+		entry.Info(e.Message)
+	}
+}
+
+// Numbers 1000-1999 are the daemon's life, 2000-2999 the data path, 3000-3999 membership
+// and registration, 4000-4999 configuration and agreement, 5000-5999 storage.
+var (
+	DaemonStarted        = Event{1001, logrus.InfoLevel, "daemon started", ""}
+	DaemonStopping       = Event{1002, logrus.InfoLevel, "daemon is stopping", ""}
+	DaemonStopped        = Event{1003, logrus.InfoLevel, "daemon stopped", ""}
+	ComponentFailed      = Event{1004, logrus.ErrorLevel, "component failed", "read the error field; the daemon stops and has to be started again"}
+	UpstreamConnected    = Event{2001, logrus.InfoLevel, "upstream connected", ""}
+	UpstreamDisconnected = Event{2002, logrus.WarnLevel, "upstream disconnected", "check the upstream if it does not come back"}
+	HandoverStarted      = Event{2003, logrus.InfoLevel, "handover started", ""}
+	HandoverFinished     = Event{2004, logrus.InfoLevel, "handover finished", ""}
+	HandoverFailed       = Event{2005, logrus.WarnLevel, "handover failed; it is tried again", "check the connection between the two daemons"}
+	SocketFailed         = Event{2006, logrus.ErrorLevel, "service socket cannot be opened", "free the port or change the service's port"}
+	MemberChanged        = Event{3001, logrus.InfoLevel, "member changed state", ""}
+	UpstreamRegistered   = Event{3002, logrus.InfoLevel, "upstream registered", ""}
+	UpstreamLeft         = Event{3003, logrus.InfoLevel, "upstream left", ""}
+	LeaseExpired         = Event{3004, logrus.WarnLevel, "upstream lease expired", "check that the upstream still runs and reaches a daemon"}
+	ConfigInForce        = Event{4001, logrus.InfoLevel, "configuration in force", ""}
+	ConfigRefused        = Event{4002, logrus.WarnLevel, "configuration refused", "read the error field and correct the folder"}
+)
