Add strict configuration folder

Cause: the folder was decoded loosely and stopped at the first error. Change: pkg/strictyaml decodes into tagged structs and reports every fault with file, line and remedy; pkg/config merges numbered files, keeps the origin of each value and checks conflicts. Config.Load is now LoadConfig; Load returns the Folder.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -1,5 +1,10 @@
 // Package config holds the dynamic configuration: users, services, request classes,
 // limits and credentials, read from a folder of numbered YAML files.
+//
+// The files are merged in the order of their numbers. A later file overrides single
+// values and lists of an earlier one, adds users, services and classes, and removes them
+// with the key remove. What the merged values may not do together (two services on one
+// port, shares over 1) is a conflict, and no file order resolves it.
 package config
 
 import (
@@ -7,6 +12,7 @@
 	"time"
 
 	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/strictyaml"
 )
 
 // Config is one accepted or loaded configuration. It is immutable once built.
@@ -15,41 +21,68 @@
 	Version uint64 `yaml:"-"`
 	// Digest is a hash of the folder's contents.
 	Digest string `yaml:"-"`
-	Users  map[string]*User
+	// Users are the users by name.
+	Users map[string]*User `yaml:"users,omitempty" keys:"user"`
 	// TokenKeys are the keys of flow tokens, oldest first; the last one signs.
 	TokenKeys []TokenKey `yaml:"token_keys,omitempty"`
+
+	origins strictyaml.Origins
 }
 
 // TokenKey is one signing key of flow tokens.
 type TokenKey struct {
-	ID     uint32 `yaml:"id"`
-	Secret string `yaml:"secret"` // hexadecimal, at least 16 bytes
+	// ID is what a token carries to name its key.
+	ID uint32 `yaml:"id" limit:"1..4294967295" required:"true"`
+	// Secret is the key in hexadecimal, at least 16 bytes.
+	Secret string `yaml:"secret" limit:"32..128" unit:"characters" secret:"true" required:"true"`
 }
 
 // User is one user of the system.
 type User struct {
-	TimeZone string              `yaml:"time_zone"` // IANA name; the day of the totals ends there
-	Services map[string]*Service `yaml:"services"`
+	// Remove deletes the user with its services; false in a merged configuration.
+	Remove bool `yaml:"remove,omitempty"`
+	// TimeZone is an IANA name; the day of the totals ends there.
+	TimeZone string `yaml:"time_zone,omitempty" default:"UTC"`
+	// Services are the user's services by name.
+	Services map[string]*Service `yaml:"services,omitempty" keys:"service"`
 }
 
 // Service is one service of a user.
 type Service struct {
-	Port       uint16            `yaml:"port"`       // UDP port of the service's address on every daemon
-	Credential string            `yaml:"credential"` // what an upstream has to present to announce itself
-	Slots      int               `yaml:"slots"`      // requests an upstream runs at once, when it announces none
-	FlowLimit  int               `yaml:"flow_limit"` // open flows an upstream holds, when it announces none
-	QueueLimit int               `yaml:"queue_limit"`
-	Classes    map[string]*Class `yaml:"classes"`
+	// Remove deletes the service with its classes; false in a merged configuration.
+	Remove bool `yaml:"remove,omitempty"`
+	// Port is the UDP port of the service's address on every daemon, unique in the folder.
+	Port uint16 `yaml:"port" limit:"1..65535" required:"true"`
+	// Credential is what an upstream has to present to announce itself.
+	Credential string `yaml:"credential" limit:"8..256" unit:"characters" secret:"true" required:"true"`
+	// Slots is the number of requests an upstream runs at once, when it announces none.
+	Slots int `yaml:"slots" limit:"1..1024" default:"1" unit:"requests"`
+	// FlowLimit is the number of open flows an upstream holds, when it announces none.
+	FlowLimit int `yaml:"flow_limit" limit:"1..1000000" default:"2000" unit:"flows"`
+	// QueueLimit is that of each class without its own.
+	QueueLimit int `yaml:"queue_limit" limit:"1..100000" default:"64" unit:"requests"`
 	// FlowIdle is how long a flow lives without a packet from its caller.
-	FlowIdle time.Duration `yaml:"flow_idle"`
+	FlowIdle time.Duration `yaml:"flow_idle" limit:"1s..24h" default:"30s"`
+	// DefaultClass is the class of requests whose class is empty or not declared; when
+	// it is empty they are refused as not run.
+	DefaultClass string `yaml:"default_class,omitempty"`
+	// Classes are the request classes by name.
+	Classes map[string]*Class `yaml:"classes" keys:"class" required:"true"`
 }
 
 // Class is one request class of a service.
 type Class struct {
-	Priority   int           `yaml:"priority"`    // 0 is the most urgent
-	Share      float64       `yaml:"share"`       // guaranteed part of an upstream's slots, 0 to 1
-	QueueLimit int           `yaml:"queue_limit"` // queued requests an upstream
-	Deadline   time.Duration `yaml:"deadline"`    // longest deadline a caller may ask for
+	// Remove deletes the class; false in a merged configuration.
+	Remove bool `yaml:"remove,omitempty"`
+	// Priority orders the classes for spare slots; 0 is the most urgent.
+	Priority int `yaml:"priority" limit:"0..99" required:"true"`
+	// Share is the guaranteed part of an upstream's slots; those of a service add up to
+	// at most 1.
+	Share float64 `yaml:"share" limit:"0..1" default:"0" unit:"of the slots"`
+	// QueueLimit is the number of queued requests at one upstream.
+	QueueLimit int `yaml:"queue_limit" limit:"1..100000" unit:"requests"`
+	// Deadline is the longest deadline a caller may ask for.
+	Deadline time.Duration `yaml:"deadline" limit:"10ms..1h" default:"30s"`
 }
 
 // ServiceEntry is a service with its names and identifier.
@@ -63,6 +96,10 @@
 // FullName returns "user/service".
 func (e *ServiceEntry) FullName() string { return e.User + "/" + e.Name }
 
+func (e *ServiceEntry) path() string {
+	return "users." + e.User + ".services." + e.Name
+}
+
 // Services returns all services, sorted by full name.
 func (c *Config) Services() []ServiceEntry {
 	var out []ServiceEntry
@@ -74,3 +111,35 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].FullName() < out[j].FullName() })
 	return out
 }
+
+// ClassFor returns the class that a request of the given class name belongs to: the class
+// of that name, else the service's default class. It returns false when the request has
+// to be refused.
+func (s *Service) ClassFor(name string) (string, *Class, bool) {
+	if c, ok := s.Classes[name]; ok {
+		return name, c, true
+	}
+	c, ok := s.Classes[s.DefaultClass]
+	return s.DefaultClass, c, ok
+}
+
+// ClassNames returns the names of the classes, the most urgent first, equal priorities by
+// name.
+func (s *Service) ClassNames() []string {
+	names := make([]string, 0, len(s.Classes))
+	for name := range s.Classes {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, b := s.Classes[names[i]], s.Classes[names[j]]
+		if a.Priority != b.Priority {
+			return a.Priority < b.Priority
+		}
+		return names[i] < names[j]
+	})
+	return names
+}
+
+// Origin returns the place that set the value at a path such as
+// "users.acme.services.label.port"; the zero Origin means the default.
+func (c *Config) Origin(path string) strictyaml.Origin { return c.origins[path] }
--- a/pkg/config/folder.go
+++ b/pkg/config/folder.go
@@ -1,74 +1,238 @@
 package config
 
 import (
-	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"io"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
-	"time"
 
-	"github.com/pkg/errors"
-	"go.yaml.in/yaml/v3"
+	"rosemarygate/pkg/strictyaml"
 )
 
+// Limits of a folder.
 const (
-	defaultFlowIdle   = 30 * time.Second
-	defaultQueueLimit = 64 // requests
-	defaultDeadline   = 30 * time.Second
+	MaxFiles       = 20_000
+	MaxFileBytes   = strictyaml.MaxFileBytes
+	MaxFolderBytes = 64 << 20
+	MaxNumber      = 999_999_999
 )
 
-// Load reads and merges the YAML files of a folder in the order of their names.
-func Load(dir string) (*Config, error) {
-	names, err := filepath.Glob(filepath.Join(dir, "*.yaml"))
+var fileName = regexp.MustCompile(`^([0-9]{1,9})-[a-z0-9][a-z0-9._-]{0,99}\.yaml$`)
+
+// File is one file of a folder.
+type File struct {
+	Name string // number, dash, name and ".yaml", without a folder
+	Data []byte
+}
+
+// Number returns the number that the file's name begins with; false when the name is not valid.
+func (f File) Number() (int, bool) {
+	m := fileName.FindStringSubmatch(f.Name)
+	if m == nil {
+		return 0, false
+	}
+	n, err := strconv.Atoi(m[1])
+	return n, err == nil
+}
+
+// Folder is a set of configuration files in the order of their numbers. It is immutable.
+type Folder struct {
+	files  []File
+	digest string
+}
+
+// Load reads the files of a folder. Names that begin with a dot and names that end
+// neither in .yaml nor in .yml are ignored, so notes and editor files may lie there. The
+// error lists every file that cannot be taken.
+func Load(dir string) (*Folder, error) {
+	entries, err := os.ReadDir(dir)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, unreadable(dir, "folder cannot be read: "+cause(err), "name an existing folder of configuration files")
 	}
-	sort.Strings(names)
-	merged := &Config{Users: map[string]*User{}}
-	for _, name := range names {
-		data, err := os.ReadFile(name)
-		if err != nil {
-			return nil, errors.WithStack(err)
+	var files []File
+	var errs strictyaml.Errors
+	total := int64(0)
+	for _, e := range entries {
+		if !isYAML(e.Name()) {
+			continue
 		}
-		if err := merged.mergeFile(data); err != nil {
-			return nil, errors.Wrapf(err, "configuration file %s", name)
+		if len(files) == MaxFiles || total > MaxFolderBytes {
+			break
+		}
+		data, err := readFile(filepath.Join(dir, e.Name()))
+		if err != nil {
+			errs.Add(strictyaml.Unreadable, strictyaml.Origin{File: e.Name()}, "", "file cannot be read: "+cause(err), "make it a readable regular file or rename it")
+			continue
 		}
+		total += int64(len(data))
+		files = append(files, File{Name: e.Name(), Data: data})
 	}
-	if len(merged.Users) == 0 {
-		return nil, errors.Errorf("configuration folder %s declares no user: add a file with users and services", dir)
+	folder, faults := build(files)
+	if err := append(errs, faults...).Err(); err != nil {
+		return nil, err
 	}
-	merged.setDefaults()
-	return merged, nil
+	return folder, nil
 }
 
-func (c *Config) mergeFile(data []byte) error {
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	dec.KnownFields(true)
-	next := &Config{Users: c.Users, TokenKeys: c.TokenKeys}
-	if err := dec.Decode(next); err != nil {
-		return errors.Errorf("%s: correct the named line", strings.TrimSpace(err.Error()))
+// LoadConfig reads and merges a folder.
+func LoadConfig(dir string) (*Config, error) {
+	f, err := Load(dir)
+	if err != nil {
+		return nil, err
 	}
-	c.Users, c.TokenKeys = next.Users, next.TokenKeys
-	return nil
+	return f.Merge()
 }
 
-func (c *Config) setDefaults() {
-	for _, e := range c.Services() {
-		s := e.Settings
-		if s.FlowIdle == 0 {
-			s.FlowIdle = defaultFlowIdle
+// FromFiles returns the folder of the given files, in any order. It refuses names that
+// are not valid, equal numbers and sizes beyond the limits, all of them at once.
+func FromFiles(files []File) (*Folder, error) {
+	folder, errs := build(files)
+	if err := errs.Err(); err != nil {
+		return nil, err
+	}
+	return folder, nil
+}
+
+// Files returns the files in the order of their numbers. The caller must not change their data.
+func (f *Folder) Files() []File { return slices.Clone(f.files) }
+
+// Digest returns a SHA-256 over the names and contents, in hexadecimal.
+func (f *Folder) Digest() string { return f.digest }
+
+// NextNumber returns the smallest number above all numbers of the folder.
+func (f *Folder) NextNumber() int { return nextNumber(f.files) }
+
+func build(files []File) (*Folder, strictyaml.Errors) {
+	var errs strictyaml.Errors
+	var good []File
+	for _, f := range files {
+		if checkFile(&errs, f) {
+			good = append(good, f)
 		}
-		if s.QueueLimit == 0 {
-			s.QueueLimit = defaultQueueLimit
+	}
+	sort.SliceStable(good, func(i, j int) bool {
+		a, _ := good[i].Number()
+		b, _ := good[j].Number()
+		if a != b {
+			return a < b
 		}
-		for _, class := range s.Classes {
-			if class.QueueLimit == 0 {
-				class.QueueLimit = s.QueueLimit
-			}
-			if class.Deadline == 0 {
-				class.Deadline = defaultDeadline
-			}
+		return good[i].Name < good[j].Name
+	})
+	checkNumbers(&errs, good)
+	checkSize(&errs, files)
+	return &Folder{files: good, digest: digest(good)}, errs
+}
+
+func checkFile(errs *strictyaml.Errors, f File) bool {
+	at := strictyaml.Origin{File: f.Name}
+	if _, ok := f.Number(); !ok {
+		errs.Add(strictyaml.BadValue, at, "", "file name is not valid",
+			"name it with a number, a dash, a name of lower-case letters, digits, dots, dashes and underscores, and .yaml, such as 10-label.yaml")
+		return false
+	}
+	if len(f.Data) > MaxFileBytes {
+		errs.Add(strictyaml.Unreadable, at, "", fmt.Sprintf("file is larger than %d bytes", MaxFileBytes), "split it into several files")
+		return false
+	}
+	return true
+}
+
+func checkNumbers(errs *strictyaml.Errors, sorted []File) {
+	next := nextNumber(sorted)
+	for i := 1; i < len(sorted); i++ {
+		a, _ := sorted[i-1].Number()
+		b, _ := sorted[i].Number()
+		if a != b {
+			continue
 		}
+		errs.Add(strictyaml.Conflict, strictyaml.Origin{File: sorted[i].Name}, "",
+			fmt.Sprintf("number %d is already used by %s", b, sorted[i-1].Name),
+			fmt.Sprintf("rename this file to the next free number, %02d", next))
+		next++
 	}
 }
+
+func checkSize(errs *strictyaml.Errors, files []File) {
+	total := 0
+	for _, f := range files {
+		total += len(f.Data)
+	}
+	at := strictyaml.Origin{}
+	if len(files) >= MaxFiles {
+		errs.Add(strictyaml.Unreadable, at, "", fmt.Sprintf("folder has %d files or more", MaxFiles), "merge old files into one")
+	}
+	if total > MaxFolderBytes {
+		errs.Add(strictyaml.Unreadable, at, "", fmt.Sprintf("folder has more than %d bytes", MaxFolderBytes), "merge old files into one")
+	}
+}
+
+func nextNumber(files []File) int {
+	highest := 0
+	for _, f := range files {
+		if n, ok := f.Number(); ok && n > highest {
+			highest = n
+		}
+	}
+	return highest + 1
+}
+
+// digest hashes each name and content behind its length, so that no two folders that
+// differ hash the same bytes.
+func digest(files []File) string {
+	h := sha256.New()
+	var length [8]byte
+	for _, f := range files {
+		for _, part := range [][]byte{[]byte(f.Name), f.Data} {
+			binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+			h.Write(length[:])
+			h.Write(part)
+		}
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func isYAML(name string) bool {
+	if strings.HasPrefix(name, ".") {
+		return false
+	}
+	return strings.HasSuffix(name, ".yaml") || strings.HasSuffix(name, ".yml")
+}
+
+// readFile reads at most one byte more than the limit, so that a huge file costs little.
+func readFile(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if !info.Mode().IsRegular() {
+		return nil, fmt.Errorf("it is not a regular file")
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
+}
+
+// cause returns the reason of a file error without the path, which the fault names already.
+func cause(err error) string {
+	if p, ok := err.(*os.PathError); ok {
+		return p.Err.Error()
+	}
+	return err.Error()
+}
+
+func unreadable(path, problem, remedy string) error {
+	var errs strictyaml.Errors
+	errs.Add(strictyaml.Unreadable, strictyaml.Origin{File: path}, "", problem, remedy)
+	return errs
+}
