Add config check, show and diff

Cause: operators had no way to check a folder before they push it. Change: three commands, exit codes by kind of error, shell completion of folders and formats.

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -20,23 +20,22 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
-	root := newRoot()
-	root.SetArgs(args)
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "rosemarygate:", err)
-		return ExitFailure
-	}
-	return ExitOK
+	return execute(newRoot(), args, os.Stderr)
 }
 
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "rosemarygate",
-		Short:         "Layer-4 load balancer for small teams",
+		Use:   "rosemarygate",
+		Short: "Layer-4 load balancer for small teams",
+		Long: "rosemarygate is a layer-4 load balancer for small teams that have no platform group.\n\n" +
+			"Exit codes: 0 success, 1 the command ran and its result is negative,\n" +
+			"2 wrong arguments, settings or configuration.",
+		Example: `  rosemarygate config check ./config
+  rosemarygate completion bash > /etc/bash_completion.d/rosemarygate`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newVersion())
+	root.AddCommand(newVersion(), newConfig())
 	return root
 }
 
--- /dev/null
+++ b/pkg/cli/config.go
@@ -0,0 +1,192 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"rosemarygate/pkg/config"
+	"rosemarygate/pkg/strictyaml"
+)
+
+func newConfig() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "config",
+		Short: "Check, show and compare configuration folders",
+		Long: "Commands for folders of numbered configuration files (10-users.yaml, 20-label.yaml).\n" +
+			"Files are merged in the order of their numbers; a later file overrides an earlier one.\n" +
+			"docs/CONFIGURATION.md lists every key.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.AddCommand(newConfigCheck(), newConfigShow(), newConfigDiff())
+	return cmd
+}
+
+func newConfigCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check DIR",
+		Short: "Check a configuration folder and report every error",
+		Long: "Check decodes and merges the files of a folder and reports every error with its file,\n" +
+			"line and remedy. It changes nothing.\n\n" +
+			"Exit codes: 0 the folder is valid, 1 it has errors, 2 wrong arguments or no such folder.",
+		Example: `  rosemarygate config check examples/karri-bend/config
+  rosemarygate config check . && git push`,
+		Args:              cobra.ExactArgs(1),
+		ValidArgsFunction: completeFolder(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return checkFolder(cmd.OutOrStdout(), args[0])
+		},
+	}
+}
+
+func checkFolder(out io.Writer, dir string) error {
+	folder, err := config.Load(dir)
+	if err != nil {
+		return checkFailed(dir, err)
+	}
+	c, err := folder.Merge()
+	if err != nil {
+		return checkFailed(dir, err)
+	}
+	_, err = fmt.Fprintf(out, "%s: valid: %d files, %s\ndigest %s\nnext free number %02d\n",
+		dir, len(folder.Files()), c.Summary(), c.Digest, folder.NextNumber())
+	return errors.WithStack(err)
+}
+
+// checkFailed gives faults in the files the exit code of a negative result; a folder that
+// cannot be read is a wrong argument.
+func checkFailed(dir string, err error) error {
+	var faults strictyaml.Errors
+	if errors.As(err, &faults) && !(len(faults) == 1 && faults[0].File == dir) {
+		return &exitError{code: ExitFailure, err: describe(dir, err)}
+	}
+	return err
+}
+
+// describe puts the folder and the number of faults in front of the faults of its files.
+func describe(dir string, err error) error {
+	var faults strictyaml.Errors
+	if !errors.As(err, &faults) || len(faults) == 0 || faults[0].File == dir {
+		return err
+	}
+	noun := "errors"
+	if len(faults) == 1 {
+		noun = "error"
+	}
+	return &folderError{title: fmt.Sprintf("configuration folder %s has %d %s:", dir, len(faults), noun), faults: faults}
+}
+
+// folderError prints each fault in a line of its own below its title.
+type folderError struct {
+	title  string
+	faults strictyaml.Errors
+}
+
+func (e *folderError) Error() string {
+	return e.title + "\n  " + strings.ReplaceAll(e.faults.Error(), "\n", "\n  ")
+}
+
+func (e *folderError) Unwrap() error { return e.faults }
+
+func newConfigShow() *cobra.Command {
+	var format string
+	cmd := &cobra.Command{
+		Use:   "show DIR",
+		Short: "Print the merged configuration with the origin of each value",
+		Long: "Show merges the files of a folder and prints each value with the file and line that\n" +
+			"set it, or \"default\". Secrets are masked in every format.\n\n" +
+			"Exit codes: 0 success, 2 wrong arguments or an invalid folder.",
+		Example: `  rosemarygate config show examples/guild/config
+  rosemarygate config show --format yaml examples/guild/config
+  rosemarygate config show --format json examples/guild/config | jq '.values[].path'`,
+		Args:              cobra.ExactArgs(1),
+		ValidArgsFunction: completeFolder(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return showFolder(cmd.OutOrStdout(), args[0], format)
+		},
+	}
+	addFormat(cmd, &format, "text", "yaml", "json")
+	return cmd
+}
+
+func showFolder(out io.Writer, dir, format string) error {
+	if err := checkFormat(format, "text", "yaml", "json"); err != nil {
+		return err
+	}
+	c, err := config.LoadConfig(dir)
+	if err != nil {
+		return describe(dir, err)
+	}
+	switch format {
+	case "yaml":
+		return c.WriteYAML(out)
+	case "json":
+		return c.WriteJSON(out)
+	}
+	return c.WriteText(out)
+}
+
+func newConfigDiff() *cobra.Command {
+	var format string
+	cmd := &cobra.Command{
+		Use:   "diff DIR_A DIR_B",
+		Short: "Print what changes from one configuration folder to another",
+		Long: "Diff merges both folders and prints one line for each difference: + added, - removed,\n" +
+			"~ changed. It compares the merged values, so a file that changes nothing prints nothing.\n" +
+			"Secrets are masked. A line says so when a change ends open flows.\n\n" +
+			"Exit codes: 0 no difference, 1 differences, 2 wrong arguments or an invalid folder.",
+		Example: `  rosemarygate config diff ./config ./config-next
+  rosemarygate config diff --format json ./config ./config-next`,
+		Args:              cobra.ExactArgs(2),
+		ValidArgsFunction: completeFolder(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return diffFolders(cmd.OutOrStdout(), args[0], args[1], format)
+		},
+	}
+	addFormat(cmd, &format, "text", "json")
+	return cmd
+}
+
+func diffFolders(out io.Writer, dirA, dirB, format string) error {
+	if err := checkFormat(format, "text", "json"); err != nil {
+		return err
+	}
+	a, err := config.LoadConfig(dirA)
+	if err != nil {
+		return describe(dirA, err)
+	}
+	b, err := config.LoadConfig(dirB)
+	if err != nil {
+		return describe(dirB, err)
+	}
+	changes := config.Diff(a, b)
+	if err := writeChanges(out, changes, format); err != nil {
+		return err
+	}
+	if len(changes) > 0 {
+		return &exitError{code: ExitFailure}
+	}
+	return nil
+}
+
+func writeChanges(out io.Writer, changes []config.Change, format string) error {
+	if format == "json" {
+		if changes == nil {
+			changes = []config.Change{}
+		}
+		enc := json.NewEncoder(out)
+		enc.SetIndent("", "  ")
+		return errors.WithStack(enc.Encode(changes))
+	}
+	for _, c := range changes {
+		if _, err := fmt.Fprintln(out, c); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -51,10 +51,7 @@
 
 func (m *merger) checkService(e ServiceEntry) {
 	path, s := e.path(), e.Settings
-	m.require(path, "port", "credential")
-	if len(s.Classes) == 0 {
-		m.errs.Add(strictyaml.Missing, m.into.origins[path], path+".classes", "service has no class", "declare at least one")
-	}
+	strictyaml.Require(&m.errs, s, path, m.into.origins)
 	if len(s.Classes) > MaxClasses {
 		m.errs.Add(strictyaml.OutOfRange, m.into.origins[path], path+".classes", fmt.Sprintf("service has %d classes", len(s.Classes)), fmt.Sprintf("declare at most %d", MaxClasses))
 	}
@@ -62,22 +59,12 @@
 		at := path + ".default_class"
 		m.errs.Add(strictyaml.Conflict, m.into.origins[at], at, fmt.Sprintf("class %q is not declared", s.DefaultClass), "name one of "+strings.Join(s.ClassNames(), ", ")+" or delete the key")
 	}
-	for name := range s.Classes {
-		m.require(path+".classes."+name, "priority")
+	for name, c := range s.Classes {
+		strictyaml.Require(&m.errs, c, path+".classes."+name, m.into.origins)
 	}
 	m.checkShares(path, s)
 }
 
-// require reports the keys that no file sets.
-func (m *merger) require(path string, keys ...string) {
-	for _, key := range keys {
-		at := strictyaml.Join(path, key)
-		if _, given := m.into.origins[at]; !given {
-			m.errs.Add(strictyaml.Missing, m.into.origins[path], at, "value is missing", "add the key "+key)
-		}
-	}
-}
-
 // checkShares names every share of a service whose sum is over 1, since any of them may
 // be the wrong one.
 func (m *merger) checkShares(path string, s *Service) {
@@ -153,7 +140,7 @@
 	seen := map[uint32]int{}
 	for i, k := range keys {
 		path := fmt.Sprintf("token_keys[%d]", i)
-		m.require(path, "id", "secret")
+		strictyaml.Require(&m.errs, &k, path, m.into.origins)
 		if first, taken := seen[k.ID]; taken {
 			m.errs.Add(strictyaml.Conflict, m.into.origins[path], path+".id", fmt.Sprintf("identifier %d is already that of token_keys[%d]", k.ID, first), "give each key a new identifier")
 		}
--- a/pkg/config/folder.go
+++ b/pkg/config/folder.go
@@ -64,8 +64,8 @@
 		if !isYAML(e.Name()) {
 			continue
 		}
-		if len(files) == MaxFiles || total > MaxFolderBytes {
-			break
+		if len(files) > MaxFiles || total > MaxFolderBytes {
+			break // checkSize reports it
 		}
 		data, err := readFile(filepath.Join(dir, e.Name()))
 		if err != nil {
@@ -166,8 +166,8 @@
 		total += len(f.Data)
 	}
 	at := strictyaml.Origin{}
-	if len(files) >= MaxFiles {
-		errs.Add(strictyaml.Unreadable, at, "", fmt.Sprintf("folder has %d files or more", MaxFiles), "merge old files into one")
+	if len(files) > MaxFiles {
+		errs.Add(strictyaml.Unreadable, at, "", fmt.Sprintf("folder has more than %d files", MaxFiles), "merge old files into one")
 	}
 	if total > MaxFolderBytes {
 		errs.Add(strictyaml.Unreadable, at, "", fmt.Sprintf("folder has more than %d bytes", MaxFolderBytes), "merge old files into one")
--- a/pkg/config/merge.go
+++ b/pkg/config/merge.go
@@ -36,21 +36,22 @@
 	from, errs := strictyaml.Decode(file.Name, file.Data, next)
 	m.errs = append(m.errs, errs...)
 	m.from = from
-	strictyaml.Overlay(m.into, next, "", m.into.origins, from)
 	m.tokenKeys(next)
 	for name, u := range next.Users {
 		m.user(name, u)
 	}
 }
 
-// tokenKeys replaces the origins of the elements together with the list.
+// tokenKeys replaces the whole list and the origins of its elements.
 func (m *merger) tokenKeys(next *Config) {
 	if _, given := m.from["token_keys"]; !given {
 		return
 	}
-	m.drop("token_keys[")
+	old := &Config{TokenKeys: m.into.TokenKeys}
+	m.into.origins.Drop(old, "")
+	m.into.TokenKeys = next.TokenKeys
 	for path, origin := range m.from {
-		if strings.HasPrefix(path, "token_keys[") {
+		if strings.HasPrefix(path, "token_keys") {
 			m.into.origins[path] = origin
 		}
 	}
@@ -58,8 +59,11 @@
 
 func (m *merger) user(name string, next *User) {
 	path := "users." + name
-	_, known := m.into.Users[name]
+	old, known := m.into.Users[name]
 	if m.removal(path, "user", known, next.Remove) {
+		if known {
+			m.into.origins.Drop(old, path)
+		}
 		delete(m.into.Users, name)
 		return
 	}
@@ -75,8 +79,11 @@
 }
 
 func (m *merger) service(u *User, name, path string, next *Service) {
-	_, known := u.Services[name]
+	old, known := u.Services[name]
 	if m.removal(path, "service", known, next.Remove) {
+		if known {
+			m.into.origins.Drop(old, path)
+		}
 		delete(u.Services, name)
 		return
 	}
@@ -92,8 +99,11 @@
 }
 
 func (m *merger) class(s *Service, name, path string, next *Class) {
-	_, known := s.Classes[name]
+	old, known := s.Classes[name]
 	if m.removal(path, "class", known, next.Remove) {
+		if known {
+			m.into.origins.Drop(old, path)
+		}
 		delete(s.Classes, name)
 		return
 	}
@@ -123,19 +133,9 @@
 	if !known {
 		m.errs.Add(strictyaml.Conflict, at, path, fmt.Sprintf("%s is removed, but no earlier file declares it", what), missingRemove)
 	}
-	m.drop(path + ".")
-	delete(m.into.origins, path)
 	return true
 }
 
-func (m *merger) drop(prefix string) {
-	for path := range m.into.origins {
-		if strings.HasPrefix(path, prefix) {
-			delete(m.into.origins, path)
-		}
-	}
-}
-
 func (m *merger) defaults() {
 	origins := m.into.origins
 	for name, u := range m.into.Users {
--- a/pkg/strictyaml/fields.go
+++ b/pkg/strictyaml/fields.go
@@ -57,9 +57,22 @@
 	return text
 }
 
-// CheckLimit returns what is wrong when a value is beyond the limits of its field. The
+// limitText falls back to the limits of the field's type.
+func limitText(v reflect.Value, tag reflect.StructTag) string {
+	switch text := LimitText(tag); {
+	case text != "":
+		return text
+	case v.Kind() == reflect.String:
+		return fmt.Sprintf("1 to %d characters", maxStringLength)
+	case v.CanUint():
+		return fmt.Sprintf("0 to %d", uint64(math.MaxUint64)>>(64-v.Type().Bits()))
+	}
+	return fmt.Sprintf("%d to %d", int64(math.MinInt64)>>(64-v.Type().Bits()), int64(math.MaxInt64)>>(64-v.Type().Bits()))
+}
+
+// checkLimit returns what is wrong when a value is beyond the limits of its field. The
 // limits of text count its characters.
-func CheckLimit(v reflect.Value, tag reflect.StructTag) string {
+func checkLimit(v reflect.Value, tag reflect.StructTag) string {
 	low, high, ok := strings.Cut(tag.Get("limit"), "..")
 	if v.Kind() == reflect.String {
 		return checkLength(v.String(), low, high, ok)
@@ -69,19 +82,19 @@
 	}
 	value := number(v)
 	if value < bound(v, low) || value > bound(v, high) {
-		return fmt.Sprintf("value %v is out of range", v.Interface())
+		return fmt.Sprintf("%v is out of range", v.Interface())
 	}
 	return ""
 }
 
 func checkLength(s, low, high string, limited bool) string {
-	least, most := 1, maxStringBytes
+	least, most := 1, maxStringLength
 	if limited {
 		least, _ = strconv.Atoi(low)
 		most, _ = strconv.Atoi(high)
 	}
 	if n := utf8.RuneCountInString(s); n < least || n > most {
-		return fmt.Sprintf("text has %d characters", n)
+		return fmt.Sprintf("length %d is out of range", n)
 	}
 	return ""
 }
--- a/pkg/strictyaml/scalar.go
+++ b/pkg/strictyaml/scalar.go
@@ -15,8 +15,8 @@
 	"go.yaml.in/yaml/v3"
 )
 
-// maxStringBytes bounds a string whose field has no limit of its own.
-const maxStringBytes = 4096
+// maxStringLength bounds a string whose field has no limit of its own, in characters.
+const maxStringLength = 4096
 
 var (
 	durationType = reflect.TypeFor[time.Duration]()
@@ -43,16 +43,20 @@
 		return
 	}
 	problem, remedy := set(v, n)
-	if problem != "" {
+	if problem != "" && remedy != "" {
 		d.fault(BadValue, n.Line, path, problem, remedy)
 		return
 	}
-	if problem := CheckLimit(v, tag); problem != "" {
-		d.fault(OutOfRange, n.Line, path, problem, "the limits are "+LimitText(tag))
+	if problem == "" {
+		problem = checkLimit(v, tag)
+	}
+	if problem != "" {
+		d.fault(OutOfRange, n.Line, path, problem, "the limits are "+limitText(v, tag))
 	}
 }
 
-// set parses a scalar; a problem is empty when the value was set.
+// set parses a scalar. A problem is empty when the value was set; a remedy is empty when
+// the value does not fit the type of the field.
 func set(v reflect.Value, n *yaml.Node) (problem, remedy string) {
 	text := n.Value
 	shown := fmt.Sprintf("%q", clip(text))
@@ -126,17 +130,18 @@
 	if !wholePattern.MatchString(text) {
 		return fmt.Sprintf("%q is not a whole number", clip(text)), "write decimal digits only, without a unit"
 	}
+	outOfRange := clip(text) + " is out of range"
 	if v.CanUint() {
 		u, err := strconv.ParseUint(text, 10, v.Type().Bits())
 		if err != nil {
-			return text + " is out of range", fmt.Sprintf("give a whole number from 0 to %d", uint64(math.MaxUint64)>>(64-v.Type().Bits()))
+			return outOfRange, ""
 		}
 		v.SetUint(u)
 		return "", ""
 	}
 	i, err := strconv.ParseInt(text, 10, v.Type().Bits())
 	if err != nil {
-		return text + " is out of range", "give a smaller number"
+		return outOfRange, ""
 	}
 	v.SetInt(i)
 	return "", ""
--- /dev/null
+++ b/pkg/strictyaml/walk.go
@@ -0,0 +1,133 @@
+package strictyaml
+
+import (
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Mask stands for a secret in output. It is shorter than any accepted secret, so that
+// masked output cannot be loaded as configuration by mistake.
+const Mask = "******"
+
+// Value is one value or mapping of a struct.
+type Value struct {
+	Path   string
+	Key    string // last part of the path
+	Depth  int    // 0 for the keys of the root
+	Leaf   bool   // a single value; false for a mapping or a list
+	Secret bool
+	Raw    reflect.Value
+}
+
+// Text returns the value as a file would have it, or Mask for a secret.
+func (v Value) Text() string {
+	if v.Secret {
+		return Mask
+	}
+	if d, ok := v.Raw.Interface().(time.Duration); ok {
+		return durationText(d)
+	}
+	return fmt.Sprint(v.Raw.Interface())
+}
+
+// durationText drops the zero parts that Duration.String writes, as in 1h0m0s.
+func durationText(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+// Walk visits the values of the struct that v points to: fields in their order, maps in
+// the order of their keys, each mapping and list before its contents. Empty text, lists
+// and maps and false truth values are left out.
+func Walk(v any, path string, visit func(Value)) {
+	walkStruct(reflect.ValueOf(v).Elem(), path, 0, visit)
+}
+
+func walkStruct(v reflect.Value, path string, depth int, visit func(Value)) {
+	for _, f := range Fields(v.Type()) {
+		walkValue(v.FieldByIndex(f.Index), Join(path, f.Key), f.Key, depth, f.Tag, visit)
+	}
+}
+
+func walkValue(v reflect.Value, path, key string, depth int, tag reflect.StructTag, visit func(Value)) {
+	if v.Kind() == reflect.Pointer {
+		v = v.Elem()
+	}
+	scalar := isScalar(v)
+	if isAbsent(v, scalar) {
+		return
+	}
+	visit(Value{Path: path, Key: key, Depth: depth, Leaf: scalar, Secret: tag.Get("secret") == "true", Raw: v})
+	if scalar {
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		walkStruct(v, path, depth+1, visit)
+	case reflect.Map:
+		for _, k := range sortedKeys(v) {
+			walkValue(v.MapIndex(k), Join(path, k.String()), k.String(), depth+1, "", visit)
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			element := fmt.Sprintf("[%d]", i)
+			walkValue(v.Index(i), path+element, element, depth+1, tag, visit)
+		}
+	}
+}
+
+func isAbsent(v reflect.Value, scalar bool) bool {
+	switch v.Kind() {
+	case reflect.Map, reflect.Slice:
+		return v.Len() == 0
+	case reflect.String, reflect.Bool:
+		return v.IsZero()
+	}
+	return !scalar && !v.IsValid()
+}
+
+func sortedKeys(m reflect.Value) []reflect.Value {
+	keys := m.MapKeys()
+	sort.Slice(keys, func(i, j int) bool { return keys[i].String() < keys[j].String() })
+	return keys
+}
+
+// Drop forgets the origins of everything below path, where v is the struct at path.
+func (o Origins) Drop(v any, path string) {
+	Walk(v, path, func(value Value) { delete(o, value.Path) })
+	delete(o, path)
+}
+
+// Require reports the fields of a struct that are required, have their zero value and
+// were set by no file. The zero value alone does not count as missing: 0 may be meant.
+func Require(errs *Errors, v any, path string, origins Origins) {
+	s := reflect.ValueOf(v).Elem()
+	for _, f := range Fields(s.Type()) {
+		at := Join(path, f.Key)
+		field := s.FieldByIndex(f.Index)
+		if field.Kind() == reflect.Struct && !isScalar(field) {
+			Require(errs, field.Addr().Interface(), at, origins)
+			continue
+		}
+		if _, given := origins[at]; given || f.Tag.Get("required") != "true" || !isUnset(field) {
+			continue
+		}
+		errs.Add(Missing, origins[path], at, "value is missing", "add the key "+f.Key)
+	}
+}
+
+func isUnset(v reflect.Value) bool {
+	if v.Kind() == reflect.Map {
+		return v.Len() == 0
+	}
+	return v.IsZero()
+}
