--- /dev/null
+++ b/pkg/dispatch/class.go
@@ -0,0 +1,179 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// serviceWeight is the weight of a new sample in the mean service time.
+	serviceWeight = 1.0 / 32
+	// activeWindow is how long slots stay reserved for a class after its last request.
+	activeWindow = 30 * time.Second
+	// classifyEvery is the interval at which reservations follow the observed load.
+	classifyEvery = 50 * time.Millisecond
+	// useWeight is the weight of one classifyEvery interval in a class's mean slot use.
+	useWeight = 0.05
+	// longFactor is the ratio of mean service times from which a class counts as long
+	// for a more urgent class: below it waiting for a running request costs little.
+	longFactor = 4
+	// reservedLoad is the load of reserved slots above which one more is reserved. At
+	// 0.35 the 99th percentile of the response time of a single M/M/1 slot is about 1.5
+	// times that of an idle one.
+	reservedLoad = 0.35
+	// idleServiceProbe is the age of the last service time after which a request that
+	// would miss its deadline by the estimate runs anyway and corrects the estimate.
+	idleServiceProbe = time.Second
+)
+
+const noDeadline = math.MaxInt64
+
+// class is the state of one request class. Times are scheduler times in nanoseconds.
+type class struct {
+	Class
+	queue       fifo
+	minDeadline int64   // lower bound of the deadlines in the queue
+	running     int     // dispatched requests
+	credit      float64 // slot-nanoseconds of guaranteed service not yet received
+	service     float64 // mean service time; 0 until observed
+	observedAt  int64   // time of the last service time sample or probe
+	arrivedAt   int64   // time of the last request
+	arrived     bool
+	use         float64 // mean number of occupied slots
+	busy        float64 // slot-nanoseconds since the last classify
+	tier        int     // number of reservations that apply to the class
+}
+
+func newClass(c Class) class {
+	return class{Class: c, queue: fifo{head: none, tail: none}, minDeadline: noDeadline}
+}
+
+func (c *class) active(now int64) bool {
+	return c.arrived && (c.queue.n > 0 || c.running > 0 || now-c.arrivedAt < int64(activeWindow))
+}
+
+// stale reports whether the mean service time is so old that one request may run against
+// it. Without this an estimate from a slow period would refuse everything for ever.
+func (c *class) stale(now int64) bool {
+	return float64(now-c.observedAt) > math.Max(float64(idleServiceProbe), 4*c.service)
+}
+
+func (c *class) observe(now int64, d float64) {
+	if c.service == 0 {
+		c.service = d
+	} else {
+		c.service += serviceWeight * (d - c.service)
+	}
+	c.observedAt = now
+}
+
+// accrue adds the guarantee for an interval during which the class had requests waiting
+// or running. The bounds keep an unused guarantee from piling up, and use of spare
+// capacity from counting against the class later.
+func (c *class) accrue(dt, slots, longest float64) {
+	c.busy += float64(c.running) * dt
+	if c.queue.n == 0 && c.running == 0 {
+		c.credit = math.Min(c.credit, 0)
+	}
+	rate := c.Share * slots
+	top := c.service + 2*rate*longest
+	c.credit = math.Max(-c.service, math.Min(top, c.credit+rate*dt))
+}
+
+// overdue returns for how long (nanoseconds) the class has been owed the service time
+// of one request; it is negative when nothing is owed.
+func (c *class) overdue(slots float64) float64 {
+	rate := c.Share * slots
+	if rate <= 0 {
+		return -1
+	}
+	return (c.credit - c.service) / rate
+}
+
+// classify recomputes how many reservations apply to each class: a class is one tier
+// above every more urgent active class whose requests are much shorter than its own.
+func (s *Scheduler) classify() {
+	dt := float64(s.now - s.classifiedAt)
+	urgent := 0.0
+	s.maxTier = 0
+	for at, ci := range s.order {
+		c := &s.classes[ci]
+		if dt > 0 {
+			weight := 1 - math.Pow(1-useWeight, dt/float64(classifyEvery))
+			c.use += weight * (c.busy/dt - c.use)
+			c.busy = 0
+		}
+		c.tier = s.tierOf(at)
+		s.maxTier = max(s.maxTier, c.tier)
+		if c.tier == 0 {
+			urgent += c.use
+		}
+	}
+	s.classifiedAt = s.now
+	s.setCaps(urgent)
+}
+
+func (s *Scheduler) tierOf(at int) int {
+	c := &s.classes[s.order[at]]
+	tier := 0
+	for _, di := range s.order[:at] {
+		d := &s.classes[di]
+		if d.Priority == c.Priority {
+			break
+		}
+		if !d.active(s.now) {
+			continue
+		}
+		if c.service == 0 || d.service*longFactor < c.service {
+			tier = max(tier, d.tier+1)
+		}
+	}
+	return tier
+}
+
+// setCaps computes how many slots the classes of each tier and above may occupy together.
+// A lower tier always gets one slot more than the tier above it, so that long requests
+// cannot occupy every slot that it may use.
+func (s *Scheduler) setCaps(urgentLoad float64) {
+	limit := s.limit.slots()
+	reserved := int(math.Ceil(urgentLoad / reservedLoad))
+	reserved = max(1, min(reserved, limit-1))
+	s.caps = slices.Grow(s.caps[:0], s.maxTier+1)[:s.maxTier+1]
+	for tier := s.maxTier; tier >= 0; tier-- {
+		n := max(1, limit-reserved-(tier-1))
+		if tier < s.maxTier {
+			n = max(n, s.caps[tier+1]+1)
+		}
+		if tier == 0 {
+			n = limit
+		}
+		s.caps[tier] = min(n, limit)
+	}
+}
+
+// mayRun reports whether the reservations let a class take a free slot. A class that is
+// owed service may exceed them up to the slots that the guarantees of its tier need.
+func (s *Scheduler) mayRun(c *class, owed bool) bool {
+	for tier := c.tier; tier >= 1; tier-- {
+		limit := s.caps[tier]
+		running, share := s.tierUse(tier)
+		if owed {
+			limit = max(limit, int(math.Ceil(share*float64(s.limit.slots()))))
+		}
+		if running >= limit {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) tierUse(tier int) (running int, share float64) {
+	for i := range s.classes {
+		if s.classes[i].tier >= tier {
+			running += s.classes[i].running
+			share += s.classes[i].Share
+		}
+	}
+	return running, share
+}
--- /dev/null
+++ b/pkg/dispatch/scheduler.go
@@ -0,0 +1,410 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Scheduler admits and dispatches the requests of one upstream. The slices that its
+// methods return are valid until the next call. It is not safe for concurrent use.
+type Scheduler struct {
+	classes      []class
+	order        []int // class indexes, most urgent first
+	slab         slab
+	limit        limiter
+	caps         []int // by tier
+	maxTier      int
+	running      int
+	queued       int
+	draining     bool
+	base         time.Time
+	now          int64   // nanoseconds since base; never decreases
+	busy         float64 // slot-nanoseconds of all classes since base
+	longest      float64 // largest mean service time of a class
+	classifiedAt int64
+	run          []Request
+	refused      []Refusal
+}
+
+// NewScheduler returns an idle scheduler for one upstream.
+func NewScheduler(l Limits) *Scheduler {
+	s := &Scheduler{slab: newSlab(), limit: newLimiter(l.Slots)}
+	s.setClasses(l.Classes)
+	return s
+}
+
+// setClasses replaces the classes and keeps the state of those with the same name. It
+// returns the new index of each old class, or -1.
+func (s *Scheduler) setClasses(declared []Class) []int32 {
+	old := s.classes
+	moved := make([]int32, len(old))
+	for i := range moved {
+		moved[i] = -1
+	}
+	total := 0.0
+	for _, c := range declared {
+		total += max(0, c.Share)
+	}
+	s.classes = make([]class, len(declared))
+	s.order = make([]int, len(declared))
+	for i, c := range declared {
+		c.Share = max(0, c.Share) / max(1, total)
+		s.order[i] = i
+		s.classes[i] = newClass(c)
+		at := slices.IndexFunc(old, func(o class) bool { return o.Name == c.Name })
+		if at < 0 || moved[at] >= 0 {
+			continue
+		}
+		s.classes[i] = old[at]
+		s.classes[i].Class = c
+		moved[at] = int32(i)
+	}
+	slices.SortStableFunc(s.order, func(a, b int) int { return s.classes[a].Priority - s.classes[b].Priority })
+	s.classify()
+	return moved
+}
+
+// begin advances the clock and the guarantees, and clears the result buffers.
+func (s *Scheduler) begin(now time.Time) {
+	s.run = s.run[:0]
+	s.refused = s.refused[:0]
+	if s.base.IsZero() {
+		s.base = now
+	}
+	t := int64(now.Sub(s.base))
+	if t <= s.now {
+		return
+	}
+	dt := float64(t - s.now)
+	s.now = t
+	s.busy += float64(s.running) * dt
+	slots := float64(s.limit.slots())
+	for i := range s.classes {
+		s.classes[i].accrue(dt, slots, s.longest)
+	}
+	if t-s.classifiedAt >= int64(classifyEvery) {
+		s.classify()
+	}
+}
+
+// Submit admits, queues or refuses a request. It returns the requests to run now and the
+// requests refused, which may include earlier queued ones.
+func (s *Scheduler) Submit(now time.Time, r Request) (run []Request, refused []Refusal) {
+	s.begin(now)
+	deadline := s.relative(r.Deadline)
+	if reason := s.admit(r, deadline); reason != 0 {
+		s.refuse(r.ID, reason)
+		return s.run, s.refused
+	}
+	c := &s.classes[r.Class]
+	i := s.slab.add(item{req: r, class: int32(r.Class), deadline: deadline})
+	c.queue.push(&s.slab, i)
+	c.minDeadline = min(c.minDeadline, deadline)
+	s.queued++
+	s.fill()
+	return s.run, s.refused
+}
+
+func (s *Scheduler) relative(deadline time.Time) int64 {
+	if deadline.IsZero() {
+		return noDeadline
+	}
+	return int64(deadline.Sub(s.base))
+}
+
+// admit returns the reason to refuse a new request, or 0.
+func (s *Scheduler) admit(r Request, deadline int64) Reason {
+	if s.draining {
+		return ReasonDraining
+	}
+	if r.Class < 0 || r.Class >= len(s.classes) {
+		return ReasonUnknownClass
+	}
+	if _, ok := s.slab.index[r.ID]; ok {
+		return ReasonDuplicate
+	}
+	c := &s.classes[r.Class]
+	wasActive := c.active(s.now)
+	c.arrived, c.arrivedAt = true, s.now
+	if !wasActive {
+		s.classify()
+	}
+	if c.queue.n >= c.QueueLimit && !s.canStart(c) {
+		s.expire(r.Class)
+		if c.queue.n >= c.QueueLimit {
+			return ReasonQueueFull
+		}
+	}
+	if deadline <= s.now {
+		return ReasonDeadline
+	}
+	wait := s.waitOf(r.Class)
+	if s.misses(c, deadline, wait) && (wait > 0 || !c.stale(s.now)) {
+		return ReasonDeadline
+	}
+	return 0
+}
+
+// canStart reports whether a request of the class would run at once.
+func (s *Scheduler) canStart(c *class) bool {
+	return c.queue.n == 0 && s.running < s.limit.slots() && s.mayRun(c, c.overdue(float64(s.limit.slots())) >= 0)
+}
+
+// misses reports whether a request that starts after wait would end after its deadline.
+func (s *Scheduler) misses(c *class, deadline int64, wait float64) bool {
+	if deadline == noDeadline {
+		return false
+	}
+	return float64(s.now)+wait+c.service > float64(deadline)
+}
+
+// waitOf estimates how long (nanoseconds) a new request of a class waits: the queued
+// work that goes first, over the slots that its guarantee or its priority give it.
+func (s *Scheduler) waitOf(ci int) float64 {
+	c := &s.classes[ci]
+	if s.canStart(c) {
+		return 0
+	}
+	own := float64(c.queue.n) * c.service
+	slots := float64(s.limit.slots())
+	byGuarantee := own / max(c.Share*slots, 1e-9)
+	ahead, spare := 0.0, slots
+	for i := range s.classes {
+		d := &s.classes[i]
+		if d.Priority < c.Priority {
+			ahead += float64(d.queue.n) * d.service
+			spare -= min(d.use, spare)
+		}
+	}
+	if c.tier > 0 {
+		spare = min(spare, float64(s.caps[c.tier]))
+	}
+	byPriority := (own + ahead) / max(spare, 1e-9)
+	return min(byGuarantee, byPriority)
+}
+
+func (s *Scheduler) refuse(id uint64, reason Reason) {
+	s.refused = append(s.refused, Refusal{ID: id, Reason: reason})
+}
+
+// fill dispatches queued requests while a slot is free.
+func (s *Scheduler) fill() {
+	for s.queued > 0 && s.running < s.limit.slots() {
+		ci := s.next()
+		if ci < 0 {
+			return
+		}
+		c := &s.classes[ci]
+		i := c.queue.head
+		s.unqueue(i)
+		it := &s.slab.items[i]
+		if it.deadline <= s.now {
+			s.drop(i, ReasonExpired)
+			continue
+		}
+		if s.misses(c, it.deadline, 0) {
+			if !c.stale(s.now) {
+				s.drop(i, ReasonDeadline)
+				continue
+			}
+			c.observedAt = s.now
+		}
+		s.start(i)
+	}
+}
+
+// next returns the class whose first queued request gets a free slot, or -1.
+func (s *Scheduler) next() int {
+	slots := float64(s.limit.slots())
+	owed, longest := -1, 0.0
+	urgent := -1
+	for _, ci := range s.order {
+		c := &s.classes[ci]
+		if c.queue.n == 0 {
+			continue
+		}
+		late := c.overdue(slots)
+		if late >= longest && s.mayRun(c, true) && (owed < 0 || late > longest) {
+			owed, longest = ci, late
+		}
+		if urgent < 0 && s.mayRun(c, false) {
+			urgent = ci
+		}
+	}
+	if owed >= 0 {
+		return owed
+	}
+	return urgent
+}
+
+func (s *Scheduler) unqueue(i int32) {
+	c := &s.classes[s.slab.items[i].class]
+	c.queue.unlink(&s.slab, i)
+	if c.queue.n == 0 {
+		c.minDeadline = noDeadline
+	}
+	s.queued--
+}
+
+// drop refuses an item that has left its queue.
+func (s *Scheduler) drop(i int32, reason Reason) {
+	s.refuse(s.slab.items[i].req.ID, reason)
+	s.slab.remove(i)
+}
+
+func (s *Scheduler) start(i int32) {
+	it := &s.slab.items[i]
+	c := &s.classes[it.class]
+	it.running = true
+	it.started = s.now
+	it.busyAt = s.busy
+	it.charged = c.service
+	c.credit -= c.service
+	c.running++
+	s.running++
+	s.run = append(s.run, it.req)
+}
+
+// Done reports the end of a dispatched request and returns what to run in its place. An
+// identifier that is not running changes nothing.
+func (s *Scheduler) Done(now time.Time, id uint64, o Outcome) (run []Request, refused []Refusal) {
+	s.begin(now)
+	i, ok := s.slab.index[id]
+	if !ok || !s.slab.items[i].running {
+		return s.run, s.refused
+	}
+	s.finish(i, o)
+	s.fill()
+	return s.run, s.refused
+}
+
+func (s *Scheduler) finish(i int32, o Outcome) {
+	it := &s.slab.items[i]
+	atOnce := s.running
+	s.running--
+	took := float64(s.now - it.started)
+	if it.class >= 0 {
+		c := &s.classes[it.class]
+		c.running--
+		c.credit -= took - it.charged
+		if o == Answered && !it.cancelled {
+			s.learn(c, it, took)
+		}
+	}
+	switch o {
+	case Shed:
+		s.limit.shed(atOnce)
+	case Answered:
+		s.limit.success(atOnce)
+	}
+	s.slab.remove(i)
+}
+
+func (s *Scheduler) learn(c *class, it *item, took float64) {
+	if c.service > 0 && took > 0 {
+		s.limit.observe((s.busy-it.busyAt)/took, took/c.service)
+	}
+	c.observe(s.now, took)
+	s.longest = 0
+	for i := range s.classes {
+		s.longest = max(s.longest, s.classes[i].service)
+	}
+}
+
+// Cancel removes a queued request, which then has certainly not run and is not reported
+// again (queued is true). A running request keeps its slot until Done reports it, because
+// the upstream may still work on it; its service time is not learned.
+func (s *Scheduler) Cancel(now time.Time, id uint64) (queued bool, run []Request, refused []Refusal) {
+	s.begin(now)
+	i, ok := s.slab.index[id]
+	if !ok {
+		return false, s.run, s.refused
+	}
+	if s.slab.items[i].running {
+		s.slab.items[i].cancelled = true
+		return false, s.run, s.refused
+	}
+	s.unqueue(i)
+	s.slab.remove(i)
+	return true, s.run, s.refused
+}
+
+// Tick refuses queued requests whose deadline has passed and dispatches what time alone
+// has made eligible. Call it every 10 ms to 100 ms while requests are queued.
+func (s *Scheduler) Tick(now time.Time) (run []Request, refused []Refusal) {
+	s.begin(now)
+	for i := range s.classes {
+		s.expire(i)
+	}
+	s.fill()
+	return s.run, s.refused
+}
+
+// expire refuses the queued requests of a class whose deadline has passed.
+func (s *Scheduler) expire(ci int) {
+	c := &s.classes[ci]
+	if c.minDeadline > s.now {
+		return
+	}
+	c.minDeadline = noDeadline
+	for i := c.queue.head; i != none; {
+		it := &s.slab.items[i]
+		next := it.next
+		if it.deadline <= s.now {
+			s.unqueue(i)
+			s.drop(i, ReasonExpired)
+		} else {
+			c.minDeadline = min(c.minDeadline, it.deadline)
+		}
+		i = next
+	}
+}
+
+// SetLimits changes the slots and classes. Running requests stay; queued requests of a
+// removed class are refused.
+func (s *Scheduler) SetLimits(now time.Time, l Limits) (run []Request, refused []Refusal) {
+	s.begin(now)
+	s.limit.declare(l.Slots)
+	moved := s.setClasses(l.Classes)
+	for _, i := range s.slab.index {
+		it := &s.slab.items[i]
+		if it.class >= 0 {
+			it.class = moved[it.class]
+		}
+		if it.class >= 0 {
+			it.req.Class = int(it.class)
+			continue
+		}
+		if !it.running {
+			s.queued--
+			s.drop(i, ReasonClassRemoved)
+		}
+	}
+	slices.SortFunc(s.refused, func(a, b Refusal) int { return cmp.Compare(a.ID, b.ID) })
+	s.fill()
+	return s.run, s.refused
+}
+
+// SetDraining stops or resumes admission. Queued and running requests are not affected.
+func (s *Scheduler) SetDraining(draining bool) { s.draining = draining }
+
+// TakeQueued removes and returns the queued requests in the order of urgency and arrival,
+// for handing them over to another owner. The requests have not run.
+func (s *Scheduler) TakeQueued() []Request {
+	var out []Request
+	for _, ci := range s.order {
+		for s.classes[ci].queue.n > 0 {
+			i := s.classes[ci].queue.head
+			out = append(out, s.slab.items[i].req)
+			s.unqueue(i)
+			s.slab.remove(i)
+		}
+	}
+	return out
+}
+
+// Load returns the current load and the effective number of slots.
+func (s *Scheduler) Load() Load {
+	return Load{Running: s.running, Queued: s.queued, Slots: s.limit.slots()}
+}
--- /dev/null
+++ b/pkg/retry/retry.go
@@ -0,0 +1,177 @@
+// Package retry decides whether a request may be sent again. A budget for each service
+// keeps retries in proportion to successes, so that they cannot multiply the load when
+// every upstream sheds.
+package retry
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// DefaultRatio is the number of retries that one success pays for.
+	DefaultRatio = 0.1
+	// DefaultMinRate is the retries per second that are allowed without any success, so
+	// that a service with little traffic can retry at all.
+	DefaultMinRate = 1.0
+	// DefaultBurst is the number of retries that can be saved up.
+	DefaultBurst = 20.0
+	// MinBackoff and MaxBackoff bound the wait before a retry; it doubles with each attempt.
+	MinBackoff = 5 * time.Millisecond
+	MaxBackoff = 500 * time.Millisecond
+)
+
+// Budget is the retry allowance of one service: a token bucket that successes fill. The
+// zero value is not usable. It is not safe for concurrent use.
+type Budget struct {
+	ratio   float64
+	minRate float64 // tokens per second
+	burst   float64
+	tokens  float64
+	filled  time.Time
+}
+
+// NewBudget returns a budget that allows ratio retries per success plus minRate retries
+// per second, and saves up at most burst retries. It starts full.
+func NewBudget(ratio, minRate, burst float64) *Budget {
+	return &Budget{ratio: ratio, minRate: minRate, burst: burst, tokens: burst}
+}
+
+// Success adds the share of one answered request.
+func (b *Budget) Success() {
+	b.tokens = min(b.burst, b.tokens+b.ratio)
+}
+
+// Take uses one retry and reports whether the budget had it.
+func (b *Budget) Take(now time.Time) bool {
+	b.fill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Available returns the number of retries allowed at once.
+func (b *Budget) Available(now time.Time) float64 {
+	b.fill(now)
+	return b.tokens
+}
+
+func (b *Budget) fill(now time.Time) {
+	if b.filled.IsZero() {
+		b.filled = now
+	}
+	dt := now.Sub(b.filled).Seconds()
+	if dt <= 0 {
+		return
+	}
+	b.filled = now
+	b.tokens = min(b.burst, b.tokens+b.minRate*dt)
+}
+
+// Reason tells why a request is or is not retried.
+type Reason uint8
+
+// Reasons of a retry decision. ReasonNotRun and ReasonIdempotent allow the retry.
+const (
+	// ReasonNotRun: the request certainly did not run.
+	ReasonNotRun Reason = iota + 1
+	// ReasonIdempotent: the request may have run and is idempotent.
+	ReasonIdempotent
+	// ReasonMayHaveRun: a non-idempotent request may have run.
+	ReasonMayHaveRun
+	// ReasonAttempts: the request has used all its attempts.
+	ReasonAttempts
+	// ReasonDeadline: too little time is left for another attempt.
+	ReasonDeadline
+	// ReasonBudget: the service's retry budget is used up.
+	ReasonBudget
+	// ReasonInProgress: an attempt is still running; requests are never hedged here.
+	ReasonInProgress
+)
+
+var reasonTexts = [...]struct{ name, remedy string }{
+	ReasonNotRun:     {"not_run", "none: the request is retried"},
+	ReasonIdempotent: {"idempotent", "none: the request is retried"},
+	ReasonMayHaveRun: {"may_have_run", "check at the service whether the request took effect before sending it as a new one"},
+	ReasonAttempts:   {"attempts_used", "send the request again later as a new one"},
+	ReasonDeadline:   {"deadline", "allow a longer deadline"},
+	ReasonBudget:     {"budget_used", "add upstreams, or wait until the service answers again"},
+	ReasonInProgress: {"in_progress", "wait for the outcome of the running attempt"},
+}
+
+// Reasons returns every reason, for registering one counter each.
+func Reasons() []Reason {
+	out := make([]Reason, 0, len(reasonTexts)-1)
+	for r := ReasonNotRun; int(r) < len(reasonTexts); r++ {
+		out = append(out, r)
+	}
+	return out
+}
+
+// String returns the name of the reason as counters and logs show it.
+func (r Reason) String() string {
+	if r == 0 || int(r) >= len(reasonTexts) {
+		return fmt.Sprintf("reason_%d", uint8(r))
+	}
+	return reasonTexts[r].name
+}
+
+// Remedy tells a caller or operator what to do; it is empty for an unknown reason.
+func (r Reason) Remedy() string {
+	if int(r) >= len(reasonTexts) {
+		return ""
+	}
+	return reasonTexts[r].remedy
+}
+
+// Attempt describes the last attempt of a request.
+type Attempt struct {
+	Idempotent  bool
+	NotRun      bool          // the owner or the upstream certified that it did not run
+	InProgress  bool          // no outcome is known and none is given up
+	Attempts    int           // attempts made so far
+	MaxAttempts int           // attempts allowed, the first one included
+	Deadline    time.Time     // zero for none
+	Expected    time.Duration // expected time of one attempt
+}
+
+// Decision is the answer of Decide.
+type Decision struct {
+	Retry  bool
+	Reason Reason
+	Wait   time.Duration // time to wait before the retry
+}
+
+// Decide reports whether a request may be sent again. It takes from the budget only when
+// nothing else forbids the retry.
+func Decide(now time.Time, a Attempt, b *Budget) Decision {
+	if a.InProgress {
+		return Decision{Reason: ReasonInProgress}
+	}
+	if !a.NotRun && !a.Idempotent {
+		return Decision{Reason: ReasonMayHaveRun}
+	}
+	if a.Attempts >= a.MaxAttempts {
+		return Decision{Reason: ReasonAttempts}
+	}
+	wait := Backoff(a.Attempts)
+	if !a.Deadline.IsZero() && !now.Add(wait+a.Expected).Before(a.Deadline) {
+		return Decision{Reason: ReasonDeadline}
+	}
+	if !b.Take(now) {
+		return Decision{Reason: ReasonBudget}
+	}
+	if a.NotRun {
+		return Decision{Retry: true, Reason: ReasonNotRun, Wait: wait}
+	}
+	return Decision{Retry: true, Reason: ReasonIdempotent, Wait: wait}
+}
+
+// Backoff returns the wait before the attempt that follows the given number of attempts.
+// Callers add their own jitter.
+func Backoff(attempts int) time.Duration {
+	shift := min(max(0, attempts-1), 16)
+	return min(MinBackoff<<shift, MaxBackoff)
+}
--- /dev/null
+++ b/pkg/selection/errors.go
@@ -0,0 +1,79 @@
+package selection
+
+import (
+	"fmt"
+	"slices"
+
+	"rosemarygate/pkg/ident"
+)
+
+// Reason tells why no upstream was selected.
+type Reason uint8
+
+// Reasons of a failed Pick.
+const (
+	// ReasonNoUpstream: the service has no upstream that accepts new flows.
+	ReasonNoUpstream Reason = iota + 1
+	// ReasonFull: every upstream is at its flow limit.
+	ReasonFull
+	// ReasonAllTried: every upstream with room was already tried for this flow.
+	ReasonAllTried
+)
+
+var reasonTexts = [...]struct{ name, remedy string }{
+	ReasonNoUpstream: {"no_upstream", "start an upstream of the service, or check that its announcements are accepted"},
+	ReasonFull:       {"flow_limit", "raise flow_limit of the service or add upstreams"},
+	ReasonAllTried:   {"all_tried", "open the flow again later or add upstreams"},
+}
+
+// Reasons returns every reason, for registering one counter each.
+func Reasons() []Reason { return []Reason{ReasonNoUpstream, ReasonFull, ReasonAllTried} }
+
+// String returns the name of the reason as counters and logs show it.
+func (r Reason) String() string {
+	if r == 0 || int(r) >= len(reasonTexts) {
+		return fmt.Sprintf("reason_%d", uint8(r))
+	}
+	return reasonTexts[r].name
+}
+
+// Remedy tells a caller or operator what to do; it is empty for an unknown reason.
+func (r Reason) Remedy() string {
+	if int(r) >= len(reasonTexts) {
+		return ""
+	}
+	return reasonTexts[r].remedy
+}
+
+// Error is returned by Table.Pick.
+type Error struct{ Reason Reason }
+
+// Error returns the reason and its remedy.
+func (e *Error) Error() string {
+	return fmt.Sprintf("no upstream selected (%s): %s", e.Reason, e.Reason.Remedy())
+}
+
+// The errors are shared so that a refused flow allocates nothing.
+var (
+	errNoUpstream = &Error{ReasonNoUpstream}
+	errFull       = &Error{ReasonFull}
+	errAllTried   = &Error{ReasonAllTried}
+)
+
+func (p *pool) whyNone(tried []ident.UpstreamID) error {
+	accepting := false
+	for i := range p.upstreams {
+		u := &p.upstreams[i]
+		if u.Draining {
+			continue
+		}
+		accepting = true
+		if slices.Contains(tried, u.Upstream) {
+			return errAllTried
+		}
+	}
+	if accepting {
+		return errFull
+	}
+	return errNoUpstream
+}
--- /dev/null
+++ b/pkg/selection/health.go
@@ -0,0 +1,216 @@
+package selection
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// sampleWeight is the weight of one observation in an upstream's means.
+	sampleWeight = 1.0 / 16
+	// failuresInRow ejects an upstream.
+	failuresInRow = 5
+	// minSamples is the number of observations before means are compared.
+	minSamples = 16
+	// failingSuccess ejects an upstream whose success rate is below it while the
+	// service's median is above healthySuccess.
+	failingSuccess = 0.5
+	healthySuccess = 0.9
+	// slowFactor ejects an upstream whose mean latency exceeds the median this many times.
+	slowFactor = 4
+	// toleratedLatency is the ratio to the median latency up to which nothing is changed.
+	toleratedLatency = 1.5
+	// maxPenalty bounds the effect of latency and failures on the score.
+	maxPenalty = 4
+	// silentOpens and silentTime eject an upstream that got flows but answered nothing.
+	silentOpens = 16
+	silentTime  = 2 * time.Second
+	// freshTime is the age up to which own observations outweigh reported health.
+	freshTime = 2 * time.Second
+	// ejectTime is the first ejection; it doubles with each one up to maxEjectTime.
+	ejectTime    = 2 * time.Second
+	maxEjectTime = time.Minute
+	// probePass is the part of its samples that a probed upstream takes.
+	probePass = 0.05
+	// probeSuccesses ends probing.
+	probeSuccesses = 3
+	// maxUtilization is the flow use of the rest above which nothing more is ejected.
+	maxUtilization = 0.95
+)
+
+type healthState uint8
+
+const (
+	serving healthState = iota
+	ejected
+	probing
+)
+
+// health is what this daemon observed at an upstream.
+type health struct {
+	state    healthState
+	until    time.Time // end of the ejection
+	times    int       // ejections since the last long healthy period
+	probes   int       // successes while probing
+	n        int       // observations since the last change of state
+	success  float64   // mean of successes
+	latency  float64   // mean latency of successes, nanoseconds
+	failures int       // in a row
+	opened   int       // own picks since the last observation
+	seen     time.Time // last observation
+	good     time.Time // last success
+}
+
+func (h *health) restart(s healthState) {
+	h.state = s
+	h.n, h.failures, h.opened, h.probes = 0, 0, 0, 0
+	h.success, h.latency = 1, 0
+}
+
+func (p *pool) observe(u *upstream, now time.Time, ok bool, latency time.Duration) {
+	h := &u.health
+	h.seen = now
+	h.opened = 0
+	p.seen = now
+	if !ok {
+		h.count(0)
+		h.failures++
+		if h.state != ejected && (h.failures >= failuresInRow || h.state == probing) {
+			p.eject(u, now)
+		}
+		return
+	}
+	h.count(1)
+	h.failures = 0
+	h.good = now
+	h.latency = mean(h.latency, float64(latency))
+	if g := p.groupOf(u); g != nil {
+		g.latency = mean(g.latency, float64(latency))
+	}
+	if h.state != probing {
+		return
+	}
+	if h.probes++; h.probes >= probeSuccesses {
+		h.restart(serving)
+		p.ejected--
+	}
+}
+
+func (h *health) count(success float64) {
+	if h.n == 0 {
+		h.success = 1
+	}
+	h.n++
+	h.success += sampleWeight * (success - h.success)
+}
+
+func mean(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + sampleWeight*(sample-old)
+}
+
+// penalty raises the score of slow or failing upstreams.
+func (h *health) penalty(median float64) float64 {
+	if h.n < minSamples {
+		return 1
+	}
+	factor := 1 / math.Max(h.success, 1.0/maxPenalty)
+	if median > 0 && h.latency > toleratedLatency*median {
+		factor *= h.latency / (toleratedLatency * median)
+	}
+	return math.Min(factor, maxPenalty)
+}
+
+// pass returns the part of its samples that the upstream takes because of its state.
+func (h *health) pass() float64 {
+	switch h.state {
+	case ejected:
+		return 0
+	case probing:
+		return probePass
+	}
+	return 1
+}
+
+// believedHealthy weighs reported health against fresh own observations.
+func (u *upstream) believedHealthy(now time.Time) bool {
+	if !u.heard || u.healthy {
+		return true
+	}
+	h := &u.health
+	return h.n >= minSamples && h.success >= healthySuccess && now.Sub(h.good) < freshTime
+}
+
+// eject excludes an upstream for a while, unless half of the service is excluded already
+// or the others could not hold the flows.
+func (p *pool) eject(u *upstream, now time.Time) {
+	h := &u.health
+	if h.state == serving && !p.canEject(u) {
+		return
+	}
+	if h.state == serving {
+		p.ejected++
+	}
+	h.restart(ejected)
+	wait := ejectTime << min(h.times, 10)
+	h.times++
+	h.until = now.Add(min(wait, maxEjectTime))
+}
+
+func (p *pool) canEject(out *upstream) bool {
+	if 2*(p.ejected+1) > len(p.upstreams) {
+		return false
+	}
+	flows, limit, unlimited, left := 0.0, 0.0, false, 0
+	for i := range p.upstreams {
+		u := &p.upstreams[i]
+		if u.Draining {
+			continue
+		}
+		flows += u.estimate()
+		if u == out || u.health.state != serving {
+			continue
+		}
+		left++
+		limit += float64(u.FlowLimit)
+		unlimited = unlimited || u.FlowLimit == 0
+	}
+	return left > 0 && (unlimited || flows < maxUtilization*limit)
+}
+
+// checkOutliers ejects upstreams whose observations differ from those of the others and
+// moves those whose ejection has ended to probing.
+func (p *pool) checkOutliers(now time.Time) {
+	success := p.medianOf(func(u *upstream) (float64, bool) { return u.health.success, u.health.n >= minSamples })
+	p.latency = p.medianOf(func(u *upstream) (float64, bool) { return u.health.latency, u.health.n >= minSamples })
+	for i := range p.upstreams {
+		u := &p.upstreams[i]
+		h := &u.health
+		switch {
+		case h.state == ejected && !now.Before(h.until):
+			h.restart(probing)
+		case h.state == serving && p.isOutlier(h, now, success):
+			p.eject(u, now)
+		case h.state == serving && h.times > 0 && now.Sub(h.until) > maxEjectTime:
+			h.times = 0
+		}
+	}
+}
+
+func (p *pool) isOutlier(h *health, now time.Time, success float64) bool {
+	if h.failures >= failuresInRow {
+		return true
+	}
+	if h.opened >= silentOpens && now.Sub(h.seen) > silentTime && now.Sub(p.seen) < silentTime {
+		return true
+	}
+	if h.n < minSamples {
+		return false
+	}
+	if h.success < failingSuccess && success > healthySuccess {
+		return true
+	}
+	return p.latency > 0 && h.latency > slowFactor*p.latency
+}
--- /dev/null
+++ b/pkg/selection/selection.go
@@ -0,0 +1,317 @@
+// Package selection chooses the upstream of a new flow.
+//
+// A Table belongs to one daemon. It keeps, for each upstream, the open flows its owner
+// reported and a model of them built from the daemon's own picks. A report that the model
+// contradicts loses weight, and what the daemon observed itself (successes, latency)
+// outweighs reported health. Of d random candidates the one with the fewest estimated
+// flows per flow limit wins.
+//
+// The package does no I/O, starts no goroutine and holds no lock; time and randomness
+// are passed in.
+package selection
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rosemarygate/pkg/ident"
+)
+
+const (
+	// choices is the number of random candidates compared for a pick.
+	choices = 2
+	// sampleTries bounds the samples drawn to find usable candidates before all are scanned.
+	sampleTries = 8
+	// refreshEvery is the interval at which pool-wide estimates are recomputed.
+	refreshEvery = 200 * time.Millisecond
+)
+
+// Candidate is an upstream that may take new flows of a service.
+type Candidate struct {
+	Upstream    ident.UpstreamID
+	Incarnation ident.Incarnation
+	DataCentre  ident.DataCentreID
+	Owner       ident.DaemonID
+	FlowLimit   int // open flows the upstream holds; 0 for no limit
+	Slots       int // requests the upstream runs at once; weighs upstreams without flow limit
+	Since       time.Time
+	Draining    bool // gets no new flows
+}
+
+// Report is the load of one upstream as its owner disseminates it.
+type Report struct {
+	Upstream               ident.UpstreamID
+	Flows, Running, Queued int
+	Healthy                bool
+	At                     time.Time // when the owner took the figures
+}
+
+// Table selects upstreams for the new flows that one daemon opens. It is not safe for
+// concurrent use.
+type Table struct {
+	local    ident.DataCentreID
+	rng      *rand.Rand
+	peers    float64
+	services map[ident.ServiceID]*pool
+}
+
+// NewTable returns an empty table of a daemon in a data centre.
+func NewTable(local ident.DataCentreID, rng *rand.Rand) *Table {
+	return &Table{local: local, rng: rng, peers: 1, services: make(map[ident.ServiceID]*pool)}
+}
+
+// SetPeers sets the number of serving daemons that open flows to the same upstreams,
+// including this one. The model counts every own pick that many times, because the
+// fabric spreads callers evenly. A value below what the reports show is corrected.
+func (t *Table) SetPeers(n int) { t.peers = float64(max(1, n)) }
+
+// Set replaces the candidates of a service. Observations of an upstream are kept while
+// its incarnation stays the same.
+func (t *Table) Set(now time.Time, s ident.ServiceID, c []Candidate) {
+	if len(c) == 0 {
+		delete(t.services, s)
+		return
+	}
+	old := t.services[s]
+	p := newPool(t, len(c))
+	if old != nil {
+		p.inherit(old)
+	}
+	for _, cand := range c {
+		p.add(now, cand, old)
+	}
+	p.refresh(now)
+	t.services[s] = p
+}
+
+// Report records a load report. Reports of unknown upstreams and reports older than the
+// last one are ignored.
+func (t *Table) Report(now time.Time, s ident.ServiceID, r Report) {
+	p := t.services[s]
+	if p == nil {
+		return
+	}
+	if u := p.find(r.Upstream); u != nil {
+		p.refreshIfDue(now)
+		p.report(u, now, r)
+	}
+}
+
+// Observe records the result of one request or open that this daemon saw at an upstream:
+// whether it succeeded and how long it took. A refusal for lack of capacity is no failure.
+func (t *Table) Observe(now time.Time, s ident.ServiceID, id ident.UpstreamID, ok bool, latency time.Duration) {
+	p := t.services[s]
+	if p == nil {
+		return
+	}
+	if u := p.find(id); u != nil {
+		p.refreshIfDue(now)
+		p.observe(u, now, ok, latency)
+	}
+}
+
+// Pick selects an upstream for a new flow, except those already tried, and counts the
+// flow as opened there. It returns an *Error when no upstream can take the flow.
+func (t *Table) Pick(now time.Time, s ident.ServiceID, tried []ident.UpstreamID) (Candidate, error) {
+	p := t.services[s]
+	if p == nil {
+		return Candidate{}, errNoUpstream
+	}
+	p.refreshIfDue(now)
+	u := p.choose(now, tried)
+	if u == nil {
+		return Candidate{}, p.whyNone(tried)
+	}
+	u.opened(now, p.gain)
+	return u.Candidate, nil
+}
+
+// pool is the state of one service.
+type pool struct {
+	table     *Table
+	upstreams []upstream
+	index     map[ident.UpstreamID]int32
+	local     group
+	remotes   map[ident.DataCentreID]*group
+	remote    *group  // where spill-over goes; nil when there is no other data centre
+	bias      float64 // common logarithmic error of the models
+	ejected   int
+	gain      float64 // flows opened by all daemons for one own pick
+	closeRate float64 // part of the open flows that closes in a second
+	latency   float64 // median observed latency, nanoseconds
+	spill     float64 // part of new flows sent to other data centres
+	refreshed time.Time
+	seen      time.Time // last observation at any upstream
+	scratch   []float64
+}
+
+func newPool(t *Table, n int) *pool {
+	return &pool{
+		table:     t,
+		upstreams: make([]upstream, 0, n),
+		index:     make(map[ident.UpstreamID]int32, n),
+		remotes:   make(map[ident.DataCentreID]*group),
+		gain:      t.peers,
+	}
+}
+
+func (p *pool) inherit(old *pool) {
+	p.gain = old.gain
+	p.closeRate = old.closeRate
+	p.spill = old.spill
+	p.local.latency, p.local.floor = old.local.latency, old.local.floor
+	for dc, g := range old.remotes {
+		p.remotes[dc] = &group{latency: g.latency, floor: g.floor}
+	}
+}
+
+func (p *pool) add(now time.Time, c Candidate, old *pool) {
+	if _, ok := p.index[c.Upstream]; ok {
+		return
+	}
+	u := upstream{Candidate: c, modelAt: now}
+	if old != nil {
+		if o := old.find(c.Upstream); o != nil && o.Incarnation == c.Incarnation {
+			u = *o
+			u.Candidate = c
+		}
+	}
+	p.index[c.Upstream] = int32(len(p.upstreams))
+	p.upstreams = append(p.upstreams, u)
+}
+
+func (p *pool) find(id ident.UpstreamID) *upstream {
+	i, ok := p.index[id]
+	if !ok {
+		return nil
+	}
+	return &p.upstreams[i]
+}
+
+// group is a set of upstreams sampled in proportion to their weight.
+type group struct {
+	members   []int32
+	total     []float64 // running sums of the weights
+	uniform   bool
+	latency   float64 // mean observed latency, nanoseconds; 0 when unknown
+	floor     float64 // smallest mean latency seen, creeping up slowly
+	flows     float64 // estimated open flows
+	limit     float64 // sum of the flow limits
+	unlimited bool    // a member has no flow limit
+	queued    float64 // median of the reported queue lengths per slot
+}
+
+func (g *group) reset() {
+	g.members = g.members[:0]
+	g.total = g.total[:0]
+	g.uniform = true
+}
+
+func (g *group) add(i int32, weight float64) {
+	sum := weight
+	if n := len(g.total); n > 0 {
+		sum += g.total[n-1]
+		g.uniform = g.uniform && weight == g.total[0]
+	}
+	g.members = append(g.members, i)
+	g.total = append(g.total, sum)
+}
+
+func (g *group) sample(rng *rand.Rand) int32 {
+	if g.uniform {
+		return g.members[rng.IntN(len(g.members))]
+	}
+	x := rng.Float64() * g.total[len(g.total)-1]
+	at, _ := slices.BinarySearch(g.total, x)
+	return g.members[min(at, len(g.members)-1)]
+}
+
+func (p *pool) refreshIfDue(now time.Time) {
+	if now.Sub(p.refreshed) >= refreshEvery {
+		p.refresh(now)
+	}
+}
+
+// choose prefers the local data centre, sends the spill-over part elsewhere, and falls
+// back to any upstream with room before it gives up.
+func (p *pool) choose(now time.Time, tried []ident.UpstreamID) *upstream {
+	first, second := &p.local, p.remote
+	if second != nil && p.spill > 0 && p.table.rng.Float64() < p.spill {
+		first, second = second, first
+	}
+	if u := p.best(first, now, tried); u != nil {
+		return u
+	}
+	if u := p.best(second, now, tried); u != nil {
+		return u
+	}
+	return p.lastResort(tried)
+}
+
+// best compares a few random usable members of a group. When sampling finds none, it
+// scans the group, so that a single upstream with room is found among full ones.
+func (p *pool) best(g *group, now time.Time, tried []ident.UpstreamID) *upstream {
+	if g == nil || len(g.members) == 0 {
+		return nil
+	}
+	var won *upstream
+	score := 0.0
+	found := 0
+	for range sampleTries {
+		u := &p.upstreams[g.sample(p.table.rng)]
+		if u == won || !p.usable(u, now, tried) {
+			continue
+		}
+		if won == nil || u.score(p) < score {
+			won, score = u, u.score(p)
+		}
+		if found++; found == choices {
+			return won
+		}
+	}
+	if won != nil {
+		return won
+	}
+	return p.scan(g, tried)
+}
+
+func (p *pool) scan(g *group, tried []ident.UpstreamID) *upstream {
+	var won *upstream
+	for _, i := range g.members {
+		u := &p.upstreams[i]
+		if u.full() || slices.Contains(tried, u.Upstream) {
+			continue
+		}
+		if won == nil || u.score(p) < won.score(p) {
+			won = u
+		}
+	}
+	return won
+}
+
+// usable reports whether a sampled upstream may take the flow. Cold and probed upstreams
+// pass only part of the time.
+func (p *pool) usable(u *upstream, now time.Time, tried []ident.UpstreamID) bool {
+	if u.full() || slices.Contains(tried, u.Upstream) {
+		return false
+	}
+	pass := u.ramp(now)
+	return pass >= 1 || p.table.rng.Float64() < pass
+}
+
+// lastResort takes the least loaded upstream even when it is ejected or reported as
+// unhealthy: refusing every flow would be worse.
+func (p *pool) lastResort(tried []ident.UpstreamID) *upstream {
+	var won *upstream
+	for i := range p.upstreams {
+		u := &p.upstreams[i]
+		if u.Draining || u.full() || slices.Contains(tried, u.Upstream) {
+			continue
+		}
+		if won == nil || u.score(p) < won.score(p) {
+			won = u
+		}
+	}
+	return won
+}
