--- /dev/null
+++ b/pkg/agreement/doc.go
@@ -0,0 +1,24 @@
+// Package agreement is the protocol by which control replicas agree on one log. It is a pure state
+// machine: the caller passes in messages and ticks, and performs what Ready returns. It has no
+// clock, I/O, goroutine or lock, and its only randomness is the injected source.
+//
+// Invariants:
+//   - A replica is an ID together with the incarnation of its data folder. Votes and
+//     acknowledgements belong to that pair, and only pairs that are voters of the counting node's
+//     membership count. A replica whose disk was lost starts under a larger incarnation, which no
+//     member list has as a voter, so it can neither vote again in a term nor count for entries that
+//     it lost. It asks to join, becomes a learner in the same step that removes its earlier
+//     incarnation, and is a voter again when the leader has promoted it.
+//   - A term has at most one leader, because a replica votes once in a term and syncs the vote first.
+//   - A leader commits only entries of its own term, and those before them, that a majority of the
+//     voters has synced. A committed entry is in the log of every later leader.
+//   - The membership of a node is the latest in its log, committed or not. A change adds or removes
+//     at most one voter, and the next one waits until it is committed.
+//   - A read is released only after a majority has confirmed the leader after the read arrived.
+//     Clocks play no part in that.
+//   - A replica with state that hears from a leader refuses vote requests for an election timeout,
+//     and a candidate first asks whether it would win, without raising its term. So a replica that
+//     was isolated does not force the leader out when it returns.
+//
+// Duplicates of a proposal are distinct entries; the layer above recognises them by its change id.
+package agreement
--- /dev/null
+++ b/pkg/agreement/election.go
@@ -0,0 +1,180 @@
+package agreement
+
+func (n *Node) resetElectionTimeout() {
+	n.electionTimeout = n.cfg.ElectionTicks + n.rng.IntN(n.cfg.ElectionTicks)
+}
+
+// reset clears everything that belongs to a role. A new term starts without a vote.
+func (n *Node) reset(term uint64) {
+	if term != n.term {
+		n.term = term
+		n.vote = None
+	}
+	n.electionElapsed = 0
+	n.heartbeatElapsed = 0
+	n.resetElectionTimeout()
+	n.votes = nil
+	n.progress = nil
+	n.uncommitted = 0
+	n.transferTo = None
+	n.reads = readQueue{}
+}
+
+func (n *Node) becomeFollower(term uint64, leader Replica) {
+	n.reset(term)
+	n.role = Follower
+	n.leader = leader
+}
+
+// campaign starts an election, with a pre-vote unless the leader itself asked for the election.
+func (n *Node) campaign(force bool) {
+	if force || n.cfg.withoutPreVote {
+		n.becomeCandidate(force)
+		return
+	}
+	n.role = PreCandidate
+	n.leader = None
+	n.requestVotes(MsgPreVote, n.term+1, false)
+}
+
+func (n *Node) becomeCandidate(force bool) {
+	n.reset(n.term + 1)
+	n.role = Candidate
+	n.leader = None
+	n.vote = n.self
+	n.requestVotes(MsgVote, n.term, force)
+}
+
+func (n *Node) requestVotes(kind MessageKind, term uint64, force bool) {
+	n.votes = map[Replica]bool{n.self: true}
+	for _, m := range n.membership() {
+		if m.Replica == n.self || !m.Voter {
+			continue
+		}
+		n.send(Message{
+			Kind: kind, To: m.Replica, Term: term, Force: force,
+			Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
+		})
+	}
+	n.countVotes()
+}
+
+// stepVoteRequest answers a candidate. A replica grants its vote even if its own log does not show
+// it as a voter: it may have been promoted by an entry that it has not received yet, and the
+// candidate counts only the voters of its own membership.
+func (n *Node) stepVoteRequest(m Message) {
+	upToDate := n.log.upToDate(m.Index, m.LogTerm)
+	if m.Kind == MsgPreVote {
+		// A refusal carries the node's own term, from which the candidate learns a later one.
+		reply := Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term}
+		if !upToDate || n.inLease() || m.Term <= n.term {
+			reply.Term, reply.Reject = n.term, true
+		}
+		n.send(reply)
+		return
+	}
+	grant := upToDate && (n.vote == None || n.vote == m.From) && (n.leader == None || n.leader == m.From)
+	if grant {
+		n.role = Follower // a pre-candidate gives up; a candidate has voted for itself
+		n.vote = m.From
+		n.electionElapsed = 0
+	}
+	n.send(Message{Kind: MsgVoteReply, To: m.From, Reject: !grant})
+}
+
+func (n *Node) stepVoteReply(m Message) {
+	wantPre := n.role == PreCandidate && m.Kind == MsgPreVoteReply
+	if wantPre && !m.Reject && m.Term != n.term+1 {
+		return
+	}
+	if !wantPre && (n.role != Candidate || m.Kind != MsgVoteReply) {
+		return
+	}
+	n.votes[m.From] = !m.Reject
+	n.countVotes()
+}
+
+// countVotes ends the election when a majority of the voters has granted or refused.
+func (n *Node) countVotes() {
+	granted := func(r Replica) bool { return n.votes[r] }
+	refused := func(r Replica) bool { v, ok := n.votes[r]; return ok && !v }
+	switch {
+	case n.membership().quorum(granted):
+		n.winElection()
+	case n.membership().quorum(refused):
+		n.becomeFollower(n.term, None)
+	}
+}
+
+func (n *Node) winElection() {
+	if n.role == PreCandidate {
+		n.becomeCandidate(false)
+		return
+	}
+	n.becomeLeader()
+}
+
+func (n *Node) becomeLeader() {
+	n.reset(n.term)
+	n.role = Leader
+	n.leader = n.self
+	n.syncProgress()
+	n.appendOwn(Entry{Kind: EntryEmpty})
+}
+
+// tickLeader sends heartbeats and steps down when no majority answered for an election timeout.
+func (n *Node) tickLeader() {
+	if n.electionElapsed >= n.cfg.ElectionTicks {
+		n.electionElapsed = 0
+		n.transferTo = None
+		if !n.checkQuorum() {
+			n.becomeFollower(n.term, None)
+			return
+		}
+	}
+	n.heartbeatElapsed++
+	if n.heartbeatElapsed >= n.cfg.HeartbeatTicks {
+		n.heartbeatElapsed = 0
+		n.broadcastHeartbeat()
+	}
+	n.promoteLearners()
+}
+
+// checkQuorum reports whether a majority of the voters answered since the last check.
+func (n *Node) checkQuorum() bool {
+	active := func(r Replica) bool { return r == n.self || n.progress[r] != nil && n.progress[r].active }
+	ok := n.membership().quorum(active)
+	for _, p := range n.progress {
+		p.active = false
+	}
+	return ok
+}
+
+// TransferLeadership hands the leadership to a voter, for a planned stop. It gives up after an
+// election timeout; Status then still shows this node as leader.
+func (n *Node) TransferLeadership(to Replica) error {
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	if to == n.self || !n.membership().IsVoter(to) {
+		return ErrUnknownMember
+	}
+	n.transferTo = to
+	n.electionElapsed = 0
+	n.continueTransfer()
+	return nil
+}
+
+// continueTransfer asks the target to campaign once it holds the whole log.
+func (n *Node) continueTransfer() {
+	p := n.progress[n.transferTo]
+	if p != nil && p.match == n.log.lastIndex() {
+		n.send(Message{Kind: MsgTimeoutNow, To: n.transferTo})
+	}
+}
+
+func (n *Node) stepTimeoutNow(m Message) {
+	if n.role == Follower && m.From == n.leader && n.membership().IsVoter(n.self) {
+		n.campaign(true)
+	}
+}
--- /dev/null
+++ b/pkg/agreement/errors.go
@@ -0,0 +1,24 @@
+package agreement
+
+import "github.com/pkg/errors"
+
+// Errors of this package; their messages name the remedy.
+var (
+	ErrNotLeader      = errors.New("this replica is not the leader: send the request to the leader that Status names")
+	ErrNoLeader       = errors.New("no leader is known: retry after an election timeout")
+	ErrTransferring   = errors.New("leadership is being transferred: retry at the new leader")
+	ErrOverloaded     = errors.New("too many proposals are not yet committed: retry later")
+	ErrTooLarge       = errors.New("proposal exceeds the size limit: split the change")
+	ErrChangePending  = errors.New("a membership change is in progress: retry when it is committed")
+	ErrLeaderNotReady = errors.New("the leader has not committed an entry of its term: retry shortly")
+	ErrNotCaughtUp    = errors.New("the learner has not caught up: retry later")
+	ErrUnknownMember  = errors.New("the replica is not a member with that incarnation: check the member list")
+	ErrStaleReplica   = errors.New("the group has this or a later incarnation of the replica: start it with an empty data folder and a larger incarnation")
+	ErrLastVoter      = errors.New("the group's last voter cannot be removed: add another replica first")
+	ErrOtherReplica   = errors.New("message is for another replica or incarnation: ignored, the sender learns the new member list from the leader")
+	ErrOtherGroup     = errors.New("message is from another group: check that the replica lists of both hosts agree")
+	ErrDiverged       = errors.New("the log conflicts with committed entries: remove the data folder, the replica then rejoins as a learner")
+	ErrBadState       = errors.New("the durable state is inconsistent: remove the data folder, the replica then rejoins as a learner")
+	ErrBadConfig      = errors.New("invalid node configuration: correct the settings")
+	ErrCompacted      = errors.New("the index is not between the last snapshot and the applied index: take the snapshot at the applied index")
+)
--- /dev/null
+++ b/pkg/agreement/node.go
@@ -0,0 +1,299 @@
+package agreement
+
+import (
+	"math/rand/v2"
+
+	"rosemarygate/pkg/ident"
+)
+
+const (
+	entryOverhead         = 32      // bytes counted for an entry besides its data
+	defaultElectionTicks  = 10      // ticks
+	defaultHeartbeatTicks = 1       // ticks
+	defaultInflight       = 1 << 20 // bytes sent to one replica and not yet acknowledged
+	defaultMessageBytes   = 256 << 10
+	defaultUncommitted    = 4 << 20 // bytes
+	defaultRetain         = 1000    // entries
+)
+
+// Config holds the settings of a node; zero values select the defaults.
+type Config struct {
+	ElectionTicks       int              // a follower waits between this and twice this many ticks for its leader
+	HeartbeatTicks      int              // ticks between heartbeats of a leader
+	MaxInflightBytes    int              // bytes sent to one replica and not yet acknowledged
+	MaxMessageBytes     int              // bytes of entries in one message and of data in one proposal
+	MaxUncommittedBytes int              // bytes of proposals that are not yet committed
+	RetainEntries       uint64           // entries kept in memory before a snapshot for slow followers
+	Peers               []ident.DaemonID // configured replicas; one without state asks them to join, others may join
+	// ManualRepair leaves adding and promoting learners to ProposeChange.
+	ManualRepair bool
+
+	withoutPreVote bool // tests only: shows that the fault schedules find the disruption
+}
+
+func (c Config) withDefaults() (Config, error) {
+	setDefault(&c.ElectionTicks, defaultElectionTicks)
+	setDefault(&c.HeartbeatTicks, defaultHeartbeatTicks)
+	setDefault(&c.MaxInflightBytes, defaultInflight)
+	setDefault(&c.MaxMessageBytes, defaultMessageBytes)
+	setDefault(&c.MaxUncommittedBytes, defaultUncommitted)
+	if c.RetainEntries == 0 {
+		c.RetainEntries = defaultRetain
+	}
+	if c.HeartbeatTicks >= c.ElectionTicks || c.HeartbeatTicks < 0 {
+		return c, ErrBadConfig
+	}
+	return c, nil
+}
+
+func setDefault(value *int, def int) {
+	if *value == 0 {
+		*value = def
+	}
+}
+
+// Node is one replica's part of the protocol. Its methods must not be called concurrently, and
+// no other method may be called between Ready and the Advance that follows it.
+type Node struct {
+	cfg  Config
+	rng  *rand.Rand
+	self Replica
+
+	term   uint64
+	vote   Replica
+	group  uint64
+	saved  HardState // last hard state returned by Ready
+	log    *memLog
+	role   Role
+	leader Replica
+
+	electionElapsed  int // ticks since a leader was heard; for a leader since the last quorum check
+	heartbeatElapsed int
+	electionTimeout  int // ticks, randomised
+
+	votes       map[Replica]bool
+	progress    map[Replica]*progress
+	uncommitted int     // bytes of own proposals not yet committed
+	transferTo  Replica // target of a leadership transfer, None if there is none
+	reads       readQueue
+
+	pendingSnapshot *Snapshot // received, not yet returned by Ready
+	msgs            []Message
+	readStates      []ReadState
+	superseded      bool
+	diverged        bool
+}
+
+// New returns a node that starts from durable state.
+func New(cfg Config, st State, rng *rand.Rand) (*Node, error) {
+	cfg, err := cfg.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	if st.Self.ID == 0 || st.Self.Incarnation == 0 {
+		return nil, ErrBadConfig
+	}
+	log, err := newMemLog(&st)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		cfg: cfg, rng: rng, self: st.Self, log: log,
+		term: st.HardState.Term, vote: st.HardState.Vote, group: st.HardState.Group,
+		saved: st.HardState,
+	}
+	n.becomeFollower(n.term, None)
+	return n, nil
+}
+
+// Status returns the node's current state.
+func (n *Node) Status() Status {
+	return Status{
+		Self: n.self, Role: n.role, Leader: n.leader, Term: n.term,
+		Commit: n.log.committed, Applied: n.log.applied, LastIndex: n.log.lastIndex(),
+		Membership: n.membership(), Superseded: n.superseded,
+	}
+}
+
+// membership returns the membership in effect: the latest in the log.
+func (n *Node) membership() Membership { return n.log.latestConf().membership }
+
+// Tick advances the node's logical time by one tick.
+func (n *Node) Tick() {
+	if n.diverged {
+		return
+	}
+	n.electionElapsed++
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	if n.electionElapsed < n.electionTimeout {
+		return
+	}
+	n.electionElapsed = 0
+	n.resetElectionTimeout()
+	n.leader = None
+	if n.log.lastIndex() == 0 {
+		n.requestJoin()
+		return
+	}
+	if n.membership().IsVoter(n.self) {
+		n.campaign(false)
+	}
+}
+
+// Step processes one message. An error says why it was not processed; the node stays usable
+// except after ErrDiverged.
+func (n *Node) Step(m Message) error {
+	if n.diverged {
+		return ErrDiverged
+	}
+	if m.Kind == MsgJoin {
+		return n.stepJoin(m)
+	}
+	if m.To != n.self {
+		n.superseded = n.superseded || m.To.ID == n.self.ID && m.To.Incarnation > n.self.Incarnation
+		return ErrOtherReplica
+	}
+	if n.group != 0 && m.Group != n.group {
+		return ErrOtherGroup
+	}
+	if m.Term != n.term && !n.acceptTerm(m) {
+		return nil
+	}
+	n.group = m.Group
+	return n.dispatch(m)
+}
+
+// acceptTerm handles a term that differs from the node's own and reports whether m is to be processed.
+func (n *Node) acceptTerm(m Message) bool {
+	if m.Term < n.term {
+		n.answerStale(m)
+		return false
+	}
+	switch m.Kind {
+	case MsgPreVote, MsgVote:
+		if n.inLease() && !m.Force {
+			return false
+		}
+		if m.Kind == MsgVote {
+			n.becomeFollower(m.Term, None)
+		}
+	case MsgPreVoteReply:
+		if m.Reject {
+			n.becomeFollower(m.Term, None)
+		}
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		n.becomeFollower(m.Term, m.From)
+	default:
+		n.becomeFollower(m.Term, None)
+	}
+	return true
+}
+
+// answerStale tells the sender of an earlier term the current one. Without that a replica which
+// reached a higher term could neither follow the leader nor win an election.
+func (n *Node) answerStale(m Message) {
+	switch m.Kind {
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		n.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true})
+	case MsgPreVote:
+		n.send(Message{Kind: MsgPreVoteReply, To: m.From, Reject: true})
+	}
+}
+
+// inLease reports whether the node has heard from a leader recently or is one itself.
+func (n *Node) inLease() bool {
+	return n.leader != None && n.electionElapsed < n.cfg.ElectionTicks
+}
+
+func (n *Node) dispatch(m Message) error {
+	switch m.Kind {
+	case MsgPreVote, MsgVote:
+		n.stepVoteRequest(m)
+	case MsgPreVoteReply, MsgVoteReply:
+		n.stepVoteReply(m)
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		return n.stepFromLeader(m)
+	case MsgAppendReply:
+		n.stepAppendReply(m)
+	case MsgHeartbeatReply:
+		n.stepHeartbeatReply(m)
+	case MsgTimeoutNow:
+		n.stepTimeoutNow(m)
+	case MsgReadIndex:
+		return n.readFor(m.From, m.Context)
+	case MsgReadIndexReply:
+		n.readStates = append(n.readStates, ReadState{Context: m.Context, Index: m.Index})
+	}
+	return nil
+}
+
+// send queues a message of the current term.
+func (n *Node) send(m Message) {
+	m.From = n.self
+	m.Group = n.group
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	n.msgs = append(n.msgs, m)
+}
+
+func (n *Node) hardState() HardState {
+	return HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed, Group: n.group}
+}
+
+// HasReady reports whether Ready would return any work.
+func (n *Node) HasReady() bool {
+	l := n.log
+	return len(n.msgs) > 0 || len(n.readStates) > 0 || n.pendingSnapshot != nil ||
+		l.stable < l.lastIndex() || l.applied < l.committed || n.hardState() != n.saved
+}
+
+// Ready returns the work since the last Advance.
+func (n *Node) Ready() Ready {
+	l := n.log
+	rd := Ready{
+		Snapshot: n.pendingSnapshot,
+		Entries:  l.between(l.stable, l.lastIndex()),
+		Messages: n.msgs,
+		Reads:    n.readStates,
+	}
+	rd.Committed = l.between(l.applied, l.committed)
+	if hs := n.hardState(); hs != n.saved {
+		rd.HardState = &hs
+	}
+	return rd
+}
+
+// Advance tells the node that everything in rd was done: saved, synced, sent and applied.
+func (n *Node) Advance(rd Ready) {
+	n.msgs, n.readStates, n.pendingSnapshot = nil, nil, nil
+	if rd.HardState != nil {
+		n.saved = *rd.HardState
+	}
+	l := n.log
+	if k := len(rd.Committed); k > 0 {
+		l.applied = rd.Committed[k-1].Index
+	}
+	if k := len(rd.Entries); k > 0 {
+		l.stable = rd.Entries[k-1].Index
+		n.ackOwn()
+	}
+}
+
+// Compact makes data, the state of the layer above at an applied index, the snapshot of the log.
+// The returned snapshot must be saved; entries before it are dropped except for RetainEntries.
+func (n *Node) Compact(index uint64, data []byte) (Snapshot, error) {
+	term, ok := n.log.term(index)
+	if !ok || index > n.log.applied || index <= n.log.snapshot.Index {
+		return Snapshot{}, ErrCompacted
+	}
+	s := Snapshot{Index: index, Term: term, Membership: n.log.membershipAt(index), Data: data}
+	n.log.compact(s, n.cfg.RetainEntries)
+	return s, nil
+}
+
+// EntriesAfter returns the log entries after an index that is not before the snapshot.
+func (n *Node) EntriesAfter(index uint64) []Entry { return n.log.between(index, n.log.lastIndex()) }
