--- a/pkg/agreement/election.go
+++ b/pkg/agreement/election.go
@@ -142,14 +142,18 @@
 
 // checkQuorum reports whether a majority of the voters answered since the last check.
 func (n *Node) checkQuorum() bool {
-	active := func(r Replica) bool { return r == n.self || n.progress[r] != nil && n.progress[r].active }
-	ok := n.membership().quorum(active)
+	ok := n.membership().quorum(n.isActive)
 	for _, p := range n.progress {
 		p.active = false
 	}
 	return ok
 }
 
+// isActive reports whether a replica answered since the last quorum check.
+func (n *Node) isActive(r Replica) bool {
+	return r == n.self || n.progress[r] != nil && n.progress[r].active
+}
+
 // TransferLeadership hands the leadership to a voter, for a planned stop. It gives up after an
 // election timeout; Status then still shows this node as leader.
 func (n *Node) TransferLeadership(to Replica) error {
--- a/pkg/agreement/errors.go
+++ b/pkg/agreement/errors.go
@@ -12,6 +12,7 @@
 	ErrChangePending  = errors.New("a membership change is in progress: retry when it is committed")
 	ErrLeaderNotReady = errors.New("the leader has not committed an entry of its term: retry shortly")
 	ErrNotCaughtUp    = errors.New("the learner has not caught up: retry later")
+	ErrQuorumAtRisk   = errors.New("too few of the remaining voters have answered recently: repair them first, or retry shortly")
 	ErrUnknownMember  = errors.New("the replica is not a member with that incarnation: check the member list")
 	ErrStaleReplica   = errors.New("the group has this or a later incarnation of the replica: start it with an empty data folder and a larger incarnation")
 	ErrLastVoter      = errors.New("the group's last voter cannot be removed: add another replica first")
--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -119,7 +119,9 @@
 // ProposeChange appends a membership change to the leader's log and returns its index. The change
 // takes effect at once and lasts if the entry at that index is committed. Only one change may be
 // in progress, and the leader must have committed an entry of its own term: otherwise two leaders
-// could each act on a change that the other does not know.
+// could each act on a change that the other does not know. Removing a member is refused unless a
+// majority of the remaining voters has answered recently: the change cannot be taken back without
+// them, so the operator removes a replica only while the others are healthy.
 func (n *Node) ProposeChange(c Change) (uint64, error) {
 	if err := n.mayPropose(); err != nil {
 		return 0, err
@@ -137,13 +139,24 @@
 	if c.Kind == Promote && !n.caughtUp(c.Replica) {
 		return 0, ErrNotCaughtUp
 	}
+	if c.Kind == Remove && !next.quorum(n.answersNow) {
+		return 0, ErrQuorumAtRisk
+	}
 	return n.appendOwn(Entry{Kind: EntryMembership, Membership: next}), nil
 }
 
-// caughtUp reports whether a member holds every committed entry and has answered recently.
+const maxQuiet = 4 // heartbeats without an answer after which a replica is not counted on for a change
+
+// answersNow reports whether a replica answered one of the latest heartbeats.
+func (n *Node) answersNow(r Replica) bool {
+	p := n.progress[r]
+	return r == n.self || p != nil && p.active && p.quiet <= maxQuiet
+}
+
+// caughtUp reports whether a member holds every committed entry and answers.
 func (n *Node) caughtUp(r Replica) bool {
 	p := n.progress[r]
-	return p != nil && p.active && p.state == replicating && p.match >= n.log.committed
+	return p != nil && n.answersNow(r) && p.state == replicating && p.match >= n.log.committed
 }
 
 // promoteLearners proposes to promote the first learner that has caught up.
--- a/pkg/agreement/progress.go
+++ b/pkg/agreement/progress.go
@@ -23,6 +23,7 @@
 	match, next uint64
 	state       progressState
 	active      bool // answered since the last quorum check
+	quiet       int  // heartbeats sent since the last answer
 	probeSent   bool // while probing: an append is under way
 	flights     []flight
 	bytes       int    // of all flights
--- a/pkg/agreement/replication.go
+++ b/pkg/agreement/replication.go
@@ -146,6 +146,7 @@
 			continue
 		}
 		p := n.progress[m.Replica]
+		p.quiet++
 		n.send(Message{
 			Kind: MsgHeartbeat, To: m.Replica,
 			Commit: min(p.match, n.log.committed), Context: n.reads.round,
@@ -232,6 +233,7 @@
 		return
 	}
 	p.active = true
+	p.quiet = 0
 	if m.Reject {
 		n.appendRejected(m, p)
 		return
@@ -274,6 +276,7 @@
 		return
 	}
 	p.active = true
+	p.quiet = 0
 	p.readAck = max(p.readAck, m.Context)
 	n.releaseReads()
 	stalled := p.noteBeat(n.log.lastIndex())
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -123,20 +123,22 @@
 	if hard == nil && len(entries) == 0 {
 		return nil
 	}
-	if hard != nil {
-		s.hard = *hard
-	}
-	err := s.append(entries)
+	err := s.append(hard, entries)
 	s.broken = err != nil
 	return errors.Wrap(err, "save log entries")
 }
 
-func (s *Store) append(entries []agreement.Entry) error {
+// append writes one record. A new segment starts under the previous hard state: its header must not
+// show entries as committed that only the following record holds.
+func (s *Store) append(hard *agreement.HardState, entries []agreement.Entry) error {
 	if s.size >= s.opts.SegmentBytes {
 		if err := s.startSegment(false, nil); err != nil {
 			return err
 		}
 	}
+	if hard != nil {
+		s.hard = *hard
+	}
 	record, err := s.frame(s.buf[:0], entries)
 	if err != nil {
 		return err
