--- a/pkg/config/diff.go
+++ b/pkg/config/diff.go
@@ -25,7 +25,7 @@
 	// class has neither.
 	Old string `json:"old,omitempty"`
 	New string `json:"new,omitempty"`
-	// Interrupts tells that open flows of the service end with the change.
+	// Interrupts tells that open flows end with the change: an address of a service goes.
 	Interrupts bool `json:"interrupts_flows,omitempty"`
 }
 
@@ -43,7 +43,7 @@
 		text = fmt.Sprintf("~ %s: %s -> %s", c.Path, c.Old, c.New)
 	}
 	if c.Interrupts {
-		text += " (ends the open flows of the service)"
+		text += " (ends open flows)"
 	}
 	return text
 }
@@ -61,7 +61,7 @@
 		}
 		if _, kept := after[v.Path]; !kept && isEntry(v) {
 			gone = v.Path + "."
-			out = append(out, Change{Kind: Removed, Path: v.Path, Interrupts: !isClass(v)})
+			out = append(out, Change{Kind: Removed, Path: v.Path, Interrupts: endsFlows(v)})
 			return
 		}
 		if v.Leaf {
@@ -99,4 +99,13 @@
 	return !v.Leaf && v.Depth%2 == 1 && strings.HasPrefix(v.Path, "users.")
 }
 
-func isClass(v strictyaml.Value) bool { return v.Depth == 5 }
+// endsFlows reports whether the removal of an entry takes away the address of a service.
+func endsFlows(v strictyaml.Value) bool {
+	switch entry := v.Raw.Interface().(type) {
+	case User:
+		return len(entry.Services) > 0
+	case Service:
+		return true
+	}
+	return false
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -2,20 +2,22 @@
 package settings
 
 import (
-	"bytes"
+	"io"
 	"net/netip"
 	"os"
+	"path/filepath"
 
-	"github.com/pkg/errors"
-	"go.yaml.in/yaml/v3"
+	"rosemarygate/pkg/strictyaml"
 )
 
 // Daemon holds the settings of one daemon. They change only by a restart.
 type Daemon struct {
-	Name       string     `yaml:"name"`
-	DataCentre string     `yaml:"data_centre"`
-	Host       netip.Addr `yaml:"host"` // IP address that every socket binds to
-	Ports      Ports      `yaml:"ports"`
+	// Name is unique in the fleet.
+	Name       string `yaml:"name" required:"true"`
+	DataCentre string `yaml:"data_centre" required:"true"`
+	// Host is the IP address that every socket binds to.
+	Host  netip.Addr `yaml:"host" required:"true"`
+	Ports Ports      `yaml:"ports"`
 	// Seeds are peer addresses (IP:port) of daemons to join through.
 	Seeds []netip.AddrPort `yaml:"seeds"`
 	// ConfigDir is the folder of numbered configuration files; empty when the
@@ -31,9 +33,12 @@
 
 // Ports are the daemon's own ports; service ports come from the configuration.
 type Ports struct {
-	Peer uint16 `yaml:"peer"` // UDP, between daemons
-	GRPC uint16 `yaml:"grpc"` // TCP, upstreams, daemons and operators
-	HTTP uint16 `yaml:"http"` // TCP, metrics and status
+	// Peer is the UDP port for datagrams between daemons.
+	Peer uint16 `yaml:"peer" limit:"1..65535" default:"7900"`
+	// GRPC is the TCP port for upstreams, daemons and operators.
+	GRPC uint16 `yaml:"grpc" limit:"1..65535" default:"7901"`
+	// HTTP is the TCP port for metrics and status.
+	HTTP uint16 `yaml:"http" limit:"1..65535" default:"7902"`
 }
 
 // TLS names the files of the process's certificate and the authority it trusts.
@@ -44,51 +49,97 @@
 	Authority   string `yaml:"authority"`
 }
 
+// Plaintext reports whether the process runs without TLS.
+func (t TLS) Plaintext() bool { return t == TLS{} }
+
 // Control describes the control replicas.
 type Control struct {
 	// Replica makes this daemon a control replica; it needs DataDir.
-	Replica bool `yaml:"replica"`
+	Replica bool `yaml:"replica" default:"false"`
 	// Replicas lists all control replicas by daemon name and gRPC address.
 	Replicas []Replica `yaml:"replicas"`
 }
 
 // Replica is one control replica.
 type Replica struct {
-	Name    string         `yaml:"name"`
-	Address netip.AddrPort `yaml:"address"`
+	Name    string         `yaml:"name" required:"true"`
+	Address netip.AddrPort `yaml:"address" required:"true"`
 }
 
-// Load reads the settings file of a daemon.
+// Load reads and checks the settings file of a daemon. Relative paths in the file are
+// taken from the folder of the file. The error is a strictyaml.Errors with every fault.
 func Load(path string) (*Daemon, error) {
-	data, err := os.ReadFile(path)
+	data, err := read(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "settings file cannot be read: name an existing file with --settings")
+		return nil, err
+	}
+	d, origins, errs := decode(path, data)
+	if len(errs) == 0 {
+		d.resolve(filepath.Dir(path))
+	}
+	d.check(origins, &errs)
+	// A file named by a faulty setting would be reported as missing as well.
+	if len(errs) == 0 {
+		d.checkFiles(origins, &errs)
+	}
+	if err := errs.Err(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func read(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err == nil {
+		defer f.Close()
+		var data []byte
+		// One byte more than the limit lets decode refuse the file without reading all of it.
+		if data, err = io.ReadAll(io.LimitReader(f, strictyaml.MaxFileBytes+1)); err == nil {
+			return data, nil
+		}
 	}
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	dec.KnownFields(true)
+	var errs strictyaml.Errors
+	errs.Add(strictyaml.Unreadable, strictyaml.Origin{File: path}, "", "settings file cannot be read: "+cause(err), "name an existing file with --settings")
+	return nil, errs
+}
+
+func decode(path string, data []byte) (*Daemon, strictyaml.Origins, strictyaml.Errors) {
 	d := new(Daemon)
-	if err := dec.Decode(d); err != nil {
-		return nil, errors.Wrapf(err, "settings file %s: correct the named line", path)
+	origins, errs := strictyaml.Decode(path, data, d)
+	strictyaml.SetDefaults(d, "", origins)
+	return d, origins, errs
+}
+
+// resolve makes the paths independent of the working directory.
+func (d *Daemon) resolve(dir string) {
+	paths := []*string{&d.ConfigDir, &d.DataDir, &d.ClusterKey, &d.TLS.Certificate, &d.TLS.Key, &d.TLS.Authority}
+	for _, p := range paths {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
+		}
 	}
-	return d, d.Check()
 }
 
-// Check reports the first setting that is missing or out of range.
+// Check reports every setting that is missing, out of range or at odds with another, and
+// every named file that cannot be used. The error is a strictyaml.Errors.
 func (d *Daemon) Check() error {
-	switch {
-	case d.Name == "":
-		return errors.New("setting name is empty: give the daemon a name that is unique in the fleet")
-	case d.DataCentre == "":
-		return errors.New("setting data_centre is empty: name the daemon's data centre")
-	case !d.Host.IsValid():
-		return errors.New("setting host is not an IP address: give the address that the daemon binds to")
-	case d.Control.Replica && d.DataDir == "":
-		return errors.New("setting data_dir is empty on a control replica: name a folder on its disk")
+	var errs strictyaml.Errors
+	d.check(nil, &errs)
+	if len(errs) == 0 {
+		d.checkFiles(nil, &errs)
 	}
-	return nil
+	return errs.Err()
 }
 
 // Address returns the daemon's address with the given port.
 func (d *Daemon) Address(port uint16) netip.AddrPort {
 	return netip.AddrPortFrom(d.Host, port)
 }
+
+// cause returns the reason of a file error without the path, which the fault names already.
+func cause(err error) string {
+	if p, ok := err.(*os.PathError); ok {
+		return p.Err.Error()
+	}
+	return err.Error()
+}
--- a/pkg/strictyaml/fields.go
+++ b/pkg/strictyaml/fields.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 	"unicode/utf8"
 
@@ -14,14 +15,25 @@
 
 // Field is one field of a struct that a file can set.
 type Field struct {
-	Key   string
-	Index []int
-	Type  reflect.Type
-	Tag   reflect.StructTag
+	Key      string
+	Index    []int
+	Type     reflect.Type
+	Tag      reflect.StructTag
+	Required bool
+	Default  string // empty when the field has none
+	Secret   bool
 }
 
-// Fields lists the fields of a struct type that have a YAML key, in their order.
+// fieldCache holds the fields of each struct type: reading the tags anew for each of
+// 10,000 files took a fifth of the time of a merge.
+var fieldCache sync.Map
+
+// Fields lists the fields of a struct type that have a YAML key, in their order. The
+// caller must not change the list.
 func Fields(t reflect.Type) []Field {
+	if known, ok := fieldCache.Load(t); ok {
+		return known.([]Field)
+	}
 	var out []Field
 	for i := range t.NumField() {
 		f := t.Field(i)
@@ -29,8 +41,14 @@
 		if key == "" || key == "-" || !f.IsExported() {
 			continue
 		}
-		out = append(out, Field{Key: key, Index: f.Index, Type: f.Type, Tag: f.Tag})
+		out = append(out, Field{
+			Key: key, Index: f.Index, Type: f.Type, Tag: f.Tag,
+			Required: f.Tag.Get("required") == "true",
+			Default:  f.Tag.Get("default"),
+			Secret:   f.Tag.Get("secret") == "true",
+		})
 	}
+	fieldCache.Store(t, out)
 	return out
 }
 
@@ -131,11 +149,10 @@
 			SetDefaults(field.Addr().Interface(), at, origins)
 			continue
 		}
-		text, ok := f.Tag.Lookup("default")
-		if _, given := origins[at]; given || !ok || text == "" {
+		if _, given := origins[at]; given || f.Default == "" {
 			continue
 		}
-		set(field, &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!str", Value: text})
+		set(field, &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!str", Value: f.Default})
 	}
 }
 
--- a/pkg/strictyaml/walk.go
+++ b/pkg/strictyaml/walk.go
@@ -54,11 +54,11 @@
 
 func walkStruct(v reflect.Value, path string, depth int, visit func(Value)) {
 	for _, f := range Fields(v.Type()) {
-		walkValue(v.FieldByIndex(f.Index), Join(path, f.Key), f.Key, depth, f.Tag, visit)
+		walkValue(v.FieldByIndex(f.Index), Join(path, f.Key), f.Key, depth, f.Secret, visit)
 	}
 }
 
-func walkValue(v reflect.Value, path, key string, depth int, tag reflect.StructTag, visit func(Value)) {
+func walkValue(v reflect.Value, path, key string, depth int, secret bool, visit func(Value)) {
 	if v.Kind() == reflect.Pointer {
 		v = v.Elem()
 	}
@@ -66,7 +66,7 @@
 	if isAbsent(v, scalar) {
 		return
 	}
-	visit(Value{Path: path, Key: key, Depth: depth, Leaf: scalar, Secret: tag.Get("secret") == "true", Raw: v})
+	visit(Value{Path: path, Key: key, Depth: depth, Leaf: scalar, Secret: secret, Raw: v})
 	if scalar {
 		return
 	}
@@ -75,12 +75,12 @@
 		walkStruct(v, path, depth+1, visit)
 	case reflect.Map:
 		for _, k := range sortedKeys(v) {
-			walkValue(v.MapIndex(k), Join(path, k.String()), k.String(), depth+1, "", visit)
+			walkValue(v.MapIndex(k), Join(path, k.String()), k.String(), depth+1, false, visit)
 		}
 	case reflect.Slice:
 		for i := range v.Len() {
 			element := fmt.Sprintf("[%d]", i)
-			walkValue(v.Index(i), path+element, element, depth+1, tag, visit)
+			walkValue(v.Index(i), path+element, element, depth+1, secret, visit)
 		}
 	}
 }
@@ -118,7 +118,7 @@
 			Require(errs, field.Addr().Interface(), at, origins)
 			continue
 		}
-		if _, given := origins[at]; given || f.Tag.Get("required") != "true" || !isUnset(field) {
+		if _, given := origins[at]; given || !f.Required || !isUnset(field) {
 			continue
 		}
 		errs.Add(Missing, origins[path], at, "value is missing", "add the key "+f.Key)
