--- a/pkg/config/merge.go
+++ b/pkg/config/merge.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 
 	"rosemarygate/pkg/strictyaml"
 )
@@ -13,8 +16,8 @@
 // and checks the result. The error is a strictyaml.Errors with every fault of the folder.
 func (f *Folder) Merge() (*Config, error) {
 	m := &merger{into: &Config{Digest: f.digest, Users: map[string]*User{}, origins: strictyaml.Origins{}}}
-	for _, file := range f.files {
-		m.file(file)
+	for _, part := range decodeAll(f.files) {
+		m.file(part)
 	}
 	m.defaults()
 	m.check()
@@ -31,13 +34,35 @@
 	from strictyaml.Origins
 }
 
-func (m *merger) file(file File) {
-	next := new(Config)
-	from, errs := strictyaml.Decode(file.Name, file.Data, next)
-	m.errs = append(m.errs, errs...)
-	m.from = from
-	m.tokenKeys(next)
-	for name, u := range next.Users {
+// part is one decoded file.
+type part struct {
+	config  *Config
+	origins strictyaml.Origins
+	errs    strictyaml.Errors
+}
+
+// decodeAll decodes the files on all cores; decoding takes half of the time of a merge.
+func decodeAll(files []File) []part {
+	parts := make([]part, len(files))
+	var next atomic.Int64
+	var workers sync.WaitGroup
+	for range min(runtime.GOMAXPROCS(0), len(files)) {
+		workers.Go(func() {
+			for i := next.Add(1) - 1; i < int64(len(files)); i = next.Add(1) - 1 {
+				parts[i].config = new(Config)
+				parts[i].origins, parts[i].errs = strictyaml.Decode(files[i].Name, files[i].Data, parts[i].config)
+			}
+		})
+	}
+	workers.Wait()
+	return parts
+}
+
+func (m *merger) file(p part) {
+	m.errs = append(m.errs, p.errs...)
+	m.from = p.origins
+	m.tokenKeys(p.config)
+	for name, u := range p.config.Users {
 		m.user(name, u)
 	}
 }
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -19,7 +19,7 @@
 }
 
 func (c *checker) fault(kind strictyaml.Kind, path, problem, remedy string) {
-	c.errs.Add(kind, c.origins[path], path, problem, remedy)
+	c.errs.Add(kind, c.origins.Nearest(path), path, problem, remedy)
 }
 
 func (d *Daemon) check(origins strictyaml.Origins, errs *strictyaml.Errors) {
--- a/pkg/strictyaml/errors.go
+++ b/pkg/strictyaml/errors.go
@@ -8,8 +8,9 @@
 package strictyaml
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"slices"
 	"strings"
 )
 
@@ -70,16 +71,13 @@
 	return strings.Join(lines, "\n")
 }
 
-// Err returns the list as an error, sorted by file and line, or nil when it is empty.
+// Err returns the list as an error, sorted by file, line and path, or nil when it is empty.
 func (e Errors) Err() error {
 	if len(e) == 0 {
 		return nil
 	}
-	sort.SliceStable(e, func(i, j int) bool {
-		if e[i].File != e[j].File {
-			return e[i].File < e[j].File
-		}
-		return e[i].Line < e[j].Line
+	slices.SortStableFunc(e, func(a, b *Error) int {
+		return cmp.Or(strings.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), strings.Compare(a.Path, b.Path))
 	})
 	return e
 }
@@ -106,6 +104,18 @@
 // Origins maps the path of each value and mapping to the place where it was set.
 type Origins map[string]Origin
 
+// Nearest returns the origin of the value at path or, when no file set it, that of the
+// innermost mapping around it.
+func (o Origins) Nearest(path string) Origin {
+	for path != "" {
+		if at, ok := o[path]; ok {
+			return at
+		}
+		path = path[:max(0, strings.LastIndexAny(path, ".["))]
+	}
+	return o[""]
+}
+
 // Join returns the path of a key below a path.
 func Join(path, key string) string {
 	if path == "" {
--- a/pkg/strictyaml/walk.go
+++ b/pkg/strictyaml/walk.go
@@ -121,7 +121,7 @@
 		if _, given := origins[at]; given || !f.Required || !isUnset(field) {
 			continue
 		}
-		errs.Add(Missing, origins[path], at, "value is missing", "add the key "+f.Key)
+		errs.Add(Missing, origins.Nearest(at), at, "value is missing", "add the key "+f.Key)
 	}
 }
 
