--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,129 @@
+// Package examples_test checks the example deployments.
+package examples_test
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygate/pkg/config"
+	"rosemarygate/pkg/settings"
+	"rosemarygate/pkg/strictyaml"
+)
+
+// upstream is one element of upstreams.yaml; its keys are the flags of the command.
+type upstream struct {
+	Service    string         `yaml:"service" required:"true"`
+	Name       string         `yaml:"name" required:"true"`
+	DataCentre string         `yaml:"data_centre" required:"true"`
+	Listen     netip.AddrPort `yaml:"listen" required:"true"`
+	Announce   netip.AddrPort `yaml:"announce" required:"true"`
+	Slots      int            `yaml:"slots" required:"true"`
+	FlowLimit  int            `yaml:"flow_limit" required:"true"`
+	Credential string         `yaml:"credential" required:"true"`
+}
+
+func (u upstream) command() string {
+	return fmt.Sprintf("rosemarygate upstream --service %s --name %s --data-centre %s --listen %s --announce %s --slots %d --flow-limit %d --credential %s",
+		u.Service, u.Name, u.DataCentre, u.Listen, u.Announce, u.Slots, u.FlowLimit, u.Credential)
+}
+
+type deployment struct {
+	dir       string
+	subnet    string         // of the daemons' addresses
+	daemons   map[string]int // by data centre
+	upstreams map[string]int // by service
+	slots     int
+}
+
+// deployments are those of section 1.2 of the design page.
+var deployments = []deployment{
+	{"karri-bend", "127.1.0.0/29", map[string]int{"perth-a": 3, "perth-b": 2, "perth-c": 2},
+		map[string]int{"karri-bend/ticket-and-tally": 15, "karri-bend/label": 4}, 3},
+	{"guild", "127.2.0.0/29", map[string]int{"ahmedabad": 2, "vadodara": 2, "surat": 2, "rajkot": 1},
+		map[string]int{"guild/speech-delivery": 15, "guild/archive": 4}, 2},
+}
+
+// A deployment that does not start, or is smaller than that of its user, shows nothing.
+func TestDeployments(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.dir, func(t *testing.T) {
+			readme, err := os.ReadFile(filepath.Join(d.dir, "README.md"))
+			assert.NilError(t, err)
+			daemons := d.checkDaemons(t, string(readme))
+			c, err := config.LoadConfig(filepath.Join(d.dir, "config"))
+			assert.NilError(t, err)
+			checkClasses(t, c)
+			d.checkUpstreams(t, string(readme), c, daemons)
+		})
+	}
+}
+
+// checkDaemons returns the data centre of each daemon by its gRPC address.
+func (d deployment) checkDaemons(t *testing.T, readme string) map[netip.AddrPort]string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(d.dir, "settings", "*.yaml"))
+	assert.NilError(t, err)
+	daemons, replicas := map[netip.AddrPort]string{}, map[string]bool{}
+	counts := map[string]int{}
+	for _, file := range files {
+		s, err := settings.Load(file)
+		assert.NilError(t, err)
+		assert.Equal(t, s.Name+".yaml", filepath.Base(file))
+		assert.Assert(t, netip.MustParsePrefix(d.subnet).Contains(s.Host))
+		assert.Equal(t, len(s.Control.Replicas), 3)
+		assert.Assert(t, strings.Contains(readme, "rosemarygate daemon --settings examples/"+filepath.ToSlash(file)+"\n"))
+		daemons[s.Address(s.Ports.GRPC)] = s.DataCentre
+		counts[s.DataCentre]++
+		if s.Control.Replica {
+			replicas[s.DataCentre] = true
+		}
+	}
+	assert.DeepEqual(t, counts, d.daemons)
+	assert.Equal(t, len(daemons), 7)
+	assert.Equal(t, len(replicas), 3, "control replicas in three data centres")
+	return daemons
+}
+
+// checkClasses requires a whole guaranteed slot for each class: a share below one slot
+// guarantees nothing while another class floods the upstream.
+func checkClasses(t *testing.T, c *config.Config) {
+	t.Helper()
+	for _, e := range c.Services() {
+		for name, class := range e.Settings.Classes {
+			assert.Assert(t, class.Share*float64(e.Settings.Slots) >= 1, "%s %s", e.FullName(), name)
+		}
+	}
+}
+
+func (d deployment) checkUpstreams(t *testing.T, readme string, c *config.Config, daemons map[netip.AddrPort]string) {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(d.dir, "upstreams.yaml"))
+	assert.NilError(t, err)
+	var list struct {
+		Upstreams []upstream `yaml:"upstreams"`
+	}
+	_, errs := strictyaml.Decode("upstreams.yaml", data, &list)
+	assert.NilError(t, errs.Err())
+	credentials := map[string]string{}
+	for _, e := range c.Services() {
+		credentials[e.FullName()] = e.Settings.Credential
+	}
+	listen, counts := map[netip.AddrPort]bool{}, map[string]int{}
+	for _, u := range list.Upstreams {
+		assert.Equal(t, u.Credential, credentials[u.Service])
+		assert.Equal(t, daemons[u.Announce], u.DataCentre, "%s announces itself in another data centre", u.Name)
+		assert.Assert(t, !listen[u.Listen] && u.Listen.Addr().IsLoopback())
+		assert.Equal(t, u.Slots, d.slots)
+		assert.Equal(t, u.FlowLimit, 2000)
+		assert.Assert(t, strings.Contains(readme, u.command()+"\n"), u.command())
+		listen[u.Listen] = true
+		counts[u.Service]++
+	}
+	assert.DeepEqual(t, counts, d.upstreams)
+}
--- a/pkg/strictyaml/decode.go
+++ b/pkg/strictyaml/decode.go
@@ -17,8 +17,8 @@
 // MaxFileBytes is the largest file that Decode accepts.
 const MaxFileBytes = 1 << 20
 
-// maxElements bounds a list.
-const maxElements = 1024
+// MaxElements bounds a list.
+const MaxElements = 1024
 
 // namePattern is that of a DNS label, so that a name fits in paths, metrics and certificates.
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -199,8 +199,8 @@
 		d.fault(BadValue, n.Line, path, "value is not a list", "write one element in each line, each after a dash")
 		return
 	}
-	if len(n.Content) > maxElements {
-		d.fault(OutOfRange, n.Line, path, fmt.Sprintf("list has %d elements", len(n.Content)), fmt.Sprintf("give at most %d", maxElements))
+	if len(n.Content) > MaxElements {
+		d.fault(OutOfRange, n.Line, path, fmt.Sprintf("list has %d elements", len(n.Content)), fmt.Sprintf("give at most %d", MaxElements))
 		return
 	}
 	out := reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content))
--- a/pkg/strictyaml/fields.go
+++ b/pkg/strictyaml/fields.go
@@ -81,7 +81,7 @@
 	case text != "":
 		return text
 	case v.Kind() == reflect.String:
-		return fmt.Sprintf("1 to %d characters", maxStringLength)
+		return fmt.Sprintf("1 to %d characters", MaxStringLength)
 	case v.CanUint():
 		return fmt.Sprintf("0 to %d", uint64(math.MaxUint64)>>(64-v.Type().Bits()))
 	}
@@ -106,7 +106,7 @@
 }
 
 func checkLength(s, low, high string, limited bool) string {
-	least, most := 1, maxStringLength
+	least, most := 1, MaxStringLength
 	if limited {
 		least, _ = strconv.Atoi(low)
 		most, _ = strconv.Atoi(high)
--- a/pkg/strictyaml/scalar.go
+++ b/pkg/strictyaml/scalar.go
@@ -15,8 +15,8 @@
 	"go.yaml.in/yaml/v3"
 )
 
-// maxStringLength bounds a string whose field has no limit of its own, in characters.
-const maxStringLength = 4096
+// MaxStringLength bounds a string whose field has no limit of its own, in characters.
+const MaxStringLength = 4096
 
 var (
 	durationType = reflect.TypeFor[time.Duration]()
