Bound the list of faults

Change: at most 1,000 faults are listed, and one says that there are more; the size of a folder is checked first so that this fault is among them.

--- a/docs/configuration_test.go
+++ b/docs/configuration_test.go
@@ -113,6 +113,7 @@
 		"control replicas":                 settings.MaxReplicas,
 		"bytes in the cluster key, least":  settings.MinClusterKeyBytes,
 		"bytes in the cluster key, most":   settings.MaxClusterKeyBytes,
+		"errors that are listed":           strictyaml.MaxFaults,
 		"elements in a list":               strictyaml.MaxElements,
 		"characters in text without limit": strictyaml.MaxStringLength,
 	} {
--- a/pkg/config/folder.go
+++ b/pkg/config/folder.go
@@ -76,7 +76,8 @@
 		files = append(files, File{Name: e.Name(), Data: data})
 	}
 	folder, faults := build(files)
-	if err := append(errs, faults...).Err(); err != nil {
+	errs.Append(faults)
+	if err := errs.Err(); err != nil {
 		return nil, err
 	}
 	return folder, nil
@@ -113,6 +114,7 @@
 func build(files []File) (*Folder, strictyaml.Errors) {
 	var errs strictyaml.Errors
 	var good []File
+	checkSize(&errs, files) // first, since the list of faults is bounded
 	for _, f := range files {
 		if checkFile(&errs, f) {
 			good = append(good, f)
@@ -127,7 +129,6 @@
 		return good[i].Name < good[j].Name
 	})
 	checkNumbers(&errs, good)
-	checkSize(&errs, files)
 	return &Folder{files: good, digest: digest(good)}, errs
 }
 
--- a/pkg/config/merge.go
+++ b/pkg/config/merge.go
@@ -59,7 +59,7 @@
 }
 
 func (m *merger) file(p part) {
-	m.errs = append(m.errs, p.errs...)
+	m.errs.Append(p.errs)
 	m.from = p.origins
 	m.tokenKeys(p.config)
 	for name, u := range p.config.Users {
--- a/pkg/strictyaml/errors.go
+++ b/pkg/strictyaml/errors.go
@@ -82,9 +82,26 @@
 	return e
 }
 
+// MaxFaults bounds a list of faults. A file of 1 MiB can hold 100,000 faults, whose text
+// would be ten times as large as the file.
+const MaxFaults = 1000
+
 // Add appends a fault of the value at path, which was set at the given origin.
 func (e *Errors) Add(kind Kind, at Origin, path, problem, remedy string) {
-	*e = append(*e, &Error{Kind: kind, File: at.File, Line: at.Line, Path: path, Problem: problem, Remedy: remedy})
+	e.Append(Errors{{Kind: kind, File: at.File, Line: at.Line, Path: path, Problem: problem, Remedy: remedy}})
+}
+
+// Append appends faults up to MaxFaults and then one that says that there are more.
+func (e *Errors) Append(more Errors) {
+	for _, one := range more {
+		if len(*e) > MaxFaults {
+			return
+		}
+		if len(*e) == MaxFaults {
+			one = &Error{Kind: Unreadable, Problem: fmt.Sprintf("there are more than %d errors", MaxFaults), Remedy: "correct those listed and check again"}
+		}
+		*e = append(*e, one)
+	}
 }
 
 // Origin is the place where a value was set.
--- a/pkg/strictyaml/strictyaml_test.go
+++ b/pkg/strictyaml/strictyaml_test.go
@@ -75,6 +75,13 @@
 	assert.Equal(t, errs[0].Kind, Unreadable)
 }
 
+// A file full of faults must not cost ten times its size in messages.
+func TestFaultsAreBounded(t *testing.T) {
+	_, errs := Decode("f", []byte(strings.Repeat("name: a\n", 100_000)), new(sample))
+	assert.Equal(t, len(errs), MaxFaults+1)
+	assert.ErrorContains(t, errs.Err(), "there are more than 1000 errors: correct those listed and check again")
+}
+
 // A default that replaces a given value, or is missing, changes what runs.
 func TestDefaultsRequireAndWalk(t *testing.T) {
 	s := new(sample)
