--- a/pkg/cli/config.go
+++ b/pkg/cli/config.go
@@ -53,8 +53,8 @@
 	if err != nil {
 		return checkFailed(dir, err)
 	}
-	_, err = fmt.Fprintf(out, "%s: valid: %d files, %s\ndigest %s\nnext free number %02d\n",
-		dir, len(folder.Files()), c.Summary(), c.Digest, folder.NextNumber())
+	_, err = fmt.Fprintf(out, "%s: valid: %s\nfiles %d\ndigest %s\nnext free number %02d\n",
+		dir, c.Summary(), len(folder.Files()), c.Digest, folder.NextNumber())
 	return errors.WithStack(err)
 }
 
--- a/pkg/config/folder.go
+++ b/pkg/config/folder.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -10,7 +11,6 @@
 	"path/filepath"
 	"regexp"
 	"slices"
-	"sort"
 	"strconv"
 	"strings"
 
@@ -120,13 +120,10 @@
 			good = append(good, f)
 		}
 	}
-	sort.SliceStable(good, func(i, j int) bool {
-		a, _ := good[i].Number()
-		b, _ := good[j].Number()
-		if a != b {
-			return a < b
-		}
-		return good[i].Name < good[j].Name
+	slices.SortStableFunc(good, func(a, b File) int {
+		x, _ := a.Number()
+		y, _ := b.Number()
+		return cmp.Or(cmp.Compare(x, y), strings.Compare(a.Name, b.Name))
 	})
 	checkNumbers(&errs, good)
 	return &Folder{files: good, digest: digest(good)}, errs
--- a/pkg/config/folder_test.go
+++ b/pkg/config/folder_test.go
@@ -54,13 +54,13 @@
 
 // Order by text would merge 100 before 20.
 func TestFilesAreOrderedByNumber(t *testing.T) {
-	f, err := FromFiles([]File{{Name: "100-c.yaml"}, {Name: "020-b.yaml"}, {Name: "3-a.yaml"}})
+	f, err := FromFiles([]File{{Name: "100-c.yaml"}, {Name: "3-a.yaml"}, {Name: "9-z.yaml"}, {Name: "020-b.yaml"}})
 	assert.NilError(t, err)
 	var names []string
 	for _, file := range f.Files() {
 		names = append(names, file.Name)
 	}
-	assert.DeepEqual(t, names, []string{"3-a.yaml", "020-b.yaml", "100-c.yaml"})
+	assert.DeepEqual(t, names, []string{"3-a.yaml", "9-z.yaml", "020-b.yaml", "100-c.yaml"})
 	assert.Equal(t, f.NextNumber(), 101)
 }
 
@@ -109,6 +109,28 @@
 	}
 }
 
+// Lists and mappings beyond their bounds would grow tokens' key rings and queues.
+func TestMergeReportsSizes(t *testing.T) {
+	const secret = "secret: 000102030405060708090a0b0c0d0e0f}"
+	_, err := merged(t, "token_keys: [{id: 1, "+secret+", {id: 2, "+secret+", {id: 2, "+secret+"]")
+	assert.ErrorContains(t, err, "20-later.yaml:1: token_keys: list has 3 keys: give at most 2, the newest last")
+	assert.ErrorContains(t, err, "token_keys[2].id: identifier 2 is already that of token_keys[1]: give each key a new identifier")
+	var classes strings.Builder
+	for i := range MaxClasses {
+		fmt.Fprintf(&classes, "c%d: {priority: 1}, ", i)
+	}
+	_, err = merged(t, "users: {acme: {services: {label: {classes: {"+classes.String()+"}}}}}")
+	assert.ErrorContains(t, err, "service has 102 classes: declare at most 100")
+}
+
+// No two names are known that collide, so the services are made up. A token could not
+// tell such services apart.
+func TestServiceIdentifiersAreUnique(t *testing.T) {
+	m := &merger{into: new(Config)}
+	m.checkIDs([]ServiceEntry{{ID: 1, User: "a", Name: "b"}, {ID: 2, User: "a", Name: "c"}, {ID: 1, User: "d", Name: "e"}})
+	assert.Error(t, m.errs.Err(), "users.d.services.e: service has the identifier 1 of a/b: give it another name")
+}
+
 // Two operators who take the same number have to learn which number is free.
 func TestFolderRefusesNamesNumbersAndSizes(t *testing.T) {
 	_, err := FromFiles([]File{
--- a/pkg/strictyaml/scalar.go
+++ b/pkg/strictyaml/scalar.go
@@ -43,6 +43,9 @@
 		return
 	}
 	problem, remedy := set(v, n)
+	if tag.Get("secret") == "true" {
+		problem = strings.ReplaceAll(problem, fmt.Sprintf("%q", clip(n.Value)), "value")
+	}
 	if problem != "" && remedy != "" {
 		d.fault(BadValue, n.Line, path, problem, remedy)
 		return
--- a/pkg/strictyaml/strictyaml_test.go
+++ b/pkg/strictyaml/strictyaml_test.go
@@ -52,6 +52,7 @@
 		{"map:\n  Bad Name: {}\n", `f:2: map: thing name "Bad Name" is not valid: use 1 to 63 lower-case letters, digits and dashes, with no dash at either end`},
 		{"name: &a x\n", `f:1: name: anchors and aliases are not accepted: write the value out`},
 		{"name: !!str x\n", `f:1: name: explicit type !!str is not accepted: delete it`},
+		{"inner: {token: 12345678}\n", `f:1: inner.token: value is not text: put the value in quotes`}, // the message must not show a secret
 		{"name: a\n---\nname: b\n", `f:2: file has a second document: put it into a file of its own`},
 		{"name: a\n  b: c\n", `f:2: file is not valid YAML: mapping values are not allowed in this context: correct this line or the line before it`},
 		{"- a\n", `f:1: value is not a mapping: write keys and values, indented below the key`},
