--- a/pkg/config/folder.go
+++ b/pkg/config/folder.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -10,7 +11,6 @@
 	"path/filepath"
 	"regexp"
 	"slices"
-	"sort"
 	"strconv"
 	"strings"
 
@@ -76,7 +76,8 @@
 		files = append(files, File{Name: e.Name(), Data: data})
 	}
 	folder, faults := build(files)
-	if err := append(errs, faults...).Err(); err != nil {
+	errs.Append(faults)
+	if err := errs.Err(); err != nil {
 		return nil, err
 	}
 	return folder, nil
@@ -113,21 +114,18 @@
 func build(files []File) (*Folder, strictyaml.Errors) {
 	var errs strictyaml.Errors
 	var good []File
+	checkSize(&errs, files) // first, since the list of faults is bounded
 	for _, f := range files {
 		if checkFile(&errs, f) {
 			good = append(good, f)
 		}
 	}
-	sort.SliceStable(good, func(i, j int) bool {
-		a, _ := good[i].Number()
-		b, _ := good[j].Number()
-		if a != b {
-			return a < b
-		}
-		return good[i].Name < good[j].Name
+	slices.SortStableFunc(good, func(a, b File) int {
+		x, _ := a.Number()
+		y, _ := b.Number()
+		return cmp.Or(cmp.Compare(x, y), strings.Compare(a.Name, b.Name))
 	})
 	checkNumbers(&errs, good)
-	checkSize(&errs, files)
 	return &Folder{files: good, digest: digest(good)}, errs
 }
 
--- a/pkg/strictyaml/strictyaml_test.go
+++ b/pkg/strictyaml/strictyaml_test.go
@@ -52,6 +52,7 @@
 		{"map:\n  Bad Name: {}\n", `f:2: map: thing name "Bad Name" is not valid: use 1 to 63 lower-case letters, digits and dashes, with no dash at either end`},
 		{"name: &a x\n", `f:1: name: anchors and aliases are not accepted: write the value out`},
 		{"name: !!str x\n", `f:1: name: explicit type !!str is not accepted: delete it`},
+		{"inner: {token: 12345678}\n", `f:1: inner.token: value is not text: put the value in quotes`}, // the message must not show a secret
 		{"name: a\n---\nname: b\n", `f:2: file has a second document: put it into a file of its own`},
 		{"name: a\n  b: c\n", `f:2: file is not valid YAML: mapping values are not allowed in this context: correct this line or the line before it`},
 		{"- a\n", `f:1: value is not a mapping: write keys and values, indented below the key`},
@@ -75,6 +76,13 @@
 	assert.Equal(t, errs[0].Kind, Unreadable)
 }
 
+// A file full of faults must not cost ten times its size in messages.
+func TestFaultsAreBounded(t *testing.T) {
+	_, errs := Decode("f", []byte(strings.Repeat("name: a\n", 100_000)), new(sample))
+	assert.Equal(t, len(errs), MaxFaults+1)
+	assert.ErrorContains(t, errs.Err(), "there are more than 1000 errors: correct those listed and check again")
+}
+
 // A default that replaces a given value, or is missing, changes what runs.
 func TestDefaultsRequireAndWalk(t *testing.T) {
 	s := new(sample)
