--- /dev/null
+++ b/pkg/membership/network_test.go
@@ -0,0 +1,240 @@
+package membership_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"rosemarygate/api/peer/v1"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/membership"
+)
+
+const (
+	tickEvery = 20 * time.Millisecond
+	// datagramOverhead is the MAC with its wrapping, and the IP and UDP headers.
+	datagramOverhead = 20 + 28
+)
+
+// network runs cores on a virtual clock with loss and partitions of data centres.
+type network struct {
+	t      testing.TB
+	rng    *rand.Rand
+	now    time.Time
+	loss   float64
+	nodes  []*node
+	byAddr map[netip.AddrPort]*node
+	queue  deliveries
+	onView func(d *node) // called when a daemon has a new view
+	cut    func(a, b *node) bool // true when no datagram passes
+	serial int
+	bytes  int // sent, with overhead
+	sent   int
+}
+
+type node struct {
+	core    *membership.Core
+	member  membership.Member
+	down    bool
+	tickAt  time.Time
+	view    *membership.View
+	actions []membership.Action
+	sent    int // bytes
+	got     int
+}
+
+type delivery struct {
+	at     time.Time
+	serial int
+	from   *node
+	to     *node // nil message: tick of this node
+	data   []byte
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	return d[i].at.Before(d[j].at) || d[i].at.Equal(d[j].at) && d[i].serial < d[j].serial
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+func newNetwork(t testing.TB, seed uint64) *network {
+	return &network{
+		t:      t,
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		now:    time.Unix(1_700_000_000, 0),
+		byAddr: make(map[netip.AddrPort]*node),
+	}
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 9000)
+}
+
+// add starts a daemon that joins through the first one.
+func (n *network) add(i int, dataCentre string, incarnation uint64) *node {
+	name := fmt.Sprintf("host-%d", i)
+	m := membership.Member{
+		ID: ident.Daemon(name), Name: name, DataCentre: dataCentre,
+		Incarnation: ident.Incarnation(incarnation), PeerAddr: address(i), GRPCAddr: address(i),
+	}
+	cfg := membership.Config{Seeds: []netip.AddrPort{address(0), address(1)}}
+	d := &node{member: m, core: membership.New(cfg, m, rand.New(rand.NewPCG(n.rng.Uint64(), 2)))}
+	d.tickAt = n.now.Add(time.Duration(n.rng.Int64N(int64(tickEvery))))
+	n.nodes = append(n.nodes, d)
+	n.byAddr[m.PeerAddr] = d
+	n.push(delivery{at: d.tickAt, to: d})
+	return d
+}
+
+func (n *network) push(d delivery) {
+	n.serial++
+	d.serial = n.serial
+	heap.Push(&n.queue, d)
+}
+
+// step gives an event to a daemon and carries out its actions; a joined daemon starts to serve.
+func (n *network) step(d *node, ev membership.Event) {
+	joined := false
+	for _, a := range d.core.Step(n.now, ev) {
+		switch a := a.(type) {
+		case membership.Send:
+			n.transmit(d, a)
+		case membership.ViewChanged:
+			d.view = a.View
+			if n.onView != nil {
+				n.onView(d)
+			}
+		case membership.Joined:
+			d.actions = append(d.actions, a)
+			joined = true
+		default:
+			d.actions = append(d.actions, a)
+		}
+	}
+	if joined {
+		n.step(d, membership.Serve{})
+	}
+}
+
+func (n *network) transmit(d *node, a membership.Send) {
+	data, err := proto.Marshal(a.Message)
+	assert.NilError(n.t, err)
+	assert.Assert(n.t, len(data) <= membership.MaxMessageSize, "message of %d bytes, %v", len(data), a.Message.Kind)
+	d.sent += len(data) + datagramOverhead
+	n.sent++
+	to := n.byAddr[a.To]
+	if to == nil || n.rng.Float64() < n.loss || n.cut != nil && n.cut(d, to) {
+		return
+	}
+	delay := 300*time.Microsecond + time.Duration(n.rng.Int64N(int64(2*time.Millisecond)))
+	n.push(delivery{at: n.now.Add(delay), from: d, to: to, data: data})
+}
+
+func (n *network) run(d time.Duration) { n.until(d, func() bool { return false }) }
+
+// until runs until the condition holds, checked every tick, and returns the time it took.
+func (n *network) until(limit time.Duration, done func() bool) time.Duration {
+	start := n.now
+	check := start
+	for n.now.Sub(start) < limit {
+		next := heap.Pop(&n.queue).(delivery)
+		n.now = next.at
+		n.deliver(next)
+		if n.now.Before(check) {
+			continue
+		}
+		check = n.now.Add(tickEvery)
+		if done() {
+			break
+		}
+	}
+	return n.now.Sub(start)
+}
+
+func (n *network) deliver(d delivery) {
+	if d.to.down {
+		return
+	}
+	if d.data == nil {
+		n.step(d.to, membership.Tick{})
+		n.push(delivery{at: n.now.Add(tickEvery), to: d.to})
+		return
+	}
+	m := new(peerpb.Membership)
+	assert.NilError(n.t, proto.Unmarshal(d.data, m))
+	d.to.got += len(d.data) + datagramOverhead
+	n.step(d.to, membership.Received{From: d.from.member.PeerAddr, Message: m})
+}
+
+// dead tells whether all running daemons list as dead, or not at all, those that are down.
+func (n *network) dead() bool {
+	for _, d := range n.nodes {
+		if d.down {
+			continue
+		}
+		for _, m := range d.view.Members {
+			if m.State != membership.Dead && n.byAddr[m.PeerAddr].down {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// agree tells whether all running daemons list exactly the running ones as serving.
+func (n *network) agree() bool {
+	alive := 0
+	for _, d := range n.nodes {
+		if !d.down {
+			alive++
+		}
+	}
+	for _, d := range n.nodes {
+		if !d.down && (d.view == nil || n.serving(d) != alive) {
+			return false
+		}
+	}
+	return true
+}
+
+// serving counts the members that a daemon lists as serving with the right incarnation.
+func (n *network) serving(d *node) int {
+	count := 0
+	for _, m := range d.view.Members {
+		if m.State != membership.Serving {
+			continue
+		}
+		peer := n.byAddr[m.PeerAddr]
+		if peer.down || peer.core.Self().Incarnation != m.Incarnation {
+			return -1
+		}
+		count++
+	}
+	return count
+}
+
+// cluster starts daemons, spread evenly over data centres, and lets them converge.
+func cluster(t testing.TB, seed uint64, members, dataCentres int) *network {
+	n := newNetwork(t, seed)
+	for i := range members {
+		n.add(i, fmt.Sprintf("dc-%d", i%dataCentres), 1)
+	}
+	took := n.until(time.Minute, n.agree)
+	assert.Assert(t, n.agree(), "%d members in %d data centres did not converge in %v", members, dataCentres, took)
+	return n
+}
