membership, registration: partitions, restarts; first registration core

Cause: registrations need leases at the owner and copies elsewhere. Change: pkg/registration; Carry event; tests of partitions, restarts, a clock that went back, stops, pauses and random schedules; Owner reads hashes only. Conclusion: registration is not tested yet.

--- a/pkg/membership/core.go
+++ b/pkg/membership/core.go
@@ -19,7 +19,7 @@
 	defaultJoinTimeout  = time.Second
 	defaultForgetAfter  = 5 * time.Minute
 	defaultTombstoneAge = 24 * time.Hour
-	defaultAttachment   = 400 // bytes
+	defaultAttachment   = 1000 // bytes
 
 	// spreadFanout members get a change at once; with 640 members and 1 ms between them six
 	// rounds reach all but a few, which hear of it with the next probes.
@@ -131,6 +131,8 @@
 		c.declare(Leaving)
 	case Stop:
 		c.stop(now)
+	case Carry:
+		c.carry(ev)
 	case Spread:
 		c.spread = true
 	}
@@ -220,6 +222,15 @@
 	c.stopped = true
 }
 
+// carry sends an attachment that is too large to ride on other messages.
+func (c *Core) carry(ev Carry) {
+	r := c.table.records[ev.To]
+	if r == nil || !r.PeerAddr.IsValid() || len(ev.Data) > MaxAttachmentSize {
+		return
+	}
+	c.emit(r.PeerAddr, &peerpb.Membership{Kind: peerpb.Membership_KIND_GOSSIP, Attachment: ev.Data})
+}
+
 // spreadNow sends pending changes to a few members, at most once every spreadGap.
 func (c *Core) spreadNow(now time.Time) {
 	if !c.spread || c.stopped || now.Before(c.nextGrant) {
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
+	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/membership"
 )
 
@@ -61,3 +63,151 @@
 	}
 	return c
 }
+
+// Guards against data centres that do not serve on their own during a partition, or whose
+// lists differ after it.
+func TestPartitionOfDataCentresHeals(t *testing.T) {
+	for _, c := range []struct{ members, dataCentres int }{{7, 3}, {36, 3}} {
+		t.Run(fmt.Sprintf("%d members in %d", c.members, c.dataCentres), func(t *testing.T) {
+			for seed := range uint64(3) {
+				n := cluster(t, seed, c.members, c.dataCentres)
+				n.cut = func(a, b *node) bool { return a.member.DataCentre != b.member.DataCentre }
+				n.run(20 * time.Second)
+				for _, d := range n.nodes {
+					for _, m := range d.view.Members {
+						local := m.DataCentre == d.member.DataCentre
+						assert.Equal(t, local, m.State == membership.Serving, "%s lists %s as %v", d.member.Name, m.Name, m.State)
+					}
+				}
+				n.cut = nil
+				took := n.until(time.Minute, n.agree)
+				t.Logf("lists agree %v after the partition", took)
+				assert.Assert(t, took < 20*time.Second)
+				for _, d := range n.nodes {
+					assert.Equal(t, d.member.Incarnation, d.core.Self().Incarnation)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a partition inside a data centre that leaves two lists.
+func TestPartitionInsideDataCentreHeals(t *testing.T) {
+	n := cluster(t, 1, 12, 1)
+	side := func(d *node) bool { return d.member.PeerAddr.Addr().As4()[3] < 6 }
+	n.cut = func(a, b *node) bool { return side(a) != side(b) }
+	n.run(10 * time.Minute) // beyond ForgetAfter
+	n.cut = nil
+	took := n.until(time.Minute, n.agree)
+	t.Logf("lists agree %v after the partition", took)
+	assert.Assert(t, n.agree())
+}
+
+// Guards against a restarted daemon that is taken for its former process.
+func TestRestartedDaemonReplacesFormerProcess(t *testing.T) {
+	n := cluster(t, 1, 7, 1)
+	n.nodes[3].down = true
+	n.run(100 * time.Millisecond)
+	n.restart(3, 2)
+	took := n.until(5*time.Second, n.agree)
+	t.Logf("serving everywhere %v after the restart", took)
+	assert.Assert(t, n.agree())
+}
+
+// Guards against a daemon that serves with an incarnation below one that its peers know,
+// whether the former process is listed as serving, dead or forgotten.
+func TestDaemonWhoseClockWentBackRaisesIncarnation(t *testing.T) {
+	for _, pause := range []time.Duration{0, 5 * time.Second, 7 * time.Minute} {
+		n := newNetwork(t, 1)
+		for i := range 5 {
+			n.add(i, "dc-0", 50)
+		}
+		n.until(time.Minute, n.agree)
+		n.nodes[4].down = true
+		n.run(pause)
+		n.restart(4, 9)
+		d := n.nodes[4]
+		n.until(10*time.Second, n.agree)
+		assert.Assert(t, n.agree())
+		assert.DeepEqual(t, []membership.Action{
+			membership.IncarnationRaised{Incarnation: 51},
+			membership.Joined{},
+		}, d.actions)
+	}
+}
+
+// Guards against planned stops that go through suspicion.
+func TestStopIsKnownAtOnce(t *testing.T) {
+	n := cluster(t, 1, 40, 1)
+	d := n.nodes[7]
+	n.step(d, membership.Leave{})
+	n.run(time.Second)
+	for _, o := range n.nodes {
+		m, _ := o.view.Find(d.member.ID)
+		assert.Equal(t, membership.Leaving, m.State)
+	}
+	n.step(d, membership.Stop{})
+	d.down = true
+	took := n.until(5*time.Second, n.dead)
+	t.Logf("stop known to all after %v", took)
+	assert.Assert(t, took < time.Second)
+}
+
+// Guards against a daemon that blames its peers for a pause of its own process.
+func TestPausedDaemonDoesNotBlameOthers(t *testing.T) {
+	n := cluster(t, 1, 7, 1)
+	d := n.nodes[2]
+	n.onView = func(o *node) {
+		if o == d {
+			assert.Equal(t, 0, count(d, membership.Dead))
+		}
+	}
+	for range 5 {
+		d.paused = n.now.Add(3 * time.Second)
+		n.run(10 * time.Second)
+	}
+	assert.Assert(t, n.agree())
+}
+
+// Guards against incarnations that go back in a view and dead members that stale messages
+// bring back: any mixture of crashes, restarts, loss and replayed messages is allowed.
+func TestIncarnationsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n := newNetwork(t, rapid.Uint64().Draw(r, "seed"))
+		n.loss = rapid.Float64Range(0, 0.2).Draw(r, "loss")
+		n.replay = 0.05
+		for i := range 5 {
+			n.add(i, fmt.Sprintf("dc-%d", i%2), 1)
+		}
+		seen := make(map[*node]map[ident.DaemonID]ident.Incarnation)
+		buried := make(map[*node]map[ident.DaemonID]membership.Member)
+		n.onView = func(d *node) { checkView(r, d, seen, buried) }
+		n.run(3 * time.Second)
+		for step := range rapid.IntRange(1, 8).Draw(r, "steps") {
+			i := rapid.IntRange(0, 4).Draw(r, "daemon")
+			n.nodes[i].down = true
+			n.run(time.Duration(rapid.IntRange(0, 4000).Draw(r, "down ms")) * time.Millisecond)
+			n.restart(i, uint64(rapid.IntRange(1, step+3).Draw(r, "incarnation")))
+			n.run(time.Duration(rapid.IntRange(0, 4000).Draw(r, "up ms")) * time.Millisecond)
+		}
+	})
+}
+
+func checkView(r *rapid.T, d *node, seen map[*node]map[ident.DaemonID]ident.Incarnation, buried map[*node]map[ident.DaemonID]membership.Member) {
+	if seen[d] == nil {
+		seen[d] = make(map[ident.DaemonID]ident.Incarnation)
+		buried[d] = make(map[ident.DaemonID]membership.Member)
+	}
+	for _, m := range d.view.Members {
+		if m.Incarnation < seen[d][m.ID] {
+			r.Fatalf("%s lists %s at %d after %d", d.member.Name, m.Name, m.Incarnation, seen[d][m.ID])
+		}
+		seen[d][m.ID] = m.Incarnation
+		was, known := buried[d][m.ID]
+		if m.State == membership.Dead {
+			buried[d][m.ID] = m
+		} else if known && m.Incarnation == was.Incarnation && m.Revision <= was.Revision {
+			r.Fatalf("%s lists %s as %v again at revision %d", d.member.Name, m.Name, m.State, m.Revision)
+		}
+	}
+}
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -17,6 +17,9 @@
 const MaxMessageSize = 1400
 
 const (
+	// MaxAttachmentSize is the largest attachment of a Carry event in bytes.
+	MaxAttachmentSize = MaxMessageSize - headerSize - fieldOverhead
+
 	// headerSize bounds the fields other than updates, reachability, digests and attachment.
 	headerSize = 64
 	// fieldOverhead bounds the tag and length of one nested message.
--- a/pkg/membership/network_test.go
+++ b/pkg/membership/network_test.go
@@ -28,13 +28,13 @@
 	rng    *rand.Rand
 	now    time.Time
 	loss   float64
+	replay float64 // part of the datagrams that arrive again, up to 10 s later
 	nodes  []*node
 	byAddr map[netip.AddrPort]*node
 	queue  deliveries
-	onView func(d *node) // called when a daemon has a new view
+	onView func(d *node)         // called when a daemon has a new view
 	cut    func(a, b *node) bool // true when no datagram passes
 	serial int
-	bytes  int // sent, with overhead
 	sent   int
 }
 
@@ -42,6 +42,7 @@
 	core    *membership.Core
 	member  membership.Member
 	down    bool
+	paused  time.Time // events wait until then
 	tickAt  time.Time
 	view    *membership.View
 	actions []membership.Action
@@ -101,6 +102,16 @@
 	return d
 }
 
+// restart replaces a daemon by a new process at the same address.
+func (n *network) restart(i int, incarnation uint64) {
+	old := n.nodes[i]
+	old.down = true
+	n.add(i, old.member.DataCentre, incarnation)
+	last := len(n.nodes) - 1
+	n.nodes[i] = n.nodes[last]
+	n.nodes = n.nodes[:last]
+}
+
 func (n *network) push(d delivery) {
 	n.serial++
 	d.serial = n.serial
@@ -143,6 +154,10 @@
 	}
 	delay := 300*time.Microsecond + time.Duration(n.rng.Int64N(int64(2*time.Millisecond)))
 	n.push(delivery{at: n.now.Add(delay), from: d, to: to, data: data})
+	if n.rng.Float64() < n.replay {
+		late := time.Duration(n.rng.Int64N(int64(10 * time.Second)))
+		n.push(delivery{at: n.now.Add(delay + late), from: d, to: to, data: data})
+	}
 }
 
 func (n *network) run(d time.Duration) { n.until(d, func() bool { return false }) }
@@ -170,6 +185,11 @@
 	if d.to.down {
 		return
 	}
+	if n.now.Before(d.to.paused) {
+		d.at = d.to.paused
+		n.push(d)
+		return
+	}
 	if d.data == nil {
 		n.step(d.to, membership.Tick{})
 		n.push(delivery{at: n.now.Add(tickEvery), to: d.to})
--- a/pkg/membership/types.go
+++ b/pkg/membership/types.go
@@ -76,7 +76,7 @@
 	// TombstoneAge is how long the incarnation of a forgotten member is remembered, so that
 	// a stale message cannot bring it back; default 24 h.
 	TombstoneAge time.Duration
-	// AttachmentBudget is the largest attachment of one message in bytes; default 400.
+	// AttachmentBudget is the largest attachment of one message in bytes; default 1000.
 	AttachmentBudget int
 	// Attachment, when set, returns the attachment of a message to the given member, at most
 	// budget bytes. It is called within Step. It may return nil.
@@ -104,6 +104,12 @@
 // Stop announces that the daemon exits; its members list it dead without suspicion.
 type Stop struct{}
 
+// Carry sends an attachment to one member at once.
+type Carry struct {
+	To   ident.DaemonID
+	Data []byte // at most MaxAttachmentSize bytes
+}
+
 // Spread sends pending updates and attachments to a few members at once.
 type Spread struct{}
 
@@ -112,6 +118,7 @@
 func (Serve) event()    {}
 func (Leave) event()    {}
 func (Stop) event()     {}
+func (Carry) event()    {}
 func (Spread) event()   {}
 
 // Action is an output of the core.
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -1,8 +1,8 @@
 // Package ownership assigns every upstream to one serving daemon by rendezvous hashing.
 //
-// It scores members in a direct loop over xxhash values of their identifiers instead of
-// through go-rendezvous: that library looks keys up by string, so each lookup of a numeric
-// upstream identifier allocates, and it returns a name that has to be looked up again.
+// It scores members in a direct loop over hashes of their identifiers instead of through
+// go-rendezvous: that library looks keys up by string, so each lookup of a numeric upstream
+// identifier allocates 8 bytes, and the relay step may not allocate. Lookups take equally long.
 package ownership
 
 import (
@@ -21,26 +21,32 @@
 // Table answers for one view. It is immutable and safe for concurrent use.
 type Table struct {
 	order   Order
-	centres map[string][]candidate
+	centres map[string]*candidates
 	names   []string
 }
 
-type candidate struct {
-	hash   uint64
-	member membership.Member
+// candidates are the serving members of one data centre; hashes are apart from the members so
+// that a lookup reads little memory.
+type candidates struct {
+	hashes  []uint64
+	members []membership.Member
 }
 
 // NewTable prepares lookups in a view.
 func NewTable(v *membership.View, order Order) *Table {
-	t := &Table{order: order, centres: make(map[string][]candidate)}
+	t := &Table{order: order, centres: make(map[string]*candidates)}
 	for _, m := range v.Members {
 		if !owns(m.State) {
 			continue
 		}
-		if t.centres[m.DataCentre] == nil {
+		c := t.centres[m.DataCentre]
+		if c == nil {
+			c = &candidates{}
+			t.centres[m.DataCentre] = c
 			t.names = append(t.names, m.DataCentre)
 		}
-		t.centres[m.DataCentre] = append(t.centres[m.DataCentre], candidate{hash: memberHash(m.ID), member: m})
+		c.hashes = append(c.hashes, memberHash(m.ID))
+		c.members = append(c.members, m)
 	}
 	return t
 }
@@ -48,14 +54,33 @@
 // Owner returns the owner of an upstream of the given data centre. It is false when no member
 // of any data centre is serving.
 func (t *Table) Owner(dataCentre string, u ident.UpstreamID) (membership.Member, bool) {
-	c := t.centres[dataCentre]
-	if len(c) == 0 {
-		c = t.centres[t.nearest(dataCentre)]
-	}
-	if len(c) == 0 {
+	c := t.candidates(dataCentre)
+	if c == nil {
 		return membership.Member{}, false
 	}
-	return best(c, u).member, true
+	return c.members[best(c.hashes, u)], true
+}
+
+// candidates returns the members that own the upstreams of a data centre.
+func (t *Table) candidates(dataCentre string) *candidates {
+	if c := t.centres[dataCentre]; c != nil {
+		return c
+	}
+	return t.centres[t.nearest(dataCentre)]
+}
+
+// Owners returns a value that changes when the set of members that own the upstreams of a data
+// centre does, and whether the given member is one of them.
+func (t *Table) Owners(dataCentre string, id ident.DaemonID) (signature uint64, member bool) {
+	c := t.candidates(dataCentre)
+	if c == nil {
+		return 0, false
+	}
+	for i, hash := range c.hashes {
+		signature += mix(hash)
+		member = member || c.members[i].ID == id
+	}
+	return signature, member
 }
 
 // Owner returns the owner of an upstream of the given data centre in a view, without an order
@@ -69,20 +94,21 @@
 	return s == membership.Serving || s == membership.Suspect
 }
 
-func best(c []candidate, u ident.UpstreamID) *candidate {
+// best returns the index of the highest score.
+func best(hashes []uint64, u ident.UpstreamID) int {
 	top := 0
-	topScore := mix(uint64(u) ^ c[0].hash)
-	for i := 1; i < len(c); i++ {
-		if score := mix(uint64(u) ^ c[i].hash); score > topScore {
+	var topScore uint64
+	for i, hash := range hashes {
+		if score := mix(uint64(u) ^ hash); score > topScore {
 			top, topScore = i, score
 		}
 	}
-	return &c[top]
+	return top
 }
 
 func (t *Table) nearest(dataCentre string) string {
 	for _, name := range t.order[dataCentre] {
-		if len(t.centres[name]) > 0 {
+		if t.centres[name] != nil {
 			return name
 		}
 	}
--- /dev/null
+++ b/pkg/registration/spread.go
@@ -0,0 +1,248 @@
+package registration
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"rosemarygate/api/peer/v1"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/membership"
+)
+
+const (
+	defaultSyncEvery = 10 * time.Second
+	// syncAgain is the time to the next digest after one that brought news.
+	syncAgain = 200 * time.Millisecond
+	// digestEvery is how often digests go to one other data centre by this daemon.
+	digestEvery = time.Second
+
+	bucketCount = 64
+	bucketShift = 58
+	// maxBucketDigests of 256 bytes fit into one message.
+	maxBucketDigests = 4
+	maxDigests       = 64
+	maxSyncPages     = 8
+
+	// retransmitFactor times the binary logarithm of the peers is how often a daemon sends a
+	// change; a change of another data centre half as often, as it is less urgent.
+	retransmitFactor = 2
+	// maxQueue bounds the changes waiting for dissemination; digests repair what is dropped.
+	maxQueue = 256
+
+	fieldOverhead = 4  // bounds tag and length of one nested message, in bytes
+	digestEntry   = 32 // bounds one Digest without buckets, in bytes
+)
+
+type queued struct {
+	entry *entry
+	sent  int
+}
+
+func (c *Core) enqueue(e *entry) {
+	c.dequeue(e)
+	c.queue = slices.Insert(c.queue, 0, queued{entry: e})
+	if len(c.queue) > maxQueue {
+		c.queue = c.queue[:maxQueue]
+	}
+}
+
+func (c *Core) dequeue(e *entry) {
+	c.queue = slices.DeleteFunc(c.queue, func(q queued) bool { return q.entry == e })
+}
+
+// Attachment returns what rides on a membership message to the given member, at most budget
+// bytes. It is the Attachment hook of membership.Config.
+func (c *Core) Attachment(now time.Time, to membership.Member, budget int) []byte {
+	u := new(peerpb.RegistrationUpdate)
+	room := budget
+	if to.DataCentre != c.cfg.DataCentre {
+		room -= c.putCentreDigests(now, to.DataCentre, u, room)
+	} else {
+		room -= c.putQueued(now, u, room)
+		c.loads.put(now, u, min(room, loadBudget), c.rng)
+	}
+	return encode(u)
+}
+
+func encode(u *peerpb.RegistrationUpdate) []byte {
+	data, err := proto.Marshal(u)
+	if err != nil || len(data) == 0 {
+		return nil
+	}
+	return data
+}
+
+func (c *Core) putQueued(now time.Time, u *peerpb.RegistrationUpdate, room int) int {
+	if len(c.queue) == 0 {
+		return 0
+	}
+	before := room
+	limit := retransmitFactor * bits.Len(uint(len(c.peers)+1))
+	for i := range c.queue {
+		q := &c.queue[i]
+		rec := encodeRecord(now, q.entry)
+		size := proto.Size(rec) + fieldOverhead
+		if size > room {
+			break
+		}
+		room -= size
+		u.Records = append(u.Records, rec)
+		q.sent++
+		if q.entry.DataCentre != c.cfg.DataCentre {
+			q.sent++
+		}
+	}
+	c.queue = slices.DeleteFunc(c.queue, func(q queued) bool { return q.sent >= limit })
+	slices.SortStableFunc(c.queue, func(a, b queued) int { return a.sent - b.sent })
+	return before - room
+}
+
+// putCentreDigests adds the sums of both data centres to a message to a member of another one.
+func (c *Core) putCentreDigests(now time.Time, remote string, u *peerpb.RegistrationUpdate, room int) int {
+	other := c.centreOf(remote)
+	if now.Before(other.nextDigest) || room < 2*digestEntry {
+		return 0
+	}
+	other.nextDigest = now.Add(digestEvery)
+	u.Digests = append(u.Digests, c.centreOf(c.cfg.DataCentre).digest(), other.digest())
+	return 2 * digestEntry
+}
+
+// stepSync sends the sums of all data centres to a random peer.
+func (c *Core) stepSync(now time.Time) {
+	if c.nextSync.IsZero() {
+		c.nextSync = now.Add(syncAgain)
+	}
+	if now.Before(c.nextSync) || len(c.peers) == 0 {
+		return
+	}
+	c.nextSync = now.Add(c.cfg.SyncEvery/2 + time.Duration(c.rng.Int64N(int64(c.cfg.SyncEvery))))
+	u := new(peerpb.RegistrationUpdate)
+	u.Digests = append(u.Digests, c.centreOf(c.cfg.DataCentre).digest())
+	start := c.rng.IntN(len(c.list))
+	for i := range min(len(c.list), maxDigests/2) {
+		centre := c.list[(start+i)%len(c.list)]
+		if centre.name != c.cfg.DataCentre {
+			u.Digests = append(u.Digests, centre.digest())
+		}
+	}
+	c.message(c.peers[c.rng.IntN(len(c.peers))].ID, u)
+}
+
+// hasten brings the next digest forward after one that found differences.
+func (c *Core) hasten(now time.Time) {
+	if soon := now.Add(syncAgain); soon.Before(c.nextSync) {
+		c.nextSync = soon
+	}
+}
+
+func (c *Core) message(to ident.DaemonID, u *peerpb.RegistrationUpdate) {
+	if data := encode(u); data != nil {
+		c.out = append(c.out, Message{To: to, Data: data})
+	}
+}
+
+// answerDigests answers sums that differ by sums of buckets, those by the records in buckets
+// that differ, and a pull by the records of the buckets named.
+func (c *Core) answerDigests(now time.Time, from ident.DaemonID, u *peerpb.RegistrationUpdate) {
+	if len(u.Digests) > maxDigests {
+		return
+	}
+	answer := new(peerpb.RegistrationUpdate)
+	for _, d := range u.Digests {
+		own := c.centres[ident.DataCentreID(d.DataCentre)]
+		if own == nil {
+			own = &centre{id: ident.DataCentreID(d.DataCentre)}
+		}
+		switch {
+		case d.Mask != 0:
+			if u.Pull {
+				c.sendBuckets(now, from, own, d.Mask, false)
+			}
+		case d.Sum == own.sum:
+		case len(d.Buckets) == bucketCount*4:
+			c.sendBuckets(now, from, own, own.differing(d.Buckets), true)
+		case len(answer.Digests) < maxBucketDigests:
+			entry := own.digest()
+			entry.Buckets = own.encodeBuckets()
+			answer.Digests = append(answer.Digests, entry)
+		}
+	}
+	c.message(from, answer)
+}
+
+func (c *Core) sendBuckets(now time.Time, to ident.DaemonID, own *centre, mask uint64, pull bool) {
+	page := func() *peerpb.RegistrationUpdate {
+		d := &peerpb.Digest{DataCentre: uint32(own.id), Mask: mask}
+		return &peerpb.RegistrationUpdate{Digests: []*peerpb.Digest{d}, Pull: pull}
+	}
+	u := page()
+	room := membership.MaxAttachmentSize - digestEntry
+	pages := 1
+	// Map order is random, so repeated exchanges get past the first pages.
+	for _, e := range own.entries {
+		if mask&(1<<(e.Upstream>>bucketShift)) == 0 {
+			continue
+		}
+		rec := encodeRecord(now, e)
+		size := proto.Size(rec) + fieldOverhead
+		if size > room {
+			c.message(to, u)
+			if pages == maxSyncPages {
+				return
+			}
+			pages++
+			pull = false
+			u = page()
+			room = membership.MaxAttachmentSize - digestEntry
+		}
+		u.Records = append(u.Records, rec)
+		room -= size
+	}
+	c.message(to, u)
+}
+
+func (c *centre) digest() *peerpb.Digest {
+	return &peerpb.Digest{DataCentre: uint32(c.id), Sum: c.sum}
+}
+
+func (c *centre) encodeBuckets() []byte {
+	b := make([]byte, 0, bucketCount*4)
+	for _, sum := range c.buckets {
+		b = binary.LittleEndian.AppendUint32(b, sum)
+	}
+	return b
+}
+
+func (c *centre) differing(buckets []byte) uint64 {
+	var mask uint64
+	for i, sum := range c.buckets {
+		if binary.LittleEndian.Uint32(buckets[i*4:]) != sum {
+			mask |= 1 << i
+		}
+	}
+	return mask
+}
+
+// account adds a live entry to the sums, or takes it out again.
+func (c *centre) account(e *entry) {
+	if e.state != live {
+		return
+	}
+	var b [33]byte
+	binary.LittleEndian.PutUint64(b[0:], uint64(e.Upstream))
+	binary.LittleEndian.PutUint64(b[8:], uint64(e.Incarnation))
+	binary.LittleEndian.PutUint64(b[16:], e.version)
+	binary.LittleEndian.PutUint64(b[24:], uint64(e.author))
+	if e.Draining {
+		b[32] = 1
+	}
+	h := xxhash.Sum64(b[:])
+	c.sum ^= h
+	c.buckets[e.Upstream>>bucketShift] ^= uint32(h)
+}
--- a/pkg/registration/types.go
+++ b/pkg/registration/types.go
@@ -109,10 +109,17 @@
 // Loaded carries load reports of other owners.
 type Loaded struct{ Loads []Load }
 
+// Message asks the runner to give the membership core a Carry event with the same fields.
+type Message struct {
+	To   ident.DaemonID
+	Data []byte
+}
+
 // Spread asks the runner to give the membership core a Spread event.
 type Spread struct{}
 
 func (Answer) action()  {}
 func (Changed) action() {}
 func (Loaded) action()  {}
+func (Message) action() {}
 func (Spread) action()  {}
