registration: tests on a virtual clock, digests of unserved data centres

Cause: the end of a lease of an upstream whose data centre has no daemon left did not reach the other data centres, because bridges compared only their own two data centres. Change: digests include data centres that no daemon serves; tests of leases, incarnations, takeover, partitions, load samples and random schedules.

--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -69,6 +69,9 @@
 	return t.centres[t.nearest(dataCentre)]
 }
 
+// Serves tells whether a data centre has a serving member.
+func (t *Table) Serves(dataCentre string) bool { return t.centres[dataCentre] != nil }
+
 // Owners returns a value that changes when the set of members that own the upstreams of a data
 // centre does, and whether the given member is one of them.
 func (t *Table) Owners(dataCentre string, id ident.DaemonID) (signature uint64, member bool) {
--- a/pkg/registration/load.go
+++ b/pkg/registration/load.go
@@ -18,7 +18,8 @@
 	// maxLoadAge is the age up to which a sample is sent, and passed on by others.
 	maxLoadAge = 2 * time.Second
 	// sameLoad is the difference up to which two samples of one upstream count as the same.
-	sameLoad = 20 * time.Millisecond
+	sameLoad    = 20 * time.Millisecond
+	chooseTries = 4
 	// maxSamples bounds the loads of other owners from which samples are passed on.
 	maxSamples = 64
 )
@@ -80,12 +81,11 @@
 		if len(list) == 0 || i == 2 && len(l.samples) > 0 {
 			continue
 		}
-		load := l.newest[list[rng.IntN(len(list))]]
-		age := now.Sub(load.At)
-		if age > maxLoadAge || age < 0 {
+		load, ok := l.choose(now, list, rng)
+		if !ok {
 			continue
 		}
-		s := encodeLoad(load, age)
+		s := encodeLoad(load, now.Sub(load.At))
 		size := proto.Size(s) + fieldOverhead
 		if size > room {
 			return
@@ -95,6 +95,17 @@
 	}
 }
 
+// choose returns a random load of the list that is young enough, unless there are few of them.
+func (l *loads) choose(now time.Time, list []ident.UpstreamID, rng *rand.Rand) (Load, bool) {
+	for range chooseTries {
+		load := l.newest[list[rng.IntN(len(list))]]
+		if age := now.Sub(load.At); age >= 0 && age <= maxLoadAge {
+			return load, true
+		}
+	}
+	return Load{}, false
+}
+
 func encodeLoad(load Load, age time.Duration) *peerpb.LoadSample {
 	return &peerpb.LoadSample{
 		Upstream:  uint64(load.Upstream),
--- /dev/null
+++ b/pkg/registration/registration_test.go
@@ -0,0 +1,242 @@
+package registration_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/ownership"
+	"rosemarygate/pkg/registration"
+)
+
+func (n *network) owner(r registration.Registration) *node {
+	m, ok := ownership.Owner(n.pick(r.DataCentre).view, r.DataCentre, r.Upstream)
+	assert.Assert(n.t, ok)
+	return n.byID[m.ID]
+}
+
+func (n *network) withdraw(r registration.Registration) registration.Answer {
+	return n.ask(n.pick(r.DataCentre), registration.Withdraw{
+		Upstream: r.Upstream, DataCentre: r.DataCentre, Incarnation: r.Incarnation,
+	})
+}
+
+// Guards against new work that goes to an upstream that has left, at any daemon of its data
+// centre, later than 2 s after it left.
+func TestLeavingUpstreamIsKnownWithinTwoSeconds(t *testing.T) {
+	for _, members := range []int{7, 100} {
+		var slowest time.Duration
+		for seed := range uint64(3) {
+			n := cluster(t, seed, members, 1)
+			n.loss = 0.05
+			drains, leaves, dies := upstream(1, "dc-0", 1), upstream(2, "dc-0", 1), upstream(3, "dc-0", 1)
+			n.renewing(4*time.Second, drains, leaves, dies)
+			assert.Equal(t, members, n.listed(drains))
+			assert.Equal(t, members, n.listed(leaves))
+
+			drains.Draining = true
+			n.announce(n.pick("dc-0"), drains)
+			assert.Equal(t, registration.Reason(0), n.withdraw(leaves).Refused)
+			took := n.until(5*time.Second, func() bool { return n.listed(leaves) == 0 && n.draining(drains) == members })
+			slowest = max(slowest, took)
+			n.renewing(3*time.Second, drains)
+			gone := n.until(5*time.Second, func() bool { return n.listed(dies) == 0 })
+			assert.Assert(t, gone < 2*time.Second, "expired lease known after %v", gone)
+			assert.Equal(t, members, n.draining(drains))
+		}
+		t.Logf("%d members: known to all after %v", members, slowest)
+		assert.Assert(t, slowest < 2*time.Second)
+	}
+}
+
+func (n *network) draining(r registration.Registration) int {
+	count := 0
+	for _, d := range n.nodes {
+		if have, ok := d.registry.Find(r.Upstream); ok && have.Draining {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against late announcements and withdrawals of a former process of an upstream.
+func TestSmallerIncarnationIsRefused(t *testing.T) {
+	n := cluster(t, 1, 7, 1)
+	first, second := upstream(1, "dc-0", 1), upstream(1, "dc-0", 2)
+	assert.Equal(t, registration.Reason(0), n.announce(n.pick("dc-0"), first).Refused)
+	assert.Equal(t, registration.Reason(0), n.announce(n.pick("dc-0"), second).Refused)
+	assert.Equal(t, registration.Superseded, n.announce(n.pick("dc-0"), first).Refused)
+	assert.Equal(t, registration.Superseded, n.withdraw(first).Refused)
+	n.renewing(2*time.Second, second)
+	assert.Equal(t, 7, n.listed(second))
+	assert.Equal(t, registration.Reason(0), n.withdraw(second).Refused)
+	assert.Equal(t, registration.Withdrawn, n.announce(n.pick("dc-0"), second).Refused)
+	broken := upstream(2, "dc-0", 1)
+	broken.Name = ""
+	assert.Equal(t, registration.Malformed, n.announce(n.pick("dc-0"), broken).Refused)
+}
+
+// Guards against registrations that vanish while their upstream renews, when the owner crashes.
+func TestNewOwnerTakesRegistrationOver(t *testing.T) {
+	for seed := range uint64(3) {
+		n := cluster(t, seed, 7, 1)
+		kept, lost := upstream(1, "dc-0", 1), upstream(2, "dc-0", 1)
+		n.renewing(3*time.Second, kept, lost)
+		n.owner(kept).down = true
+		n.onChange = func(d *node) {
+			_, ok := d.registry.Find(kept.Upstream)
+			assert.Assert(t, ok, "%s dropped the registration", d.member.Name)
+		}
+		n.renewing(10*time.Second, kept)
+		assert.Equal(t, 6, n.listed(kept))
+		assert.Equal(t, 0, n.listed(lost))
+	}
+}
+
+// Guards against a daemon that keeps registrations for which nobody vouches, and against one
+// that ends the leases of the others when it comes back.
+func TestPartitionedDaemonDropsRegistrations(t *testing.T) {
+	n := cluster(t, 2, 7, 1)
+	r := upstream(1, "dc-0", 1)
+	n.renewing(3*time.Second, r)
+	owner := n.owner(r)
+	alone := n.nodes[0]
+	if alone == owner {
+		alone = n.nodes[1]
+	}
+	n.cut = func(a, b *node) bool { return (a == alone) != (b == alone) }
+	n.onChange = func(d *node) {
+		_, ok := d.registry.Find(r.Upstream)
+		assert.Assert(t, ok || d == alone, "%s dropped the registration", d.member.Name)
+	}
+	renew := func(d time.Duration) {
+		for range int(d / time.Second) {
+			n.announce(owner, r)
+			n.run(time.Second)
+		}
+	}
+	renew(8 * time.Second)
+	assert.Equal(t, 6, n.listed(r))
+	n.cut = nil
+	renew(15 * time.Second)
+	assert.Equal(t, 7, n.listed(r))
+}
+
+// Guards against data centres that never learn of each other's upstreams, and against a data
+// centre without daemons whose upstreams have no owner.
+func TestOtherDataCentres(t *testing.T) {
+	n := cluster(t, 3, 36, 3)
+	r := upstream(1, "dc-1", 1)
+	n.renewing(5*time.Second, r)
+	assert.Equal(t, 36, n.listed(r))
+	for _, d := range n.nodes {
+		d.down = d.member.DataCentre == "dc-1"
+	}
+	for range 12 {
+		n.announce(n.pick("dc-0"), r)
+		n.run(time.Second)
+	}
+	assert.Equal(t, 24, n.listed(r))
+	n.run(12 * time.Second)
+	assert.Equal(t, 0, n.listed(r))
+}
+
+// Guards against daemons that never hear of an upstream's load.
+func TestLoadIsSampled(t *testing.T) {
+	const upstreams = 19
+	n := cluster(t, 1, 7, 1)
+	var list []registration.Registration
+	for i := range upstreams {
+		list = append(list, upstream(i, "dc-0", 1))
+	}
+	for range 10 {
+		n.reportLoads(list)
+		n.renewing(time.Second, list...)
+	}
+	var ages []time.Duration
+	for _, d := range n.nodes {
+		for _, r := range list {
+			if n.owner(r) != d {
+				ages = append(ages, n.now.Sub(d.loaded[r.Upstream]))
+			}
+		}
+	}
+	slices.Sort(ages)
+	p95, oldest := ages[len(ages)*95/100], ages[len(ages)-1]
+	t.Logf("age of loads at other daemons: median %v, p95 %v, oldest %v", ages[len(ages)/2], p95, oldest)
+	assert.Assert(t, p95 < 6*time.Second)
+	assert.Assert(t, oldest < 10*time.Second)
+}
+
+func (n *network) reportLoads(list []registration.Registration) {
+	for i, r := range list {
+		load := registration.Load{Upstream: r.Upstream, Flows: 1000 + i, Running: 2, Queued: 5, Healthy: true, At: n.now}
+		n.register(n.owner(r), registration.LoadReport{Load: load})
+	}
+}
+
+// Guards against withdrawn registrations that come back and incarnations that go back, with
+// loss, crashes, partitions, and announcements that arrive late at any daemon.
+func TestWithdrawnRegistrationStaysWithdrawn(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n := cluster(t, rapid.Uint64().Draw(r, "seed"), 5, 1)
+		n.loss = rapid.Float64Range(0, 0.2).Draw(r, "loss")
+		watch := newWatch(r)
+		n.onChange = watch.check
+		incarnation := ident.Incarnation(1)
+		for range rapid.IntRange(1, 12).Draw(r, "steps") {
+			d := n.nodes[rapid.IntRange(0, 4).Draw(r, "daemon")]
+			u := upstream(1, "dc-0", ident.Incarnation(rapid.IntRange(1, int(incarnation)).Draw(r, "incarnation")))
+			switch rapid.IntRange(0, 4).Draw(r, "operation") {
+			case 0:
+				n.announce(d, u)
+			case 1:
+				answer := n.ask(d, registration.Withdraw{Upstream: u.Upstream, DataCentre: "dc-0", Incarnation: u.Incarnation})
+				if answer.Refused == 0 {
+					watch.withdrawn[n.owner(u)] = u.Incarnation
+				}
+			case 2:
+				incarnation++
+			case 3:
+				d.down = true
+				n.run(3 * time.Second)
+				d.down = false
+				n.push(delivery{at: n.now, to: d})
+			case 4:
+				n.cut = func(a, b *node) bool { return (a == d) != (b == d) }
+				n.run(4 * time.Second)
+				n.cut = nil
+			}
+			n.run(time.Duration(rapid.IntRange(0, 3000).Draw(r, "pause ms")) * time.Millisecond)
+		}
+	})
+}
+
+// watch remembers what each daemon has listed.
+type watch struct {
+	r         *rapid.T
+	last      map[*node]ident.Incarnation
+	withdrawn map[*node]ident.Incarnation // by the daemon that accepted the withdrawal
+}
+
+func newWatch(r *rapid.T) *watch {
+	return &watch{r: r, last: make(map[*node]ident.Incarnation), withdrawn: make(map[*node]ident.Incarnation)}
+}
+
+func (w *watch) check(d *node) {
+	u, ok := d.registry.Find(upstream(1, "dc-0", 1).Upstream)
+	if !ok {
+		return
+	}
+	if u.Incarnation < w.last[d] {
+		w.r.Fatalf("%s lists incarnation %d after %d", d.member.Name, u.Incarnation, w.last[d])
+	}
+	w.last[d] = u.Incarnation
+	if u.Incarnation <= w.withdrawn[d] {
+		w.r.Fatalf("%s lists incarnation %d, withdrawn %d", d.member.Name, u.Incarnation, w.withdrawn[d])
+	}
+}
--- a/pkg/registration/spread.go
+++ b/pkg/registration/spread.go
@@ -102,7 +102,8 @@
 	return before - room
 }
 
-// putCentreDigests adds the sums of both data centres to a message to a member of another one.
+// putCentreDigests adds the sums of both data centres to a message to a member of another one,
+// and those of data centres that no longer speak for themselves.
 func (c *Core) putCentreDigests(now time.Time, remote string, u *peerpb.RegistrationUpdate, room int) int {
 	other := c.centreOf(remote)
 	if now.Before(other.nextDigest) || room < 2*digestEntry {
@@ -110,7 +111,15 @@
 	}
 	other.nextDigest = now.Add(digestEvery)
 	u.Digests = append(u.Digests, c.centreOf(c.cfg.DataCentre).digest(), other.digest())
-	return 2 * digestEntry
+	used := 2 * digestEntry
+	for _, orphan := range c.list {
+		if orphan == other || c.table.Serves(orphan.name) || used+digestEntry > room {
+			continue
+		}
+		u.Digests = append(u.Digests, orphan.digest())
+		used += digestEntry
+	}
+	return used
 }
 
 // stepSync sends the sums of all data centres to a random peer.
