--- /dev/null
+++ b/client/caller.go
@@ -0,0 +1,116 @@
+package client
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	wirepb "rosemarygate/api/wire/v1"
+)
+
+// Caller runs requests on a flow of its own. It opens the flow when it is needed and moves
+// to another upstream when the present one refuses work that did not run.
+type Caller struct {
+	client *Client
+
+	mu   sync.Mutex
+	flow *Flow
+}
+
+// NewCaller returns a caller without a flow.
+func (c *Client) NewCaller() *Caller { return &Caller{client: c} }
+
+const (
+	elsewhereWait    = 20 * time.Millisecond
+	elsewhereMaxWait = 500 * time.Millisecond
+)
+
+// Attempt is one try of a request on one flow.
+type Attempt struct {
+	Flow   uint64
+	Result Result
+}
+
+// Do runs one request until it has an outcome other than a refusal that another upstream
+// may lift, or ctx ends. It returns every attempt, the last one being the result. A
+// request that may have run is not sent again.
+func (c *Caller) Do(ctx context.Context, q Request) ([]Attempt, error) {
+	var attempts []Attempt
+	wait := elsewhereWait
+	for {
+		f, err := c.open(ctx)
+		if err != nil {
+			return attempts, err
+		}
+		r, err := f.Do(ctx, q)
+		if err != nil {
+			c.leave(f)
+			if ctx.Err() != nil {
+				return attempts, err
+			}
+			continue
+		}
+		attempts = append(attempts, Attempt{Flow: f.id, Result: r})
+		if !c.tryElsewhere(f, r) {
+			return attempts, nil
+		}
+		select {
+		case <-time.After(jitter(wait)):
+			wait = min(2*wait, elsewhereMaxWait)
+		case <-ctx.Done():
+			return attempts, nil
+		}
+	}
+}
+
+// tryElsewhere reports whether the request did not run and may be sent again, and leaves
+// the flow when its upstream does not take work for now.
+func (c *Caller) tryElsewhere(f *Flow, r Result) bool {
+	if r.Outcome != NotRun {
+		return false
+	}
+	switch r.Reason {
+	case wirepb.Reason_REASON_UPSTREAM_DRAINING, wirepb.Reason_REASON_UPSTREAM_GONE:
+		c.leave(f)
+		return true
+	case wirepb.Reason_REASON_UPSTREAM_SHED, wirepb.Reason_REASON_QUEUE_FULL:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Caller) open(ctx context.Context) (*Flow, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.flow != nil && c.flow.Err() == nil {
+		return c.flow, nil
+	}
+	f, err := c.client.Open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	c.flow = f
+	return f, nil
+}
+
+// leave closes a flow, so that the next request opens one at another upstream.
+func (c *Caller) leave(f *Flow) {
+	c.mu.Lock()
+	if c.flow == f {
+		c.flow = nil
+	}
+	c.mu.Unlock()
+	f.Close()
+}
+
+// Close closes the caller's flow.
+func (c *Caller) Close() {
+	c.mu.Lock()
+	f := c.flow
+	c.flow = nil
+	c.mu.Unlock()
+	if f != nil {
+		f.Close()
+	}
+}
--- a/pkg/cli/exit.go
+++ b/pkg/cli/exit.go
@@ -25,6 +25,9 @@
 
 func (e *exitError) Unwrap() error { return e.err }
 
+// usageError marks an error as one of arguments, settings or configuration.
+func usageError(err error) error { return &exitError{code: ExitUsage, err: err} }
+
 // execute runs the command line and returns the exit code. Errors go to stderr.
 func execute(root *cobra.Command, args []string, stderr io.Writer) int {
 	started := false
--- /dev/null
+++ b/pkg/daemon/cluster.go
@@ -0,0 +1,234 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	peerpb "rosemarygate/api/peer/v1"
+	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/membership"
+	"rosemarygate/pkg/ownership"
+	"rosemarygate/pkg/registration"
+	"rosemarygate/pkg/relay"
+)
+
+const (
+	clusterTick  = 20 * time.Millisecond
+	clusterQueue = 1024
+	loadPeriod   = 250 * time.Millisecond
+)
+
+// cluster runs the membership and registration cores and the assignment in one goroutine.
+type cluster struct {
+	clock    func() time.Time
+	log      logrus.FieldLogger
+	members  *membership.Core
+	regs     *registration.Core
+	assign   *assignment
+	order    ownership.Order
+	conn     *net.UDPConn
+	sealer   *relay.Sealer
+	incoming chan membership.Received
+	calls    chan func(now time.Time)
+
+	view   *membership.View
+	joined bool
+	hooks  clusterHooks
+	out    []byte
+}
+
+// clusterHooks are called in the cluster's goroutine.
+type clusterHooks struct {
+	joined     func(self membership.Member)
+	superseded func()
+	viewed     func(self membership.Member, v *membership.View, t *ownership.Table)
+	changed    func(now time.Time, all map[ident.UpstreamID]registration.Registration, c registration.Changed)
+	loaded     func(now time.Time, l []registration.Load)
+	loads      func(now time.Time) []registration.Load
+}
+
+func newCluster(clock func() time.Time, log logrus.FieldLogger, conn *net.UDPConn, key []byte, self membership.Member, seeds []netip.AddrPort) *cluster {
+	c := &cluster{
+		clock: clock, log: log, conn: conn, sealer: relay.NewSealer(key),
+		incoming: make(chan membership.Received, clusterQueue),
+		calls:    make(chan func(time.Time), clusterQueue),
+	}
+	rng := rand.New(rand.NewPCG(uint64(self.ID), uint64(self.Incarnation)))
+	c.regs = registration.New(registration.Config{Self: self.ID, DataCentre: self.DataCentre, Order: c.order}, rng)
+	c.members = membership.New(membership.Config{Seeds: seeds, Attachment: c.regs.Attachment}, self, rng)
+	return c
+}
+
+// deliver takes an encoded membership message; it is dropped when the queue is full.
+func (c *cluster) deliver(from netip.AddrPort, message []byte) {
+	m := new(peerpb.Membership)
+	if proto.Unmarshal(message, m) != nil {
+		return
+	}
+	select {
+	case c.incoming <- membership.Received{From: from, Message: m}:
+	default:
+	}
+}
+
+// call runs f in the cluster's goroutine and waits for its end. It reports false when the
+// cluster has stopped.
+func (c *cluster) call(ctx context.Context, f func(now time.Time)) bool {
+	done := make(chan struct{})
+	wrapped := func(now time.Time) {
+		defer close(done)
+		f(now)
+	}
+	select {
+	case c.calls <- wrapped:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *cluster) run(ctx context.Context) error {
+	ticker := time.NewTicker(clusterTick)
+	defer ticker.Stop()
+	var nextLoads time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			c.stepMembers(c.clock(), membership.Stop{})
+			return nil
+		case m := <-c.incoming:
+			c.stepMembers(c.clock(), m)
+		case f := <-c.calls:
+			f(c.clock())
+		case <-ticker.C:
+			now := c.clock()
+			c.stepMembers(now, membership.Tick{})
+			c.stepRegistrations(now, registration.Tick{})
+			if c.assign != nil {
+				c.assign.tick(now)
+			}
+			if now.After(nextLoads) {
+				nextLoads = now.Add(loadPeriod)
+				c.reportLoads(now)
+			}
+		}
+	}
+}
+
+func (c *cluster) reportLoads(now time.Time) {
+	if !c.joined {
+		return
+	}
+	loads := c.hooks.loads(now)
+	for _, l := range loads {
+		c.stepRegistrations(now, registration.LoadReport{Load: l})
+	}
+	c.hooks.loaded(now, loads)
+}
+
+// stepMembers steps the membership core and carries out its actions.
+func (c *cluster) stepMembers(now time.Time, ev membership.Event) {
+	for _, a := range c.members.Step(now, ev) {
+		switch a := a.(type) {
+		case membership.Send:
+			c.send(a)
+		case membership.ViewChanged:
+			c.viewChanged(now, a.View)
+		case membership.Joined:
+			c.join(now)
+		case membership.Attached:
+			c.stepRegistrations(now, registration.Attached{From: a.From, Data: a.Data})
+		case membership.Superseded:
+			c.hooks.superseded()
+		}
+	}
+}
+
+func (c *cluster) send(a membership.Send) {
+	b, err := proto.Marshal(a.Message)
+	if err != nil {
+		return
+	}
+	c.out = c.sealer.Seal(relay.AppendMembership(c.out[:0], b))
+	// A lost message is repeated by the protocol.
+	_, _ = c.conn.WriteToUDPAddrPort(c.out, a.To)
+}
+
+func (c *cluster) join(now time.Time) {
+	if c.joined {
+		return
+	}
+	c.joined = true
+	self := c.members.Self()
+	c.hooks.joined(self)
+	c.assign.self = self
+	c.stepMembers(now, membership.Serve{})
+}
+
+func (c *cluster) viewChanged(now time.Time, v *membership.View) {
+	c.logChanges(v)
+	c.view = v
+	if c.joined {
+		c.assign.viewChanged(now, v)
+		c.hooks.viewed(c.members.Self(), v, c.assign.current)
+	}
+	c.stepRegistrations(now, registration.ViewChanged{View: v})
+}
+
+func (c *cluster) logChanges(v *membership.View) {
+	for _, m := range v.Members {
+		if c.view != nil {
+			if old, ok := c.view.Find(m.ID); ok && old.State == m.State && old.Incarnation == m.Incarnation {
+				continue
+			}
+		}
+		events.MemberChanged.Log(c.log, logrus.Fields{"member": m.Name, "state": m.State, "incarnation": m.Incarnation})
+	}
+}
+
+// stepRegistrations steps the registration core, carries out its actions and returns its answer.
+func (c *cluster) stepRegistrations(now time.Time, ev registration.Event) (answer registration.Answer) {
+	for _, a := range c.regs.Step(now, ev) {
+		switch a := a.(type) {
+		case registration.Answer:
+			answer = a
+		case registration.Changed:
+			_, announced := ev.(registration.Announced)
+			c.registrationsChanged(now, a, announced)
+		case registration.Loaded:
+			if c.joined {
+				c.hooks.loaded(now, a.Loads)
+			}
+		case registration.Message:
+			c.stepMembers(now, membership.Carry(a))
+		case registration.Spread:
+			c.stepMembers(now, membership.Spread{})
+		}
+	}
+	return answer
+}
+
+func (c *cluster) registrationsChanged(now time.Time, ch registration.Changed, announced bool) {
+	for _, r := range ch.Set {
+		events.UpstreamRegistered.Log(c.log, logrus.Fields{"upstream": r.Name, "data_centre": r.DataCentre, "draining": r.Draining})
+	}
+	for _, u := range ch.Removed {
+		events.UpstreamLeft.Log(c.log, logrus.Fields{"upstream": u})
+	}
+	c.assign.changed(now, ch.Set, ch.Removed, announced)
+	if c.joined {
+		c.hooks.changed(now, c.assign.known, ch)
+	}
+}
--- /dev/null
+++ b/pkg/daemon/counters.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"strings"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	wirepb "rosemarygate/api/wire/v1"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/owner"
+	"rosemarygate/pkg/telemetry"
+)
+
+// counterNames are the metric names of the owner cores' counters.
+var counterNames = map[owner.Counter]string{
+	owner.FlowsOpened:     "flows_opened",
+	owner.FlowsAdopted:    "flows_adopted",
+	owner.FlowsConfirmed:  "flows_confirmed",
+	owner.FlowsClosed:     "flows_closed",
+	owner.FlowsExpired:    "flows_expired",
+	owner.FlowsBroken:     "flows_broken",
+	owner.OpensRefused:    "opens_refused",
+	owner.RequestsRun:     "requests_started",
+	owner.RequestsOK:      "requests_answered",
+	owner.RequestsNotRun:  "requests_refused",
+	owner.RequestsUnknown: "requests_unknown",
+	owner.RequestsRetried: "requests_retried",
+	owner.FeedItems:       "feed_items",
+	owner.FeedResends:     "feed_resends",
+}
+
+// counters caches the counters of the owner cores by service and reason.
+type counters struct {
+	set *telemetry.Set
+
+	mu    sync.RWMutex
+	names map[ident.ServiceID]string
+	cache map[owner.Count]*metrics.Counter
+}
+
+func newCounters(set *telemetry.Set) *counters {
+	return &counters{set: set, names: map[ident.ServiceID]string{}, cache: map[owner.Count]*metrics.Counter{}}
+}
+
+func (c *counters) setNames(names map[ident.ServiceID]string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.names = names
+	clear(c.cache)
+}
+
+func (c *counters) add(n owner.Count) {
+	c.mu.RLock()
+	counter := c.cache[n]
+	c.mu.RUnlock()
+	if counter == nil {
+		counter = c.create(n)
+	}
+	counter.Inc()
+}
+
+func (c *counters) create(n owner.Count) *metrics.Counter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	labels := []string{"service", c.names[n.Service]}
+	if n.Reason != 0 {
+		labels = append(labels, "reason", reasonName(n.Reason))
+	}
+	counter := c.set.Counter(counterNames[n.Counter], labels...)
+	c.cache[n] = counter
+	return counter
+}
+
+// reasonName returns a reason as counters and logs show it.
+func reasonName(r wirepb.Reason) string {
+	return strings.ToLower(strings.TrimPrefix(r.String(), "REASON_"))
+}
--- /dev/null
+++ b/pkg/daemon/datapath.go
@@ -0,0 +1,233 @@
+package daemon
+
+import (
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	wirepb "rosemarygate/api/wire/v1"
+	"rosemarygate/pkg/frame"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/owner"
+	"rosemarygate/pkg/relay"
+	"rosemarygate/pkg/token"
+)
+
+// serviceQueueLimit bounds one service's packets between its socket and the owner cores.
+const serviceQueueLimit = shardCount * shardQueue / 4
+
+// datapath moves packets between callers, peers and owner cores.
+type datapath struct {
+	clock    func() time.Time
+	table    atomic.Pointer[relay.Table] // nil until the daemon has joined; set after shards
+	keys     atomic.Pointer[keyRing]
+	key      []byte // cluster key
+	sockets  *sockets
+	shards   *shards
+	opener   *opener
+	counters *packetCounters
+	peerConn *net.UDPConn
+	// membership takes encoded membership messages; it must not block.
+	membership func(from netip.AddrPort, message []byte)
+}
+
+// keyRing is one generation of token keys. A receiver builds its own codec from it.
+type keyRing struct{ keys []token.Key }
+
+// receiver is the state of one goroutine that receives packets.
+type receiver struct {
+	ring   *keyRing
+	codec  *token.Codec
+	sealer *relay.Sealer
+	packet relay.Packet
+	out    []byte
+}
+
+func (d *datapath) newReceiver() *receiver {
+	return &receiver{sealer: relay.NewSealer(d.key), out: make([]byte, 0, relay.MaxDatagram)}
+}
+
+// verify checks a token with the current keys.
+func (d *datapath) verify(r *receiver, flow ident.FlowID, tok []byte) (token.Claims, error) {
+	if ring := d.keys.Load(); ring != r.ring {
+		r.ring, r.codec = ring, token.NewCodec(ring.keys)
+	}
+	return r.codec.Verify(flow, tok)
+}
+
+// fromCaller handles one datagram that came to a service's address.
+func (d *datapath) fromCaller(sock *serviceSocket, r *receiver, b []byte, from netip.AddrPort) {
+	h, err := frame.ReadHeader(b)
+	if err != nil {
+		d.counters.frameRefused(err)
+		return
+	}
+	if len(h.Token) == 0 {
+		d.open(sock.service, b, from)
+		return
+	}
+	claims, err := d.verify(r, h.FlowID, h.Token)
+	if err != nil {
+		d.counters.tokenRefused(err)
+		return
+	}
+	if claims.Service != sock.service {
+		d.counters.wrongService.Inc()
+		return
+	}
+	d.route(r, &claims, b, from, 0)
+}
+
+// route sends a verified frame to its owner, here or at another daemon.
+func (d *datapath) route(r *receiver, claims *token.Claims, b []byte, caller netip.AddrPort, hops int) {
+	decision := d.table.Load().Route(claims)
+	switch decision.Verdict {
+	case relay.Local:
+		d.deliver(claims, b, caller, hops)
+	case relay.Forward:
+		d.forward(r, decision.Peer, &relay.Packet{Caller: caller, Service: claims.Service, Frame: b, Hops: hops + 1})
+	default:
+		d.noRoute(claims.Service, b, caller)
+	}
+}
+
+// deliver decodes a frame and gives it to the owner core.
+func (d *datapath) deliver(claims *token.Claims, b []byte, caller netip.AddrPort, hops int) {
+	fr, err := frame.Decode(b)
+	if err != nil {
+		d.counters.frameRefused(err)
+		return
+	}
+	d.offer(claims.Upstream, claims.Service, owner.FrameReceived{Caller: caller, Claims: *claims, Frame: fr, Hops: hops})
+}
+
+// offer gives a caller's packet to the owner core while the service's share of the queues
+// has room.
+func (d *datapath) offer(u ident.UpstreamID, service ident.ServiceID, ev owner.Event) {
+	sock := d.sockets.find(service)
+	if sock == nil {
+		return
+	}
+	if sock.queued.Add(1) > serviceQueueLimit || !d.shards.offer(u, service, ev) {
+		sock.queued.Add(-1)
+		d.counters.overload.Inc()
+	}
+}
+
+func (d *datapath) released(service ident.ServiceID) {
+	if sock := d.sockets.find(service); sock != nil {
+		sock.queued.Add(-1)
+	}
+}
+
+// forward sends a packet to another daemon.
+func (d *datapath) forward(r *receiver, to netip.AddrPort, p *relay.Packet) {
+	if p.Hops > relay.MaxHops {
+		d.counters.hops.Inc()
+		return
+	}
+	r.out = r.sealer.Seal(relay.AppendPacket(r.out[:0], p))
+	// A datagram that cannot be sent counts as lost; the caller repeats it.
+	_, _ = d.peerConn.WriteToUDPAddrPort(r.out, to)
+	d.counters.relayed.Inc()
+}
+
+// noRoute tells the caller of a request to try again; other frames are repeated anyway.
+func (d *datapath) noRoute(service ident.ServiceID, b []byte, caller netip.AddrPort) {
+	d.counters.noRoute.Inc()
+	fr, err := frame.Decode(b)
+	if err != nil {
+		return
+	}
+	q, ok := fr.Body.(*wirepb.Frame_Request)
+	if !ok {
+		return
+	}
+	d.sendFrame(service, caller, &wirepb.Frame{
+		FlowId: fr.FlowId,
+		Body: &wirepb.Frame_Outcome{Outcome: &wirepb.RequestOutcome{
+			RequestId: q.Request.RequestId,
+			Outcome:   wirepb.Outcome_OUTCOME_NO_ROUTE,
+			Reason:    wirepb.Reason_REASON_NO_UPSTREAM,
+		}},
+	})
+}
+
+func (d *datapath) sendFrame(service ident.ServiceID, to netip.AddrPort, fr *wirepb.Frame) {
+	b, err := proto.Marshal(fr)
+	if err != nil {
+		return
+	}
+	d.sockets.send(service, to, b)
+}
+
+// fromPeers handles the datagrams of other daemons until the socket is closed.
+func (d *datapath) fromPeers() {
+	r := d.newReceiver()
+	readBatches(d.peerConn, func(b []byte, from netip.AddrPort) { d.fromPeer(r, b, from) })
+}
+
+func (d *datapath) fromPeer(r *receiver, b []byte, from netip.AddrPort) {
+	body, err := r.sealer.Open(b)
+	if err != nil {
+		d.counters.forgedPeer.Inc()
+		return
+	}
+	message, err := relay.Parse(body, &r.packet)
+	if err != nil {
+		d.counters.malformedPeer.Inc()
+		return
+	}
+	if message != nil {
+		d.membership(from, message)
+		return
+	}
+	if d.table.Load() == nil {
+		return // not joined yet; the caller repeats the packet
+	}
+	d.fromRelay(r)
+}
+
+// fromRelay handles a caller's frame that another daemon passed on.
+func (d *datapath) fromRelay(r *receiver) {
+	p := &r.packet
+	h, err := frame.ReadHeader(p.Frame)
+	if err != nil {
+		d.counters.frameRefused(err)
+		return
+	}
+	if len(h.Token) == 0 {
+		d.offer(p.Upstream, p.Service, owner.OpenReceived{
+			Caller: p.Caller, Service: p.Service, Flow: h.FlowID, Upstream: p.Upstream,
+			Tried: append([]ident.UpstreamID(nil), p.Tried[:p.NumTried]...),
+		})
+		return
+	}
+	claims, err := d.verify(r, h.FlowID, h.Token)
+	if err != nil {
+		d.counters.tokenRefused(err)
+		return
+	}
+	if claims.Service != p.Service {
+		d.counters.wrongService.Inc()
+		return
+	}
+	d.route(r, &claims, p.Frame, p.Caller, p.Hops)
+}
+
+// open handles a caller's datagram without a token.
+func (d *datapath) open(service ident.ServiceID, b []byte, caller netip.AddrPort) {
+	fr, err := frame.Decode(b)
+	if err != nil {
+		d.counters.frameRefused(err)
+		return
+	}
+	if _, ok := fr.Body.(*wirepb.Frame_Open); !ok {
+		d.counters.missingToken.Inc()
+		return
+	}
+	d.opener.open(caller, service, ident.FlowID(fr.FlowId), nil, wirepb.Reason_REASON_NO_UPSTREAM)
+}
--- /dev/null
+++ b/pkg/daemon/glue.go
@@ -0,0 +1,310 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	peerpb "rosemarygate/api/peer/v1"
+	upstreampb "rosemarygate/api/upstream/v1"
+	wirepb "rosemarygate/api/wire/v1"
+	"rosemarygate/pkg/config"
+	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/frame"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/membership"
+	"rosemarygate/pkg/owner"
+	"rosemarygate/pkg/ownership"
+	"rosemarygate/pkg/registration"
+	"rosemarygate/pkg/relay"
+	"rosemarygate/pkg/selection"
+)
+
+// do carries out one action of an owner core. It runs in the shard's goroutine and does
+// not block.
+func (d *Daemon) do(a owner.Action) {
+	switch a := a.(type) {
+	case owner.SendFrame:
+		d.path.sendFrame(a.Service, a.Caller, a.Frame)
+	case owner.Execute:
+		d.sessions.execute(a)
+	case owner.CancelExecute:
+		if s := d.sessions.find(a.Upstream); s != nil {
+			s.cancel(a.Call)
+		}
+	case owner.SubscribeFeed:
+		if s := d.sessions.find(a.Upstream); s != nil {
+			s.subscribe(a)
+		}
+	case owner.PassOpen:
+		d.path.opener.open(a.Caller, a.Service, a.Flow, a.Tried, a.Reason)
+	case owner.ForwardFrame:
+		d.forwardFrame(a)
+	case owner.SendHandover:
+		go d.sendHandover(a)
+	case owner.SendCompleted:
+		go d.sendCompleted(a)
+	case owner.ReleaseUpstream:
+		go d.releaseUpstream(a.Upstream)
+	case owner.Count:
+		d.counters.add(a)
+	case owner.ObserveCall:
+		d.path.opener.withTable(func(now time.Time, t *selection.Table) {
+			t.Observe(now, a.Service, a.Upstream, a.OK, a.Duration)
+		})
+	}
+}
+
+// forwardFrame passes a frame on to the upstream's new owner.
+func (d *Daemon) forwardFrame(a owner.ForwardFrame) {
+	ev := a.Event
+	b, err := frame.Encode(nil, ev.Frame)
+	if err != nil {
+		return
+	}
+	to, ok := d.path.table.Load().Peer(a.To)
+	if !ok {
+		decision := d.path.table.Load().Owner(ev.Claims.DataCentre, ev.Claims.Upstream)
+		if decision.Verdict != relay.Forward {
+			d.path.noRoute(ev.Claims.Service, b, ev.Caller)
+			return
+		}
+		to = decision.Peer
+	}
+	d.path.forward(d.path.newReceiver(), to, &relay.Packet{
+		Caller: ev.Caller, Service: ev.Claims.Service, Frame: b, Hops: ev.Hops + 1,
+	})
+}
+
+// handOver starts the handover of an upstream to its new owner.
+func (d *Daemon) handOver(u ident.UpstreamID, to membership.Member) {
+	events.HandoverStarted.Log(d.log, logrus.Fields{"upstream": u, "to": to.Name})
+	go d.shards.Load().post(u, owner.HandoverRequested{Upstream: u, To: to.ID, Incarnation: to.Incarnation})
+}
+
+func (d *Daemon) sendHandover(a owner.SendHandover) {
+	var to membership.Member
+	var reg registration.Registration
+	var ok bool
+	d.cluster.call(d.ctx, func(time.Time) {
+		to, ok = d.cluster.member(a.To)
+		reg = d.cluster.assign.known[a.Upstream]
+	})
+	ended := owner.HandoverEnded{Upstream: a.Upstream, To: a.To}
+	var err error
+	if ok {
+		a.Chunks[0].Registration = d.announcementOf(reg)
+		err = d.peers.handover(d.ctx, to, a.Chunks)
+		ended.OK = err == nil
+	}
+	logHandover(d.log, ended, countFlows(a.Chunks), err)
+	d.shards.Load().post(a.Upstream, ended)
+}
+
+func countFlows(chunks []*peerpb.HandoverChunk) int {
+	n := 0
+	for _, ch := range chunks {
+		n += len(ch.Flows)
+	}
+	return n
+}
+
+// announcementOf restores the announcement that a registration was made from.
+func (d *Daemon) announcementOf(r registration.Registration) *upstreampb.AnnounceRequest {
+	x := d.services.Load()
+	name := x.names[r.Service]
+	q := &upstreampb.AnnounceRequest{
+		Service: name, Upstream: r.Name, DataCentre: r.DataCentre, Incarnation: uint64(r.Incarnation),
+		Address: r.Addr.String(), Slots: uint32(r.Slots), FlowLimit: uint32(r.FlowLimit), Draining: r.Draining,
+	}
+	if svc := x.byName[name]; svc != nil {
+		q.Credential = svc.Settings.Credential
+	}
+	return q
+}
+
+// sendCompleted reports a finished request until the new owner has it or is gone.
+func (d *Daemon) sendCompleted(a owner.SendCompleted) {
+	d.completing.Add(1)
+	defer d.completing.Add(-1)
+	var to membership.Member
+	var ok bool
+	d.cluster.call(d.ctx, func(time.Time) { to, ok = d.cluster.member(a.To) })
+	if ok {
+		_ = d.peers.completed(d.ctx, to, a.Request)
+	}
+}
+
+// releaseUpstream closes the session after a handover, unless the upstream has come back.
+func (d *Daemon) releaseUpstream(u ident.UpstreamID) {
+	d.cluster.call(d.ctx, func(time.Time) {
+		if reg, ok := d.cluster.assign.known[u]; ok && d.cluster.ownsUpstream(reg) {
+			return
+		}
+		d.cluster.assign.released(u)
+		go d.sessions.close(u)
+	})
+}
+
+// connectUpstream opens the session to an upstream that this daemon owns.
+func (d *Daemon) connectUpstream(reg registration.Registration) {
+	name, ok := d.services.Load().names[reg.Service]
+	if !ok {
+		return
+	}
+	if err := d.sessions.open(reg, name); err != nil {
+		events.UpstreamDisconnected.Log(d.log, logrus.Fields{"upstream": reg.Name, "error": err})
+	}
+}
+
+// dropUpstream ends the flows of an upstream whose lease ended.
+func (d *Daemon) dropUpstream(reg registration.Registration) {
+	go func() {
+		d.shards.Load().postWait(reg.Upstream, owner.UpstreamDown{Upstream: reg.Upstream, Incarnation: reg.Incarnation})
+		d.sessions.close(reg.Upstream)
+	}()
+}
+
+// viewed gives a new view to the data path. The first one opens the service sockets.
+func (d *Daemon) viewed(self membership.Member, v *membership.View, t *ownership.Table) {
+	d.path.table.Store(relay.NewTable(self, v, t))
+	serving := 0
+	for _, m := range v.Members {
+		if m.State == membership.Serving && m.DataCentre == self.DataCentre {
+			serving++
+		}
+	}
+	d.path.opener.withTable(func(_ time.Time, t *selection.Table) { t.SetPeers(serving) })
+	select {
+	case <-d.ready:
+	default:
+		if self.State == membership.Serving {
+			d.openSockets()
+			close(d.ready)
+		}
+	}
+}
+
+func (d *Daemon) openSockets() {
+	if err := d.path.sockets.set(d.services.Load().ports); err != nil {
+		events.SocketFailed.Log(d.log, logrus.Fields{"error": err})
+	}
+}
+
+// registrationsChanged gives the upstreams of the services concerned to the opener.
+func (d *Daemon) registrationsChanged(now time.Time, all map[ident.UpstreamID]registration.Registration, _ registration.Changed) {
+	byService := map[ident.ServiceID][]selection.Candidate{}
+	for id := range d.services.Load().names {
+		byService[id] = nil
+	}
+	for _, r := range all {
+		byService[r.Service] = append(byService[r.Service], selection.Candidate{
+			Upstream: r.Upstream, Incarnation: r.Incarnation, DataCentre: ident.DataCentre(r.DataCentre),
+			FlowLimit: r.FlowLimit, Slots: r.Slots, Since: r.Since, Draining: r.Draining,
+		})
+	}
+	d.path.opener.withTable(func(_ time.Time, t *selection.Table) {
+		for s, c := range byService {
+			t.Set(now, s, c)
+		}
+	})
+}
+
+// loadsReceived gives load reports to the opener.
+func (d *Daemon) loadsReceived(now time.Time, loads []registration.Load) {
+	known := d.cluster.assign.known
+	d.path.opener.withTable(func(_ time.Time, t *selection.Table) {
+		for _, l := range loads {
+			reg, ok := known[l.Upstream]
+			if !ok {
+				continue
+			}
+			t.Report(now, reg.Service, selection.Report{
+				Upstream: l.Upstream, Flows: l.Flows, Running: l.Running, Queued: l.Queued, Healthy: l.Healthy, At: l.At,
+			})
+		}
+	})
+}
+
+// ownLoads returns the loads of the upstreams that this daemon owns.
+func (d *Daemon) ownLoads(now time.Time) []registration.Load {
+	var out []registration.Load
+	for _, l := range d.shards.Load().loads() {
+		s := d.sessions.find(l.Upstream)
+		out = append(out, registration.Load{
+			Upstream: l.Upstream, Flows: l.Flows, Running: l.Running, Queued: l.Queued,
+			Healthy: s != nil && s.healthy.Load() && s.connected.Load(), At: now,
+		})
+	}
+	return out
+}
+
+func (d *Daemon) openRefused(service ident.ServiceID, reason wirepb.Reason) {
+	d.counters.add(owner.Count{Counter: owner.OpensRefused, Service: service, Reason: reason})
+}
+
+// Configure puts a configuration in force.
+func (d *Daemon) Configure(cfg *config.Config) error {
+	index, err := indexServices(cfg, d.path.key)
+	if err != nil {
+		return err
+	}
+	d.services.Store(index)
+	d.counters.setNames(index.names)
+	d.path.keys.Store(&keyRing{index.keys})
+	if sh := d.shards.Load(); sh != nil {
+		sh.broadcast(owner.ServicesChanged{Services: index.owners})
+		sh.broadcast(owner.KeysChanged{Keys: index.keys})
+	}
+	select {
+	case <-d.ready:
+		d.openSockets()
+	default:
+	}
+	events.ConfigInForce.Log(d.log, logrus.Fields{"version": index.version, "digest": index.digest})
+	return nil
+}
+
+const (
+	drainPoll   = 20 * time.Millisecond
+	drainLimit  = 2 * time.Minute
+	drainLinger = 500 * time.Millisecond // late packets are still passed on
+)
+
+// drain hands every upstream over and waits for running requests.
+func (d *Daemon) drain() {
+	events.DaemonStopping.Log(d.log, nil)
+	d.cluster.call(d.ctx, func(now time.Time) { d.cluster.stepMembers(now, membership.Leave{}) })
+	deadline := time.Now().Add(drainLimit)
+	for time.Now().Before(deadline) && d.ctx.Err() == nil && !d.idle() {
+		time.Sleep(drainPoll)
+	}
+	time.Sleep(drainLinger)
+}
+
+// idle reports whether nothing runs here any more and every upstream was handed over. A
+// daemon without a successor only waits for its running requests.
+func (d *Daemon) idle() bool {
+	held, successor := 0, false
+	d.cluster.call(d.ctx, func(time.Time) {
+		held = len(d.cluster.assign.held)
+		for _, m := range d.cluster.view.Members {
+			successor = successor || m.State == membership.Serving
+		}
+	})
+	if held > 0 && successor {
+		return false
+	}
+	running := 0
+	d.shards.Load().inspect(func(c *owner.Core) { running += c.Running() })
+	return running == 0 && d.completing.Load() == 0
+}
+
+func newOpener(p *datapath, self membership.Member, refused func(ident.ServiceID, wirepb.Reason)) *opener {
+	rng := rand.New(rand.NewPCG(uint64(self.ID), uint64(self.Incarnation)))
+	return &opener{path: p, refused: refused, table: selection.NewTable(ident.DataCentre(self.DataCentre), rng)}
+}
+
+// Done is closed when the daemon has stopped.
+func (d *Daemon) Done() <-chan struct{} { return d.ctx.Done() }
--- /dev/null
+++ b/pkg/daemon/opener.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	wirepb "rosemarygate/api/wire/v1"
+	"rosemarygate/pkg/frame"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/owner"
+	"rosemarygate/pkg/relay"
+	"rosemarygate/pkg/selection"
+)
+
+// opener picks upstreams for new flows and sends the opens to their owners.
+type opener struct {
+	path *datapath
+	// refused counts an open that no upstream took.
+	refused func(ident.ServiceID, wirepb.Reason)
+
+	mu    sync.Mutex
+	table *selection.Table
+	recv  *receiver
+}
+
+// withTable runs f on the selection table.
+func (o *opener) withTable(f func(now time.Time, t *selection.Table)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f(o.path.clock(), o.table)
+}
+
+// open picks an upstream that has not refused the open yet and passes the open to its owner.
+// reason is why the last one refused.
+func (o *opener) open(caller netip.AddrPort, service ident.ServiceID, flow ident.FlowID, tried []ident.UpstreamID, reason wirepb.Reason) {
+	if len(tried) > relay.MaxTried {
+		o.refuse(caller, service, flow, reason)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	picked, err := o.table.Pick(o.path.clock(), service, tried)
+	if err != nil {
+		o.refuse(caller, service, flow, reason)
+		return
+	}
+	decision := o.path.table.Load().Owner(picked.DataCentre, picked.Upstream)
+	switch decision.Verdict {
+	case relay.Local:
+		o.path.offer(picked.Upstream, service, owner.OpenReceived{
+			Caller: caller, Service: service, Flow: flow, Upstream: picked.Upstream, Tried: tried,
+		})
+	case relay.Forward:
+		o.forward(decision.Peer, caller, service, flow, picked.Upstream, tried)
+	default:
+		o.refuse(caller, service, flow, reason)
+	}
+}
+
+func (o *opener) forward(to, caller netip.AddrPort, service ident.ServiceID, flow ident.FlowID, u ident.UpstreamID, tried []ident.UpstreamID) {
+	b, err := frame.Encode(nil, &wirepb.Frame{FlowId: uint64(flow), Body: &wirepb.Frame_Open{Open: &wirepb.Open{}}})
+	if err != nil {
+		return
+	}
+	p := &relay.Packet{Caller: caller, Service: service, Frame: b, Hops: 1, Upstream: u}
+	p.NumTried = copy(p.Tried[:], tried)
+	if o.recv == nil {
+		o.recv = o.path.newReceiver()
+	}
+	o.path.forward(o.recv, to, p)
+}
+
+func (o *opener) refuse(caller netip.AddrPort, service ident.ServiceID, flow ident.FlowID, reason wirepb.Reason) {
+	o.refused(service, reason)
+	o.path.sendFrame(service, caller, &wirepb.Frame{
+		FlowId: uint64(flow),
+		Body:   &wirepb.Frame_FlowStatus{FlowStatus: &wirepb.FlowStatus{Reason: reason, Gone: true}},
+	})
+}
--- /dev/null
+++ b/pkg/daemon/ownership.go
@@ -0,0 +1,203 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/membership"
+	"rosemarygate/pkg/owner"
+	"rosemarygate/pkg/ownership"
+	"rosemarygate/pkg/registration"
+)
+
+// handoverWait is how long a new owner waits for the flows of a live predecessor before
+// it connects to the upstream by itself.
+const handoverWait = 3 * time.Second
+
+// assignment decides which upstreams this daemon connects to and which it hands over. It
+// runs in the goroutine of the cluster loop.
+type assignment struct {
+	self  membership.Member
+	order ownership.Order
+
+	view    *membership.View
+	current *ownership.Table
+	// previous is the table before this daemon's own last change of state; it names the
+	// daemons that may still hold an upstream's flows.
+	previous *ownership.Table
+	known    map[ident.UpstreamID]registration.Registration
+	held     map[ident.UpstreamID]bool      // sessions of this daemon
+	waiting  map[ident.UpstreamID]time.Time // until the predecessor's handover is overdue
+	leaving  map[ident.UpstreamID]time.Time // handovers in progress, with the time of the next try
+
+	connect  func(registration.Registration)
+	handOver func(ident.UpstreamID, membership.Member)
+	drop     func(registration.Registration)
+}
+
+const handoverRetry = 500 * time.Millisecond
+
+func newAssignment(self membership.Member, order ownership.Order) *assignment {
+	return &assignment{
+		self: self, order: order,
+		known:   map[ident.UpstreamID]registration.Registration{},
+		held:    map[ident.UpstreamID]bool{},
+		waiting: map[ident.UpstreamID]time.Time{},
+		leaving: map[ident.UpstreamID]time.Time{},
+	}
+}
+
+// viewChanged takes a new view over.
+func (a *assignment) viewChanged(now time.Time, v *membership.View) {
+	if a.current != nil && a.owns() {
+		a.previous = a.current
+	} else {
+		a.previous = ownership.NewTable(without(v, a.self.ID), a.order)
+	}
+	a.view = v
+	a.current = ownership.NewTable(v, a.order)
+	for _, reg := range a.known {
+		a.reconcile(now, reg, false)
+	}
+}
+
+func (a *assignment) owns() bool {
+	m, ok := a.view.Find(a.self.ID)
+	return ok && m.State == membership.Serving
+}
+
+// without returns the view as it is for the other members while this one does not serve.
+func without(v *membership.View, self ident.DaemonID) *membership.View {
+	out := &membership.View{Version: v.Version}
+	for _, m := range v.Members {
+		if m.ID != self {
+			out.Members = append(out.Members, m)
+		}
+	}
+	return out
+}
+
+// changed takes changed registrations over. announced says that the upstream has just
+// announced itself to this daemon; if it is new, no other daemon holds flows of it.
+func (a *assignment) changed(now time.Time, set []registration.Registration, removed []ident.UpstreamID, announced bool) {
+	for _, reg := range set {
+		old, seen := a.known[reg.Upstream]
+		a.known[reg.Upstream] = reg
+		a.reconcile(now, reg, announced && (!seen || old.Incarnation != reg.Incarnation))
+	}
+	for _, u := range removed {
+		if reg, ok := a.known[u]; ok {
+			a.remove(reg)
+		}
+	}
+}
+
+func (a *assignment) remove(reg registration.Registration) {
+	delete(a.known, reg.Upstream)
+	delete(a.waiting, reg.Upstream)
+	delete(a.leaving, reg.Upstream)
+	if a.held[reg.Upstream] {
+		delete(a.held, reg.Upstream)
+		a.drop(reg)
+	}
+}
+
+func (a *assignment) reconcile(now time.Time, reg registration.Registration, fresh bool) {
+	if a.current == nil {
+		return
+	}
+	u := reg.Upstream
+	m, ok := a.current.Owner(reg.DataCentre, u)
+	switch {
+	case ok && m.ID == a.self.ID:
+		delete(a.leaving, u)
+		a.take(now, reg, fresh)
+	case ok && a.held[u]:
+		a.give(now, u, m)
+	default:
+		delete(a.waiting, u)
+	}
+}
+
+// take connects to an upstream, or waits for a live predecessor's handover first.
+func (a *assignment) take(now time.Time, reg registration.Registration, fresh bool) {
+	u := reg.Upstream
+	if a.held[u] {
+		a.connect(reg)
+		return
+	}
+	if _, waits := a.waiting[u]; waits {
+		return
+	}
+	if !fresh && a.predecessorLives(reg) {
+		a.waiting[u] = now.Add(handoverWait)
+		return
+	}
+	a.hold(reg)
+}
+
+func (a *assignment) hold(reg registration.Registration) {
+	delete(a.waiting, reg.Upstream)
+	a.held[reg.Upstream] = true
+	a.connect(reg)
+}
+
+func (a *assignment) predecessorLives(reg registration.Registration) bool {
+	if a.previous == nil {
+		return false
+	}
+	p, ok := a.previous.Owner(reg.DataCentre, reg.Upstream)
+	if !ok || p.ID == a.self.ID {
+		return false
+	}
+	m, ok := a.view.Find(p.ID)
+	return ok && m.Incarnation == p.Incarnation && m.State != membership.Dead
+}
+
+func (a *assignment) give(now time.Time, u ident.UpstreamID, to membership.Member) {
+	if next, started := a.leaving[u]; started && now.Before(next) {
+		return
+	}
+	a.leaving[u] = now.Add(handoverRetry)
+	a.handOver(u, to)
+}
+
+// received says that a predecessor has handed an upstream over.
+func (a *assignment) received(reg registration.Registration) {
+	if _, ok := a.known[reg.Upstream]; !ok {
+		a.known[reg.Upstream] = reg
+	}
+	a.hold(a.known[reg.Upstream])
+}
+
+// released says that nothing of an upstream is left here after its handover.
+func (a *assignment) released(u ident.UpstreamID) {
+	delete(a.held, u)
+	delete(a.leaving, u)
+}
+
+// tick handles overdue handovers in both directions.
+func (a *assignment) tick(now time.Time) {
+	for u, until := range a.waiting {
+		if now.After(until) {
+			a.hold(a.known[u])
+		}
+	}
+	for u := range a.leaving {
+		a.reconcile(now, a.known[u], false)
+	}
+}
+
+// logHandover writes the end of a handover to the log.
+func logHandover(log logrus.FieldLogger, ev owner.HandoverEnded, flows int, err error) {
+	fields := logrus.Fields{"upstream": ev.Upstream, "to": ev.To, "flows": flows}
+	if err != nil {
+		fields["error"] = err
+		events.HandoverFailed.Log(log, fields)
+		return
+	}
+	events.HandoverFinished.Log(log, fields)
+}
--- /dev/null
+++ b/pkg/daemon/shard.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/owner"
+)
+
+const (
+	shardCount = 4
+	shardQueue = 8192 // events
+)
+
+// envelope is one event for a shard; done, when set, is closed after the event's actions.
+type envelope struct {
+	event   owner.Event
+	service ident.ServiceID // accounts a caller packet to its service; 0 for other events
+	done    chan struct{}
+	inspect func(*owner.Core)
+}
+
+// shard runs one owner core in one goroutine.
+type shard struct {
+	core   *owner.Core
+	events chan envelope
+	clock  func() time.Time
+	do     func(owner.Action)
+	// release gives back the packet's place in its service's share of the queues.
+	release func(ident.ServiceID)
+}
+
+func (s *shard) run(ctx context.Context) error {
+	ticker := time.NewTicker(owner.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.step(owner.Tick{})
+		case e := <-s.events:
+			s.handle(e)
+		}
+	}
+}
+
+func (s *shard) handle(e envelope) {
+	if e.service != 0 {
+		s.release(e.service)
+	}
+	if e.inspect != nil {
+		e.inspect(s.core)
+	} else {
+		s.step(e.event)
+	}
+	if e.done != nil {
+		close(e.done)
+	}
+}
+
+func (s *shard) step(ev owner.Event) {
+	for _, a := range s.core.Step(s.clock(), ev) {
+		s.do(a)
+	}
+}
+
+// shards spreads the upstreams over the shards.
+type shards struct {
+	all []*shard
+	// stopped is closed when the shards no longer take events.
+	stopped <-chan struct{}
+}
+
+func (s *shards) of(u ident.UpstreamID) *shard {
+	return s.all[uint64(u)%uint64(len(s.all))]
+}
+
+// post delivers an event that must not be lost.
+func (s *shards) post(u ident.UpstreamID, ev owner.Event) {
+	select {
+	case s.of(u).events <- envelope{event: ev}:
+	case <-s.stopped:
+	}
+}
+
+// postWait delivers an event and waits until its actions have been carried out.
+func (s *shards) postWait(u ident.UpstreamID, ev owner.Event) {
+	done := make(chan struct{})
+	select {
+	case s.of(u).events <- envelope{event: ev, done: done}:
+	case <-s.stopped:
+		return
+	}
+	select {
+	case <-done:
+	case <-s.stopped:
+	}
+}
+
+// offer delivers a caller's packet unless the shard's queue is full.
+func (s *shards) offer(u ident.UpstreamID, service ident.ServiceID, ev owner.Event) bool {
+	select {
+	case s.of(u).events <- envelope{event: ev, service: service}:
+		return true
+	default:
+		return false
+	}
+}
+
+// broadcast delivers an event to every shard.
+func (s *shards) broadcast(ev owner.Event) {
+	for _, sh := range s.all {
+		select {
+		case sh.events <- envelope{event: ev}:
+		case <-s.stopped:
+		}
+	}
+}
+
+// inspect runs f on every core, each in its own goroutine's turn.
+func (s *shards) inspect(f func(*owner.Core)) {
+	for _, sh := range s.all {
+		done := make(chan struct{})
+		select {
+		case sh.events <- envelope{inspect: f, done: done}:
+			select {
+			case <-done:
+			case <-s.stopped:
+			}
+		case <-s.stopped:
+		}
+	}
+}
+
+// loads returns the load of every upstream that the shards own.
+func (s *shards) loads() []owner.Load {
+	var out []owner.Load
+	s.inspect(func(c *owner.Core) { out = append(out, c.Loads()...) })
+	return out
+}
--- /dev/null
+++ b/pkg/daemon/web.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rosemarygate/pkg/membership"
+)
+
+const webTimeout = 5 * time.Second
+
+// webServer serves metrics and status.
+type webServer struct{ server *http.Server }
+
+func newWebServer(d *Daemon) *webServer {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { d.metrics.Write(w) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		// The client has gone when the reply cannot be written.
+		_ = enc.Encode(d.Status())
+	})
+	return &webServer{&http.Server{Handler: mux, ReadHeaderTimeout: webTimeout}}
+}
+
+func (w *webServer) serve(l net.Listener) error {
+	if err := w.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (w *webServer) stop() { w.server.Close() }
+
+// Status is the state of one daemon at a glance.
+type Status struct {
+	Name        string           `json:"name"`
+	DataCentre  string           `json:"data_centre"`
+	Incarnation uint64           `json:"incarnation"`
+	State       string           `json:"state"`
+	UptimeS     float64          `json:"uptime_s"`
+	Version     uint64           `json:"config_version"`
+	Digest      string           `json:"config_digest"`
+	Members     []MemberStatus   `json:"members"`
+	Upstreams   []UpstreamStatus `json:"upstreams"`
+}
+
+// MemberStatus is one daemon in the member list.
+type MemberStatus struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	State      string `json:"state"`
+}
+
+// UpstreamStatus is one known upstream; flows, running and queued are known at its owner only.
+type UpstreamStatus struct {
+	Service    string `json:"service"`
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	Owner      string `json:"owner"`
+	Draining   bool   `json:"draining"`
+	Owned      bool   `json:"owned"`
+	Healthy    bool   `json:"healthy"`
+	Flows      int    `json:"flows"`
+	Running    int    `json:"running"`
+	Queued     int    `json:"queued"`
+}
+
+// Status returns the daemon's state.
+func (d *Daemon) Status() Status {
+	x := d.services.Load()
+	st := Status{
+		Name: d.settings.Name, DataCentre: d.settings.DataCentre,
+		UptimeS: time.Since(d.started).Seconds(), Version: x.version, Digest: x.digest,
+	}
+	loads := map[string]UpstreamStatus{}
+	if sh := d.shards.Load(); sh != nil {
+		for _, l := range sh.loads() {
+			s := d.sessions.find(l.Upstream)
+			loads[l.Upstream.String()] = UpstreamStatus{
+				Flows: l.Flows, Running: l.Running, Queued: l.Queued, Owned: true,
+				Healthy: s != nil && s.healthy.Load(),
+			}
+		}
+	}
+	d.cluster.call(d.ctx, func(time.Time) {
+		self := d.cluster.members.Self()
+		st.Incarnation, st.State = uint64(self.Incarnation), self.State.String()
+		st.Members = memberStatus(d.cluster.view)
+		for id, reg := range d.cluster.assign.known {
+			u := loads[id.String()]
+			u.Service, u.Name, u.DataCentre, u.Draining = x.names[reg.Service], reg.Name, reg.DataCentre, reg.Draining
+			if d.cluster.assign.current != nil {
+				if m, ok := d.cluster.assign.current.Owner(reg.DataCentre, id); ok {
+					u.Owner = m.Name
+				}
+			}
+			st.Upstreams = append(st.Upstreams, u)
+		}
+	})
+	sort.Slice(st.Upstreams, func(i, j int) bool {
+		a, b := st.Upstreams[i], st.Upstreams[j]
+		return a.Service+"/"+a.DataCentre+"/"+a.Name < b.Service+"/"+b.DataCentre+"/"+b.Name
+	})
+	return st
+}
+
+func memberStatus(v *membership.View) []MemberStatus {
+	if v == nil {
+		return nil
+	}
+	var out []MemberStatus
+	for _, m := range v.Members {
+		out = append(out, MemberStatus{Name: m.Name, DataCentre: m.DataCentre, State: m.State.String()})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/pkg/owner/core_test.go
@@ -0,0 +1,314 @@
+package owner
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	peerpb "rosemarygate/api/peer/v1"
+	wirepb "rosemarygate/api/wire/v1"
+	"rosemarygate/pkg/dispatch"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/token"
+)
+
+const (
+	testService  = ident.ServiceID(1)
+	testUpstream = ident.UpstreamID(2)
+	testFlow     = ident.FlowID(3)
+)
+
+var (
+	testKeys   = []token.Key{{ID: 1, Secret: []byte("0123456789abcdef")}}
+	testCaller = netip.MustParseAddrPort("127.0.0.1:999")
+	testStart  = time.UnixMilli(1_700_000_000_000)
+)
+
+// bench drives one core and keeps what it did.
+type bench struct {
+	t       *testing.T
+	core    *Core
+	now     time.Time
+	actions []Action
+	token   []byte
+}
+
+func newBench(t *testing.T, self ident.DaemonID) *bench {
+	b := &bench{t: t, now: testStart, core: NewCore(Config{Self: self, Incarnation: 7, Keys: testKeys})}
+	b.step(ServicesChanged{Services: map[ident.ServiceID]*Service{testService: {
+		Classes:   []dispatch.Class{{Name: "tally", Share: 0.5, QueueLimit: 10}},
+		Deadlines: []time.Duration{10 * time.Second},
+		FlowIdle:  30 * time.Second,
+	}}})
+	return b
+}
+
+func (b *bench) step(ev Event) []Action {
+	out := append([]Action(nil), b.core.Step(b.now, ev)...)
+	b.actions = append(b.actions, out...)
+	for _, a := range out {
+		if s, ok := a.(SendFrame); ok && len(s.Frame.Token) > 0 {
+			b.token = s.Frame.Token
+		}
+	}
+	return out
+}
+
+func (b *bench) up() {
+	b.step(UpstreamUp{Service: testService, Upstream: testUpstream, Incarnation: 1, Slots: 1, FlowLimit: 10})
+}
+
+func (b *bench) open() {
+	b.step(OpenReceived{Caller: testCaller, Service: testService, Flow: testFlow, Upstream: testUpstream})
+	b.frame(&wirepb.Frame{Body: &wirepb.Frame_KeepAlive{KeepAlive: &wirepb.KeepAlive{}}})
+}
+
+// frame sends a frame with the last token.
+func (b *bench) frame(fr *wirepb.Frame) []Action {
+	b.t.Helper()
+	claims, err := token.NewCodec(testKeys).Verify(testFlow, b.token)
+	assert.NilError(b.t, err)
+	fr.FlowId = uint64(testFlow)
+	return b.step(FrameReceived{Caller: testCaller, Claims: claims, Frame: fr})
+}
+
+func tally(id uint64) *wirepb.Frame {
+	return &wirepb.Frame{Body: &wirepb.Frame_Request{Request: &wirepb.Request{
+		RequestId: id, Class: "tally", DeadlineMs: 5000, Parts: 1, Payload: []byte("count"),
+	}}}
+}
+
+func executes(actions []Action) []Execute {
+	var out []Execute
+	for _, a := range actions {
+		if e, ok := a.(Execute); ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func outcomes(actions []Action) []*wirepb.RequestOutcome {
+	var out []*wirepb.RequestOutcome
+	for _, a := range actions {
+		if s, ok := a.(SendFrame); ok && s.Frame.GetOutcome() != nil {
+			out = append(out, s.Frame.GetOutcome())
+		}
+	}
+	return out
+}
+
+func answers(actions []Action) int {
+	n := 0
+	for _, a := range actions {
+		if s, ok := a.(SendFrame); ok && s.Frame.GetAnswer() != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a repeated request that runs again, and against a lost answer that is not
+// sent again.
+func TestRepeatedRequestRunsOnce(t *testing.T) {
+	b := newBench(t, 10)
+	b.up()
+	b.open()
+	runs := executes(b.frame(tally(1)))
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, len(executes(b.frame(tally(1)))), 0)
+	assert.Equal(t, answers(b.step(ExecuteDone{Upstream: testUpstream, Call: runs[0].Call, Result: Answered, Payload: []byte("ok")})), 1)
+	again := b.frame(tally(1))
+	assert.Equal(t, len(executes(again)), 0)
+	assert.Equal(t, answers(again), 1)
+}
+
+// Guards against a late copy that runs after its record was dropped.
+func TestRequestBelowDroppedRecordIsUnknown(t *testing.T) {
+	b := newBench(t, 10)
+	b.up()
+	b.open()
+	run := executes(b.frame(tally(5)))[0]
+	b.step(ExecuteDone{Upstream: testUpstream, Call: run.Call, Result: Answered})
+	for range 60 {
+		b.now = b.now.Add(time.Second)
+		b.step(Tick{})
+		b.frame(&wirepb.Frame{Body: &wirepb.Frame_KeepAlive{KeepAlive: &wirepb.KeepAlive{}}})
+	}
+	late := b.frame(tally(5))
+	assert.Equal(t, len(executes(late)), 0)
+	assert.Equal(t, outcomes(late)[0].Outcome, wirepb.Outcome_OUTCOME_UNKNOWN)
+}
+
+// Guards against a request of a crashed owner that runs a second time at its successor.
+func TestCrashedOwnersRequestIsUnknown(t *testing.T) {
+	old := newBench(t, 10)
+	old.up()
+	old.open()
+	old.frame(tally(1))
+
+	next := newBench(t, 11)
+	next.up()
+	next.token = old.token
+	got := next.frame(tally(1))
+	assert.Equal(t, len(executes(got)), 0)
+	assert.Equal(t, outcomes(got)[0].Outcome, wirepb.Outcome_OUTCOME_UNKNOWN)
+
+	// A request with the new owner's token runs.
+	next.frame(&wirepb.Frame{Body: &wirepb.Frame_KeepAlive{KeepAlive: &wirepb.KeepAlive{}}})
+	assert.Equal(t, len(executes(next.frame(tally(2)))), 1)
+}
+
+// Guards against a refused request that runs when a late copy arrives.
+func TestRefusedRequestStaysRefused(t *testing.T) {
+	b := newBench(t, 10)
+	b.up()
+	b.open()
+	run := executes(b.frame(tally(1)))[0]
+	refused := b.step(ExecuteDone{Upstream: testUpstream, Call: run.Call, Result: NotBegun})
+	assert.Equal(t, outcomes(refused)[0].Outcome, wirepb.Outcome_OUTCOME_NOT_RUN)
+	again := b.frame(tally(1))
+	assert.Equal(t, len(executes(again)), 0)
+	assert.Equal(t, outcomes(again)[0].Outcome, wirepb.Outcome_OUTCOME_NOT_RUN)
+}
+
+// handOver moves the upstream from one core to another.
+func handOver(t *testing.T, from, to *bench) {
+	t.Helper()
+	var chunks []*peerpb.HandoverChunk
+	for _, a := range from.step(HandoverRequested{Upstream: testUpstream, To: to.core.cfg.Self}) {
+		if h, ok := a.(SendHandover); ok {
+			chunks = h.Chunks
+		}
+	}
+	assert.Assert(t, len(chunks) > 0)
+	to.step(HandoverReceived{Chunks: chunks})
+	from.step(HandoverEnded{Upstream: testUpstream, To: to.core.cfg.Self, OK: true})
+}
+
+// Guards against a planned owner change that cuts a running or a queued request, or a feed.
+func TestHandoverKeepsRequestsAndFeed(t *testing.T) {
+	old, next := newBench(t, 10), newBench(t, 11)
+	old.up()
+	old.open()
+	old.frame(&wirepb.Frame{Body: &wirepb.Frame_Subscribe{Subscribe: &wirepb.Subscribe{Topic: "press", LastSequence: 4}}})
+	old.step(FeedReceived{Upstream: testUpstream, Flow: testFlow, Sequence: 5})
+	running := executes(old.frame(tally(1)))[0]
+	assert.Equal(t, len(executes(old.frame(tally(2)))), 0)
+	handOver(t, old, next)
+
+	// The running request ends at the old owner, which answers and reports it.
+	done := old.step(ExecuteDone{Upstream: testUpstream, Call: running.Call, Result: Answered, Payload: []byte("ok")})
+	assert.Equal(t, answers(done), 1)
+	var completed *peerpb.CompletedRequest
+	for _, a := range done {
+		if c, ok := a.(SendCompleted); ok {
+			completed = c.Request
+		}
+	}
+	assert.Assert(t, completed != nil)
+
+	// The new owner runs the queued request and resumes the feed once it is connected.
+	next.up()
+	next.step(CompletedReceived{Request: completed})
+	assert.Equal(t, len(executes(next.actions)), 1)
+	resumed := false
+	for _, a := range next.actions {
+		if s, ok := a.(SubscribeFeed); ok && s.After == 4 && !s.Unsubscribe {
+			resumed = true
+		}
+	}
+	assert.Assert(t, resumed)
+
+	// Copies of both requests, with the old token, run nowhere and get the answer.
+	next.token = old.token
+	again := next.frame(tally(1))
+	assert.Equal(t, len(executes(again)), 0)
+	assert.Equal(t, answers(again), 1)
+	assert.Equal(t, len(executes(next.frame(tally(2)))), 0)
+	forwarded := old.frame(tally(2))
+	assert.Equal(t, forwarded[0].(ForwardFrame).To, ident.DaemonID(11))
+}
+
+// Guards against a request that ends while the handover is in progress and is forgotten by
+// the new owner.
+func TestRequestEndingDuringHandoverIsReported(t *testing.T) {
+	old := newBench(t, 10)
+	old.up()
+	old.open()
+	run := executes(old.frame(tally(1)))[0]
+	old.step(HandoverRequested{Upstream: testUpstream, To: 11})
+	old.step(ExecuteDone{Upstream: testUpstream, Call: run.Call, Result: Answered, Payload: []byte("ok")})
+	reported := 0
+	for _, a := range old.step(HandoverEnded{Upstream: testUpstream, To: 11, OK: true}) {
+		if _, ok := a.(SendCompleted); ok {
+			reported++
+		}
+	}
+	assert.Equal(t, reported, 1)
+}
+
+// Guards against an owner that takes an upstream back after its successor crashed and runs
+// a request again whose record was handed over and lost.
+func TestTokenFromBeforeHandoverIsNotTrusted(t *testing.T) {
+	old, next := newBench(t, 10), newBench(t, 11)
+	old.up()
+	old.open()
+	before := old.token
+	handOver(t, old, next)
+
+	old.now = old.now.Add(5 * time.Second)
+	old.up()
+	old.token = before
+	got := old.frame(tally(1))
+	assert.Equal(t, len(executes(got)), 0)
+	assert.Equal(t, outcomes(got)[0].Outcome, wirepb.Outcome_OUTCOME_UNKNOWN)
+}
+
+// Guards against flows that outlive their upstream, and against a request that was queued
+// there and is neither run nor refused.
+func TestUpstreamDownEndsFlows(t *testing.T) {
+	b := newBench(t, 10)
+	b.up()
+	b.open()
+	b.frame(tally(1))
+	b.frame(tally(2))
+	down := b.step(UpstreamDown{Upstream: testUpstream, Incarnation: 1})
+	byID := map[uint64]wirepb.Outcome{}
+	for _, o := range outcomes(down) {
+		byID[o.RequestId] = o.Outcome
+	}
+	assert.Equal(t, byID[1], wirepb.Outcome_OUTCOME_UNKNOWN)
+	assert.Equal(t, byID[2], wirepb.Outcome_OUTCOME_NOT_RUN)
+	gone := false
+	for _, a := range b.frame(&wirepb.Frame{Body: &wirepb.Frame_KeepAlive{KeepAlive: &wirepb.KeepAlive{}}}) {
+		if s, ok := a.(SendFrame); ok && s.Frame.GetFlowStatus().GetGone() {
+			gone = true
+		}
+	}
+	assert.Assert(t, gone)
+}
+
+// Guards against feed items that are lost for good when a datagram is lost or the caller
+// is slower than the feed.
+func TestFeedResendsAndCatchesUp(t *testing.T) {
+	b := newBench(t, 10)
+	b.up()
+	b.open()
+	b.frame(&wirepb.Frame{Body: &wirepb.Frame_Subscribe{Subscribe: &wirepb.Subscribe{Topic: "press"}}})
+	for seq := uint64(1); seq <= feedWindow+5; seq++ {
+		b.step(FeedReceived{Upstream: testUpstream, Flow: testFlow, Sequence: seq})
+	}
+	b.now = b.now.Add(feedResendAfter)
+	assert.Assert(t, len(b.step(Tick{})) > 0, "unacknowledged items are sent again")
+	acked := b.frame(&wirepb.Frame{Body: &wirepb.Frame_FeedAck{FeedAck: &wirepb.FeedAck{Sequence: feedWindow}}})
+	var again SubscribeFeed
+	for _, a := range acked {
+		if s, ok := a.(SubscribeFeed); ok {
+			again = s
+		}
+	}
+	assert.Equal(t, again.After, uint64(feedWindow))
+}
--- /dev/null
+++ b/pkg/owner/flow.go
@@ -0,0 +1,243 @@
+package owner
+
+import (
+	"net/netip"
+	"time"
+
+	wirepb "rosemarygate/api/wire/v1"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/token"
+)
+
+const defaultFlowIdle = 30 * time.Second
+
+// flow is one caller's flow on an owned upstream.
+type flow struct {
+	id        ident.FlowID
+	up        *upstream
+	caller    netip.AddrPort
+	lastSeen  time.Time
+	confirmed bool
+	closed    bool // by its caller; kept for its request records
+	gone      bool // removed from its upstream
+	feed      *feed
+	records   map[ident.RequestID]*record
+	// droppedBelow is the highest request id whose record was dropped; requests at or
+	// below it may have run.
+	droppedBelow ident.RequestID
+}
+
+func (c *Core) open(ev OpenReceived) {
+	u := c.upstreams[ev.Upstream]
+	if u == nil || u.movedTo != 0 || !u.connected || u.service != ev.Service {
+		c.passOpen(ev, wirepb.Reason_REASON_NO_UPSTREAM)
+		return
+	}
+	if f := u.flows[ev.Flow]; f != nil {
+		if f.caller != ev.Caller {
+			c.passOpen(ev, wirepb.Reason_REASON_LIMIT)
+			return
+		}
+		c.sendToken(f, &wirepb.Frame{Body: &wirepb.Frame_Opened{Opened: &wirepb.Opened{}}})
+		return
+	}
+	switch {
+	case u.draining:
+		c.passOpen(ev, wirepb.Reason_REASON_UPSTREAM_DRAINING)
+	case u.frozen:
+		// The caller repeats the open after the handover.
+	case len(u.flows) >= u.flowLimit:
+		c.passOpen(ev, wirepb.Reason_REASON_FLOWS_FULL)
+	default:
+		f := c.addFlow(u, ev.Flow, ev.Caller)
+		c.count(FlowsOpened, u.service, 0)
+		c.sendToken(f, &wirepb.Frame{Body: &wirepb.Frame_Opened{Opened: &wirepb.Opened{}}})
+	}
+}
+
+func (c *Core) passOpen(ev OpenReceived, reason wirepb.Reason) {
+	c.emit(PassOpen{
+		Caller: ev.Caller, Service: ev.Service, Flow: ev.Flow,
+		Tried: append(ev.Tried, ev.Upstream), Reason: reason,
+	})
+}
+
+func (c *Core) addFlow(u *upstream, id ident.FlowID, caller netip.AddrPort) *flow {
+	f := &flow{id: id, up: u, caller: caller, lastSeen: c.now}
+	u.flows[id] = f
+	at := bucket(c.now.Add(unconfirmedLifetime))
+	u.expiry[at] = append(u.expiry[at], f)
+	return f
+}
+
+func (c *Core) sendToken(f *flow, fr *wirepb.Frame) {
+	fr.Token = c.codec.Append(nil, f.id, &token.Claims{
+		Service:             f.up.service,
+		DataCentre:          f.up.dataCentre,
+		Upstream:            f.up.id,
+		UpstreamIncarnation: f.up.incarnation,
+		Owner:               c.cfg.Self,
+		OwnerIncarnation:    c.cfg.Incarnation,
+		IssuedAt:            c.now,
+	})
+	c.send(f, fr)
+}
+
+// frame handles a frame with a verified token.
+func (c *Core) frame(ev FrameReceived) {
+	u := c.upstreams[ev.Claims.Upstream]
+	if u != nil && u.movedTo != 0 {
+		c.emit(ForwardFrame{To: u.movedTo, Event: ev})
+		return
+	}
+	if u != nil && u.frozen {
+		return // callers repeat; the state being handed over must not change
+	}
+	if u == nil || u.incarnation != ev.Claims.UpstreamIncarnation || u.service != ev.Claims.Service {
+		c.unknownUpstream(u, ev)
+		return
+	}
+	f := u.flows[ident.FlowID(ev.Frame.FlowId)]
+	if f == nil {
+		f = c.adopt(u, ev)
+	}
+	if f == nil {
+		c.rejectFrame(ev, wirepb.Reason_REASON_OWNER_GONE)
+		return
+	}
+	f.lastSeen, f.caller = c.now, ev.Caller
+	if !f.confirmed {
+		f.confirmed = true
+		c.count(FlowsConfirmed, u.service, 0)
+	}
+	c.flowFrame(f, ev)
+}
+
+// unknownUpstream answers a frame for an upstream incarnation that is not owned here: it
+// has ended, or its handover has not arrived yet.
+func (c *Core) unknownUpstream(u *upstream, ev FrameReceived) {
+	incarnation := ev.Claims.UpstreamIncarnation
+	replaced := u != nil && u.incarnation > incarnation
+	if replaced || c.ended[ev.Claims.Upstream] >= incarnation {
+		c.rejectFrame(ev, wirepb.Reason_REASON_UPSTREAM_GONE)
+		return
+	}
+	c.emit(ForwardFrame{Event: ev})
+}
+
+// adopt creates the flow of a token whose owner crashed. A token of this incarnation, or
+// of a predecessor that handed its flows over, names a flow that has ended.
+func (c *Core) adopt(u *upstream, ev FrameReceived) *flow {
+	if c.holdsRecordsOf(u, &ev.Claims) {
+		return nil
+	}
+	if _, closing := ev.Frame.Body.(*wirepb.Frame_Close); closing {
+		return nil
+	}
+	f := c.addFlow(u, ident.FlowID(ev.Frame.FlowId), ev.Caller)
+	f.confirmed = true
+	c.count(FlowsAdopted, u.service, 0)
+	return f
+}
+
+// holdsRecordsOf reports whether this core has every request record that the owner named
+// in the token made for the upstream. Tokens that this core issued before it handed the
+// upstream over, and took it back after the other owner crashed, are not covered.
+func (c *Core) holdsRecordsOf(u *upstream, cl *token.Claims) bool {
+	if u.predecessors[ownerKey{cl.Owner, cl.OwnerIncarnation}] {
+		return true
+	}
+	self := cl.Owner == c.cfg.Self && cl.OwnerIncarnation == c.cfg.Incarnation
+	return self && !cl.IssuedAt.Before(u.since.Truncate(time.Millisecond))
+}
+
+// rejectFrame answers a frame whose flow does not exist here.
+func (c *Core) rejectFrame(ev FrameReceived, reason wirepb.Reason) {
+	fr := &wirepb.Frame{FlowId: ev.Frame.FlowId}
+	switch body := ev.Frame.Body.(type) {
+	case *wirepb.Frame_Request:
+		c.count(RequestsUnknown, ev.Claims.Service, reason)
+		fr.Body = outcomeBody(ident.RequestID(body.Request.RequestId), wirepb.Outcome_OUTCOME_UNKNOWN, reason)
+	case *wirepb.Frame_KeepAlive, *wirepb.Frame_Subscribe:
+		fr.Body = &wirepb.Frame_FlowStatus{FlowStatus: &wirepb.FlowStatus{Reason: reason, Gone: true}}
+	default:
+		return
+	}
+	c.emit(SendFrame{Caller: ev.Caller, Service: ev.Claims.Service, Frame: fr})
+}
+
+func (c *Core) flowFrame(f *flow, ev FrameReceived) {
+	switch body := ev.Frame.Body.(type) {
+	case *wirepb.Frame_KeepAlive:
+		c.sendToken(f, &wirepb.Frame{Body: &wirepb.Frame_KeepAliveAck{KeepAliveAck: &wirepb.KeepAliveAck{
+			FeedActive: f.feed != nil,
+		}}})
+	case *wirepb.Frame_Subscribe:
+		c.subscribe(f, body.Subscribe)
+	case *wirepb.Frame_FeedAck:
+		c.feedAck(f, body.FeedAck.Sequence)
+	case *wirepb.Frame_Request:
+		c.request(f, &ev.Claims, body.Request)
+	case *wirepb.Frame_AnswerAck:
+		c.answerAck(f, ident.RequestID(body.AnswerAck.RequestId))
+	case *wirepb.Frame_Cancel:
+		c.cancel(f, ident.RequestID(body.Cancel.RequestId))
+	case *wirepb.Frame_Close:
+		c.closeFlow(f)
+	}
+}
+
+// closeFlow ends the flow's feed. Its request records stay until they expire, so that a
+// late copy of a request cannot run.
+func (c *Core) closeFlow(f *flow) {
+	c.endFeed(f)
+	if !f.closed {
+		f.closed = true
+		c.count(FlowsClosed, f.up.service, 0)
+	}
+	if len(f.records) == 0 {
+		c.removeFlow(f)
+	}
+}
+
+func (c *Core) removeFlow(f *flow) {
+	f.gone = true
+	delete(f.up.flows, f.id)
+	delete(f.up.unacked, f.id)
+}
+
+func (c *Core) expireFlows(u *upstream, second int64) {
+	for _, f := range due(u.expiry, second) {
+		if f.gone {
+			continue
+		}
+		if at := c.expiresAt(f); at.After(c.now) {
+			u.expiry[bucket(at)] = append(u.expiry[bucket(at)], f)
+			continue
+		}
+		c.endFeed(f)
+		c.removeFlow(f)
+		if !f.closed {
+			c.count(FlowsExpired, u.service, 0)
+		}
+	}
+}
+
+// expiresAt returns when the flow ends without further packets. A flow with request
+// records outlives them.
+func (c *Core) expiresAt(f *flow) time.Time {
+	if !f.confirmed {
+		return f.lastSeen.Add(unconfirmedLifetime)
+	}
+	idle := defaultFlowIdle
+	if s := c.services[f.up.service]; s != nil && s.FlowIdle > 0 {
+		idle = s.FlowIdle
+	}
+	at := f.lastSeen.Add(idle)
+	for _, r := range f.records {
+		if r.expires.After(at) {
+			at = r.expires
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/pkg/owner/handover.go
@@ -0,0 +1,307 @@
+package owner
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	peerpb "rosemarygate/api/peer/v1"
+	wirepb "rosemarygate/api/wire/v1"
+	"rosemarygate/pkg/ident"
+)
+
+// handoverChunkFlows bounds the flows of one chunk, so that a chunk stays far below the
+// message limit of gRPC.
+const handoverChunkFlows = 256
+
+// handoverRequested freezes the upstream and sends its state to the new owner.
+func (c *Core) handoverRequested(ev HandoverRequested) {
+	u := c.upstreams[ev.Upstream]
+	if u == nil || u.frozen || u.movedTo != 0 {
+		return
+	}
+	u.frozen = true
+	c.recallQueued(u)
+	c.emit(SendHandover{Upstream: u.id, To: ev.To, Chunks: c.chunks(u)})
+}
+
+// recallQueued takes the queued requests back from the scheduler.
+func (c *Core) recallQueued(u *upstream) {
+	for _, q := range u.sched.TakeQueued() {
+		if r := c.calls[q.ID]; r != nil {
+			delete(c.calls, q.ID)
+			u.held = append(u.held, r)
+		}
+	}
+}
+
+func (c *Core) handoverEnded(ev HandoverEnded) {
+	u := c.upstreams[ev.Upstream]
+	if u == nil || !u.frozen {
+		return
+	}
+	u.frozen = false
+	finished := u.finished
+	u.finished = nil
+	if !ev.OK {
+		c.submitHeld(u)
+		c.resubscribeAll(u)
+		return
+	}
+	u.movedTo, u.held = ev.To, nil
+	for _, f := range ordered(u.flows) {
+		if f.feed != nil {
+			c.emit(SubscribeFeed{Upstream: u.id, Flow: f.id, Unsubscribe: true})
+		}
+	}
+	for _, r := range finished {
+		c.reportCompleted(u, r)
+	}
+	c.releaseIfIdle(u)
+}
+
+func (c *Core) releaseIfIdle(u *upstream) {
+	if u.running == 0 {
+		u.flows = map[ident.FlowID]*flow{}
+		c.emit(ReleaseUpstream{Upstream: u.id})
+	}
+}
+
+// reportCompleted reports a request that ended here after the handover began.
+func (c *Core) reportCompleted(u *upstream, r *record) {
+	c.emit(SendCompleted{To: u.movedTo, Request: &peerpb.CompletedRequest{
+		Service: uint64(u.service), Upstream: uint64(u.id), FlowId: uint64(r.flow.id),
+		Record: c.encodeRecord(r),
+	}})
+}
+
+func (c *Core) chunks(u *upstream) []*peerpb.HandoverChunk {
+	chunk := c.newChunk(u)
+	out := []*peerpb.HandoverChunk{chunk}
+	for _, f := range ordered(u.flows) {
+		if len(chunk.Flows) == handoverChunkFlows {
+			chunk = c.newChunk(u)
+			out = append(out, chunk)
+		}
+		chunk.Flows = append(chunk.Flows, c.encodeFlow(f))
+	}
+	out[len(out)-1].Last = true
+	return out
+}
+
+func (c *Core) newChunk(u *upstream) *peerpb.HandoverChunk {
+	ch := &peerpb.HandoverChunk{
+		Service: uint64(u.service), Upstream: uint64(u.id), UpstreamIncarnation: uint64(u.incarnation),
+		Owner: uint64(c.cfg.Self), OwnerIncarnation: uint64(c.cfg.Incarnation),
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(u.predecessors), compareOwners) {
+		ch.Predecessors = append(ch.Predecessors, &peerpb.Predecessor{
+			Owner: uint64(k.owner), OwnerIncarnation: uint64(k.incarnation),
+		})
+	}
+	return ch
+}
+
+func compareOwners(a, b ownerKey) int {
+	return cmp.Or(cmp.Compare(a.owner, b.owner), cmp.Compare(a.incarnation, b.incarnation))
+}
+
+func (c *Core) encodeFlow(f *flow) *peerpb.FlowState {
+	s := &peerpb.FlowState{
+		FlowId: uint64(f.id), Caller: EncodeAddr(f.caller),
+		Confirmed: f.confirmed, DroppedRequestId: uint64(f.droppedBelow),
+	}
+	if f.feed != nil {
+		s.Topic, s.AckedSequence, s.Subscribed = f.feed.topic, f.feed.acked, true
+	}
+	for _, r := range ordered(f.records) {
+		s.Requests = append(s.Requests, c.encodeRecord(r))
+	}
+	return s
+}
+
+func (c *Core) encodeRecord(r *record) *peerpb.RequestRecord {
+	p := &peerpb.RequestRecord{
+		RequestId: uint64(r.id), Class: r.className, Idempotent: r.idempotent,
+		DeadlineMs: millisLeft(c.now, r.deadline), ExpireMs: millisLeft(c.now, r.expires),
+		Payload: r.payload, Answer: r.answer, Reason: uint32(r.reason),
+	}
+	switch r.state {
+	case stateAssembling:
+		// The caller repeats every part of a request that has not been answered.
+		p.State = peerpb.RequestRecord_STATE_ASSEMBLING
+	case stateQueued:
+		p.State = peerpb.RequestRecord_STATE_QUEUED
+	case stateRunning, stateElsewhere:
+		p.State, p.Payload = peerpb.RequestRecord_STATE_RUNNING, nil
+	case stateAnswered:
+		p.State = peerpb.RequestRecord_STATE_ANSWERED
+	case stateNotRun:
+		p.State = peerpb.RequestRecord_STATE_NOT_RUN
+	default:
+		p.State = peerpb.RequestRecord_STATE_UNKNOWN
+	}
+	return p
+}
+
+func millisLeft(now, t time.Time) uint32 {
+	return uint32(max(0, t.Sub(now).Milliseconds()))
+}
+
+// handoverReceived installs a predecessor's flows and records.
+func (c *Core) handoverReceived(ev HandoverReceived) {
+	if len(ev.Chunks) == 0 {
+		return
+	}
+	first := ev.Chunks[0]
+	u := c.successorOf(first)
+	if u == nil {
+		return
+	}
+	u.predecessors[ownerKey{ident.DaemonID(first.Owner), ident.Incarnation(first.OwnerIncarnation)}] = true
+	for _, p := range first.Predecessors {
+		u.predecessors[ownerKey{ident.DaemonID(p.Owner), ident.Incarnation(p.OwnerIncarnation)}] = true
+	}
+	for _, ch := range ev.Chunks {
+		for _, s := range ch.Flows {
+			c.installFlow(u, s)
+		}
+	}
+	c.start(u.sched.SetLimits(c.now, c.limits(u)))
+	c.submitHeld(u)
+}
+
+// successorOf returns the upstream entry that takes the flows over, or nil when this core
+// knows a later incarnation of the upstream.
+func (c *Core) successorOf(ch *peerpb.HandoverChunk) *upstream {
+	id, incarnation := ident.UpstreamID(ch.Upstream), ident.Incarnation(ch.UpstreamIncarnation)
+	u := c.upstreams[id]
+	if u != nil && u.movedTo != 0 {
+		c.dropUpstream(u)
+		u = nil
+	}
+	if u == nil {
+		u = c.newUpstream(id, ident.ServiceID(ch.Service))
+		u.incarnation = incarnation
+	}
+	if u.incarnation != incarnation {
+		return nil
+	}
+	return u
+}
+
+func (c *Core) installFlow(u *upstream, s *peerpb.FlowState) {
+	id := ident.FlowID(s.FlowId)
+	f := u.flows[id]
+	if f == nil {
+		f = c.addFlow(u, id, DecodeAddr(s.Caller))
+	}
+	f.confirmed = f.confirmed || s.Confirmed
+	f.droppedBelow = max(f.droppedBelow, ident.RequestID(s.DroppedRequestId))
+	for _, p := range s.Requests {
+		c.installRecord(f, p)
+	}
+	if s.Subscribed && f.feed == nil {
+		f.feed = &feed{topic: s.Topic, acked: s.AckedSequence, sent: s.AckedSequence}
+		if u.connected {
+			c.subscribeUpstream(f)
+		}
+	}
+}
+
+func (c *Core) installRecord(f *flow, p *peerpb.RequestRecord) {
+	id := ident.RequestID(p.RequestId)
+	if f.records[id] != nil || p.State == peerpb.RequestRecord_STATE_ASSEMBLING {
+		return
+	}
+	r := &record{
+		id: id, flow: f, className: p.Class, idempotent: p.Idempotent,
+		deadline: c.now.Add(time.Duration(p.DeadlineMs) * time.Millisecond),
+		payload:  p.Payload, answer: p.Answer, reason: wirepb.Reason(p.Reason),
+	}
+	c.keepRecord(r)
+	switch p.State {
+	case peerpb.RequestRecord_STATE_QUEUED:
+		c.installQueued(r)
+	case peerpb.RequestRecord_STATE_RUNNING:
+		r.state = stateElsewhere
+		f.up.elsewhere++
+	case peerpb.RequestRecord_STATE_ANSWERED:
+		r.state = stateAnswered
+	case peerpb.RequestRecord_STATE_NOT_RUN:
+		r.state = stateNotRun
+	default:
+		r.state = stateUnknown
+	}
+}
+
+func (c *Core) installQueued(r *record) {
+	r.state = stateQueued
+	if s := c.services[r.flow.up.service]; s != nil {
+		if class, ok := s.class(r.className); ok {
+			r.class = class
+			r.flow.up.held = append(r.flow.up.held, r)
+			return
+		}
+	}
+	c.finishNotRun(r, wirepb.Reason_REASON_UNKNOWN_CLASS)
+}
+
+// completedReceived ends a request that a predecessor ran. The predecessor has sent the
+// outcome to the caller; a repeated request gets it from here.
+func (c *Core) completedReceived(ev CompletedReceived) {
+	q := ev.Request
+	u := c.upstreams[ident.UpstreamID(q.Upstream)]
+	if u == nil {
+		return
+	}
+	if u.movedTo != 0 {
+		c.emit(SendCompleted{To: u.movedTo, Request: q})
+		return
+	}
+	f := u.flows[ident.FlowID(q.FlowId)]
+	if f == nil {
+		return
+	}
+	r := f.records[ident.RequestID(q.Record.RequestId)]
+	if r == nil || r.state != stateElsewhere {
+		return
+	}
+	r.answer, r.reason = q.Record.Answer, wirepb.Reason(q.Record.Reason)
+	switch q.Record.State {
+	case peerpb.RequestRecord_STATE_ANSWERED:
+		r.state = stateAnswered
+	case peerpb.RequestRecord_STATE_NOT_RUN:
+		r.state = stateNotRun
+	default:
+		r.state = stateUnknown
+	}
+	c.elsewhereEnded(u)
+}
+
+func (c *Core) elsewhereEnded(u *upstream) {
+	u.elsewhere = max(0, u.elsewhere-1)
+	c.start(u.sched.SetLimits(c.now, c.limits(u)))
+	c.submitHeld(u)
+}
+
+// EncodeAddr encodes a caller's address: 4 or 16 bytes of IP and 2 of port, big endian.
+func EncodeAddr(a netip.AddrPort) []byte {
+	b := a.Addr().Unmap().AsSlice()
+	return binary.BigEndian.AppendUint16(b, a.Port())
+}
+
+// DecodeAddr decodes what EncodeAddr made; other input gives an invalid address.
+func DecodeAddr(b []byte) netip.AddrPort {
+	if len(b) < 2 {
+		return netip.AddrPort{}
+	}
+	ip, ok := netip.AddrFromSlice(b[:len(b)-2])
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[len(b)-2:]))
+}
--- /dev/null
+++ b/pkg/relay/datagram.go
@@ -0,0 +1,231 @@
+package relay
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"hash"
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"rosemarygate/pkg/ident"
+)
+
+// Field numbers of peerpb.Datagram and peerpb.Relay. The relay reads and writes these
+// fields directly, because decoding whole messages allocates for every packet.
+const (
+	fieldRelay      = protowire.Number(1)
+	fieldMembership = protowire.Number(2)
+
+	fieldCaller   = protowire.Number(1)
+	fieldService  = protowire.Number(2)
+	fieldFrame    = protowire.Number(3)
+	fieldHops     = protowire.Number(4)
+	fieldUpstream = protowire.Number(5)
+	fieldTried    = protowire.Number(6)
+
+	macSize = 16 // bytes; HMAC-SHA256 truncated
+
+	// MaxDatagram is the largest datagram between daemons, in bytes.
+	MaxDatagram = 1600
+	// MaxHops bounds the daemons that pass one frame on; unequal member lists could
+	// otherwise send it in a circle.
+	MaxHops = 3
+	// MaxTried bounds the upstreams that may refuse one open.
+	MaxTried = 3
+)
+
+// Errors of received datagrams.
+var (
+	ErrForged    = errors.New("datagram's MAC does not match: give every daemon the same cluster key file")
+	ErrMalformed = errors.New("datagram is not a valid message between daemons: run the same release on every daemon")
+)
+
+// Sealer appends and checks the MACs of datagrams between daemons. It is not safe for
+// concurrent use.
+type Sealer struct {
+	mac hash.Hash
+	sum [sha256.Size]byte
+}
+
+// NewSealer returns a sealer with the cluster key.
+func NewSealer(key []byte) *Sealer { return &Sealer{mac: hmac.New(sha256.New, key)} }
+
+// Seal appends the MAC of b to b.
+func (s *Sealer) Seal(b []byte) []byte { return append(b, s.tag(b)...) }
+
+// Open checks the MAC at the end of b and returns the message before it.
+func (s *Sealer) Open(b []byte) ([]byte, error) {
+	if len(b) < macSize {
+		return nil, ErrForged
+	}
+	body := b[:len(b)-macSize]
+	if subtle.ConstantTimeCompare(s.tag(body), b[len(body):]) != 1 {
+		return nil, ErrForged
+	}
+	return body, nil
+}
+
+func (s *Sealer) tag(b []byte) []byte {
+	s.mac.Reset()
+	s.mac.Write(b)
+	return s.mac.Sum(s.sum[:0])[:macSize]
+}
+
+// Packet is a caller's frame on its way between daemons. Frame aliases its buffer.
+type Packet struct {
+	Caller   netip.AddrPort
+	Service  ident.ServiceID
+	Frame    []byte
+	Hops     int
+	Upstream ident.UpstreamID // opens only: the upstream that was picked
+	Tried    [MaxTried]ident.UpstreamID
+	NumTried int
+}
+
+// AppendPacket appends the unsealed datagram of a packet to b.
+func AppendPacket(b []byte, p *Packet) []byte {
+	b = protowire.AppendTag(b, fieldRelay, protowire.BytesType)
+	b = protowire.AppendVarint(b, uint64(packetSize(p)))
+	addr := p.Caller.Addr().Unmap()
+	b = protowire.AppendTag(b, fieldCaller, protowire.BytesType)
+	b = protowire.AppendVarint(b, uint64(addr.BitLen()/8+2))
+	if addr.Is4() {
+		ip := addr.As4()
+		b = append(b, ip[:]...)
+	} else {
+		ip := addr.As16()
+		b = append(b, ip[:]...)
+	}
+	b = append(b, byte(p.Caller.Port()>>8), byte(p.Caller.Port()))
+	b = protowire.AppendTag(b, fieldService, protowire.Fixed64Type)
+	b = protowire.AppendFixed64(b, uint64(p.Service))
+	b = protowire.AppendTag(b, fieldHops, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(p.Hops))
+	if p.Upstream != 0 {
+		b = protowire.AppendTag(b, fieldUpstream, protowire.Fixed64Type)
+		b = protowire.AppendFixed64(b, uint64(p.Upstream))
+	}
+	if p.NumTried > 0 {
+		b = protowire.AppendTag(b, fieldTried, protowire.BytesType)
+		b = protowire.AppendVarint(b, uint64(8*p.NumTried))
+		for _, u := range p.Tried[:p.NumTried] {
+			b = protowire.AppendFixed64(b, uint64(u))
+		}
+	}
+	b = protowire.AppendTag(b, fieldFrame, protowire.BytesType)
+	return protowire.AppendBytes(b, p.Frame)
+}
+
+func packetSize(p *Packet) int {
+	size := 1 + 1 + p.Caller.Addr().Unmap().BitLen()/8 + 2
+	size += 1 + 8
+	size += 1 + protowire.SizeVarint(uint64(p.Hops))
+	if p.Upstream != 0 {
+		size += 1 + 8
+	}
+	if p.NumTried > 0 {
+		size += 1 + protowire.SizeVarint(uint64(8*p.NumTried)) + 8*p.NumTried
+	}
+	return size + 1 + protowire.SizeBytes(len(p.Frame))
+}
+
+// AppendMembership appends the unsealed datagram of an encoded membership message to b.
+func AppendMembership(b, message []byte) []byte {
+	b = protowire.AppendTag(b, fieldMembership, protowire.BytesType)
+	return protowire.AppendBytes(b, message)
+}
+
+// Parse splits an opened datagram: it fills p and returns nil for a relayed packet, and
+// returns the encoded message for a membership datagram. Both alias b.
+func Parse(b []byte, p *Packet) ([]byte, error) {
+	num, typ, n := protowire.ConsumeTag(b)
+	if n < 0 || typ != protowire.BytesType {
+		return nil, ErrMalformed
+	}
+	body, m := protowire.ConsumeBytes(b[n:])
+	if m < 0 {
+		return nil, ErrMalformed
+	}
+	switch num {
+	case fieldRelay:
+		return nil, parsePacket(body, p)
+	case fieldMembership:
+		return body, nil
+	default:
+		return nil, ErrMalformed
+	}
+}
+
+func parsePacket(b []byte, p *Packet) error {
+	*p = Packet{}
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return ErrMalformed
+		}
+		b = b[n:]
+		n = p.parseField(num, typ, b)
+		if n < 0 {
+			return ErrMalformed
+		}
+		b = b[n:]
+	}
+	if !p.Caller.IsValid() {
+		return ErrMalformed
+	}
+	return nil
+}
+
+func (p *Packet) parseField(num protowire.Number, typ protowire.Type, b []byte) int {
+	switch {
+	case num == fieldCaller && typ == protowire.BytesType:
+		v, n := protowire.ConsumeBytes(b)
+		p.Caller = decodeAddr(v)
+		return n
+	case num == fieldService && typ == protowire.Fixed64Type:
+		v, n := protowire.ConsumeFixed64(b)
+		p.Service = ident.ServiceID(v)
+		return n
+	case num == fieldFrame && typ == protowire.BytesType:
+		v, n := protowire.ConsumeBytes(b)
+		p.Frame = v
+		return n
+	case num == fieldHops && typ == protowire.VarintType:
+		v, n := protowire.ConsumeVarint(b)
+		p.Hops = int(min(v, MaxHops))
+		return n
+	case num == fieldUpstream && typ == protowire.Fixed64Type:
+		v, n := protowire.ConsumeFixed64(b)
+		p.Upstream = ident.UpstreamID(v)
+		return n
+	case num == fieldTried && typ == protowire.BytesType:
+		v, n := protowire.ConsumeBytes(b)
+		p.parseTried(v)
+		return n
+	default:
+		return protowire.ConsumeFieldValue(num, typ, b)
+	}
+}
+
+func (p *Packet) parseTried(v []byte) {
+	for len(v) >= 8 && p.NumTried < MaxTried {
+		u, _ := protowire.ConsumeFixed64(v)
+		p.Tried[p.NumTried] = ident.UpstreamID(u)
+		p.NumTried++
+		v = v[8:]
+	}
+}
+
+func decodeAddr(b []byte) netip.AddrPort {
+	switch len(b) {
+	case 6:
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), uint16(b[4])<<8|uint16(b[5]))
+	case 18:
+		return netip.AddrPortFrom(netip.AddrFrom16([16]byte(b[:16])), uint16(b[16])<<8|uint16(b[17]))
+	default:
+		return netip.AddrPort{}
+	}
+}
