--- /dev/null
+++ b/pkg/control/folder/folder_test.go
@@ -0,0 +1,63 @@
+package folder
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosemarygate/api/control/v1"
+)
+
+// Guards against a difference that does not lead from the old folder to the new one, and
+// against a folder built step by step that differs from one built at once.
+func TestDifference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New(nil, nil, 0)
+		versions := []*Folder{f}
+		for v := range rapid.IntRange(1, 15).Draw(t, "versions") {
+			put, remove := drawChange(t, fmt.Sprint(v))
+			f = f.With(uint64(v+1), put, remove)
+			versions = append(versions, f)
+		}
+		from := rapid.IntRange(0, len(versions)-1).Draw(t, "from")
+		changed, removed, ok := f.Difference(uint64(from))
+		assert.Assert(t, ok)
+		var put []*controlpb.File
+		for _, file := range changed {
+			put = append(put, &controlpb.File{Name: file.Name, Data: file.Data})
+		}
+		got := versions[from].With(99, put, removed)
+		assert.Equal(t, got.Digest(nil), f.Digest(nil))
+		rebuilt := New(got.Files(), nil, 0)
+		assert.Equal(t, rebuilt.Digest(nil), f.Digest(nil))
+		assert.Equal(t, rebuilt.Size(), f.Size())
+	})
+}
+
+func drawChange(t *rapid.T, data string) (put []*controlpb.File, remove []string) {
+	names := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"1", "2", "3", "4", "5"}), 1, 3, rapid.ID).Draw(t, "names")
+	for _, name := range names {
+		if rapid.Bool().Draw(t, "remove") {
+			remove = append(remove, name)
+			continue
+		}
+		put = append(put, &controlpb.File{Name: name, Data: []byte(data)})
+	}
+	return put, remove
+}
+
+// Guards against a difference that leaves out removals which the folder has forgotten.
+func TestForgottenRemovals(t *testing.T) {
+	f := New(nil, nil, 0)
+	for v := range uint64(MaxRemoved + 1) {
+		f = f.With(2*v+1, []*controlpb.File{{Name: "a"}}, nil)
+		f = f.With(2*v+2, nil, []string{"a"})
+	}
+	_, _, ok := f.Difference(1)
+	assert.Assert(t, !ok)
+	_, removed, ok := f.Difference(3)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, removed, []string{"a"})
+}
--- /dev/null
+++ b/pkg/control/state/random_test.go
@@ -0,0 +1,121 @@
+package state
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosemarygate/api/control/v1"
+)
+
+// operator is a model of an operator who keeps a copy of the folder and resends at will.
+type operator struct {
+	base  uint64
+	files map[string]string
+	sent  []*controlpb.Entry
+}
+
+func (o *operator) fetch(m *Machine) {
+	o.base = m.View().Version
+	o.files = map[string]string{}
+	for _, f := range m.View().Folder.Files() {
+		o.files[f.Name] = string(f.Data)
+	}
+}
+
+func (o *operator) change(t *rapid.T, id string) *controlpb.Entry {
+	name := fmt.Sprintf("%02d-%s.yaml", rapid.IntRange(0, 5).Draw(t, "number"), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"))
+	c := put(name, rapid.SampledFrom([]string{"1", "2", "3", "invalid"}).Draw(t, "data"))
+	if rapid.IntRange(0, 4).Draw(t, "remove") == 0 {
+		c = remove(name)
+	}
+	e := pushEntry(id, o.base, c)
+	o.sent = append(o.sent, e)
+	return e
+}
+
+// Guards, under racing operators, resent changes and lost replies, against a change that is
+// accepted twice, a change over content that its operator had not seen, two files of one
+// number, replicas that differ, and a restored replica that decides otherwise.
+func TestRandomOperators(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const replyLimit = 6
+		m := newMachine(testRules(), 5, replyLimit)
+		other := newMachine(testRules(), 5, replyLimit)
+		operators := []*operator{{}, {}, {}}
+		firstReply := map[string]*controlpb.Reply{}
+		acceptedAt := map[string]uint64{}
+		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			o := rapid.SampledFrom(operators).Draw(t, "operator")
+			if rapid.Bool().Draw(t, "fetch") {
+				o.fetch(m)
+			}
+			e := o.next(t, fmt.Sprint("change", i))
+			before := m.View()
+			data, err := proto.Marshal(e)
+			assert.NilError(t, err)
+			reply, err := m.Apply(uint64(i+1), data)
+			assert.NilError(t, err)
+			_, err = other.Apply(uint64(i+1), data)
+			assert.NilError(t, err)
+
+			checkReply(t, e, reply, firstReply)
+			if m.View() != before {
+				assert.Equal(t, acceptedAt[e.GetChangeId()], uint64(0), "change %s accepted twice", e.GetChangeId())
+				acceptedAt[e.GetChangeId()] = reply.GetVersion()
+				checkUnseen(t, before, e)
+			}
+			checkNumbersDiffer(t, m)
+			assert.Assert(t, bytes.Equal(snapshot(t, m), snapshot(t, other)))
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				restored := newMachine(testRules(), 5, replyLimit)
+				assert.NilError(t, restored.restore(snapshot(t, m)))
+				assert.Assert(t, bytes.Equal(snapshot(t, m), snapshot(t, restored)))
+				m = restored
+			}
+		}
+	})
+}
+
+func (o *operator) next(t *rapid.T, id string) *controlpb.Entry {
+	if len(o.sent) > 0 && rapid.Bool().Draw(t, "resend") {
+		return rapid.SampledFrom(o.sent).Draw(t, "resent")
+	}
+	return o.change(t, id)
+}
+
+func checkReply(t *rapid.T, e *controlpb.Entry, reply *controlpb.Reply, firstReply map[string]*controlpb.Reply) {
+	first := firstReply[e.GetChangeId()]
+	if first == nil {
+		firstReply[e.GetChangeId()] = reply
+		return
+	}
+	if reply.GetResent() {
+		first = proto.CloneOf(first)
+		first.Resent = true
+		assert.Assert(t, proto.Equal(first, reply), "first %v, then %v", first, reply)
+	}
+}
+
+// checkUnseen checks that an accepted push changed only files untouched since its base.
+func checkUnseen(t *rapid.T, before *View, e *controlpb.Entry) {
+	base := e.GetPush().GetBaseVersion()
+	for _, c := range e.GetPush().GetFiles() {
+		if f := before.Folder.Get(c.GetName()); f != nil {
+			assert.Assert(t, f.Changed <= base, "%s changed at %d, base %d", f.Name, f.Changed, base)
+		}
+	}
+}
+
+func checkNumbersDiffer(t *rapid.T, m *Machine) {
+	holder := map[uint64]string{}
+	for _, f := range m.View().Folder.Files() {
+		n, _ := number(f.Name)
+		assert.Equal(t, holder[n], "", "%s and %s", holder[n], f.Name)
+		holder[n] = f.Name
+	}
+}
--- /dev/null
+++ b/pkg/control/state/replicas.go
@@ -0,0 +1,89 @@
+package state
+
+import (
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"rosemarygate/api/control/v1"
+)
+
+// evaluateBootstrap names the first replicas. A second bootstrap is refused.
+func (m *Machine) evaluateBootstrap(index uint64, body *controlpb.Bootstrap) (func(), *controlpb.Reply) {
+	if len(m.replicas) > 0 {
+		return nil, replacementConflict("the replicas are set already: replace them one at a time")
+	}
+	if len(body.GetReplicas()) == 0 {
+		return nil, malformed("", "bootstrap without replicas")
+	}
+	seen := make(map[string]bool)
+	for _, r := range body.GetReplicas() {
+		if badReplica(r) || seen[r.GetName()] {
+			return nil, malformed("", "each replica needs a name of its own and an address")
+		}
+		seen[r.GetName()] = true
+	}
+	return func() { m.setReplicas(body.GetReplicas()) }, accepted(index)
+}
+
+// evaluateReplacement starts a replacement. Only one is in progress at a time, so that a
+// majority of the replicas has the whole log at every moment.
+func (m *Machine) evaluateReplacement(index uint64, e *controlpb.Entry, body *controlpb.Replacement) (func(), *controlpb.Reply) {
+	joining := body.GetJoining()
+	switch {
+	case badReplica(joining):
+		return nil, malformed("", "the joining replica needs a name and an address")
+	case m.replacement != nil:
+		return nil, replacementConflict("replica " + m.replacement.GetLeaving() + " is being replaced: wait until that has ended")
+	case m.replica(body.GetLeaving()) == nil:
+		return nil, replacementConflict(body.GetLeaving() + " is not a replica: name one of the present replicas")
+	case m.replica(joining.GetName()) != nil && joining.GetName() != body.GetLeaving():
+		return nil, replacementConflict(joining.GetName() + " is a replica already: name another host")
+	}
+	return func() {
+		m.replacement = body
+		m.record(index, e, &controlpb.HistoryRecord{})
+	}, accepted(index)
+}
+
+// evaluateOutcome ends the replacement in progress.
+func (m *Machine) evaluateOutcome(index uint64, e *controlpb.Entry, body *controlpb.ReplacementOutcome) (func(), *controlpb.Reply) {
+	if m.replacement.GetJoining().GetName() != body.GetJoining() {
+		return nil, replacementConflict("no replacement by " + body.GetJoining() + " is in progress")
+	}
+	return func() {
+		if body.GetCompleted() {
+			leaving := m.replacement.GetLeaving()
+			next := slices.DeleteFunc(slices.Clone(m.replicas), func(r *controlpb.Replica) bool { return r.GetName() == leaving })
+			m.setReplicas(append(next, m.replacement.GetJoining()))
+		}
+		m.replacement = nil
+		m.record(index, e, &controlpb.HistoryRecord{})
+	}, accepted(index)
+}
+
+func (m *Machine) replica(name string) *controlpb.Replica {
+	for _, r := range m.replicas {
+		if r.GetName() == name {
+			return r
+		}
+	}
+	return nil
+}
+
+func (m *Machine) setReplicas(replicas []*controlpb.Replica) {
+	m.replicas = nil
+	for _, r := range replicas {
+		m.replicas = append(m.replicas, proto.CloneOf(r))
+	}
+	slices.SortFunc(m.replicas, func(a, b *controlpb.Replica) int { return strings.Compare(a.GetName(), b.GetName()) })
+}
+
+func badReplica(r *controlpb.Replica) bool {
+	return r.GetName() == "" || r.GetAddress() == ""
+}
+
+func replacementConflict(detail string) *controlpb.Reply {
+	return refuse(&controlpb.Refusal{Kind: controlpb.Refusal_KIND_REPLACEMENT_CONFLICT, Detail: detail})
+}
