Add the distribution of the configuration

Cause: daemons need the accepted configuration by version and digest, and must never go back to an older one. Change: pkg/control/distribution with the publisher of a replica, the receiver of a daemon and a file store for the last accepted copy.

--- /dev/null
+++ b/pkg/control/distribution/distribution_test.go
@@ -0,0 +1,262 @@
+package distribution
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosemarygate/api/control/v1"
+	"rosemarygate/pkg/control/folder"
+	"rosemarygate/pkg/control/state"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// log applies changes to a machine as a committed log would.
+type log struct {
+	m     *state.Machine
+	index uint64
+}
+
+func newLog() *log {
+	return &log{m: state.New(state.Rules{
+		Validate:         func([]*folder.File) error { return nil },
+		LongestKeepAlive: func([]*folder.File) time.Duration { return 0 },
+	})}
+}
+
+func (l *log) apply(t assert.TestingT, e *controlpb.Entry) *state.View {
+	l.index++
+	e.ChangeId = fmt.Sprint(l.index)
+	e.TimeUnixMs = int64(l.index) * time.Hour.Milliseconds()
+	data, err := proto.Marshal(e)
+	assert.NilError(t, err)
+	reply, err := l.m.Apply(l.index, data)
+	assert.NilError(t, err)
+	assert.NilError(t, state.Refused(reply))
+	return l.m.View()
+}
+
+func (l *log) put(t assert.TestingT, name, data string) *state.View {
+	change := &controlpb.FileChange{Name: name, Data: []byte(data)}
+	return l.push(t, change)
+}
+
+func (l *log) push(t assert.TestingT, changes ...*controlpb.FileChange) *state.View {
+	push := &controlpb.Push{BaseVersion: l.m.View().Version, Files: changes}
+	return l.apply(t, &controlpb.Entry{Body: &controlpb.Entry_Push{Push: push}})
+}
+
+func (l *log) rotate(t assert.TestingT) *state.View {
+	rotation := &controlpb.KeyRotation{Secret: []byte("0123456789abcdef")}
+	return l.apply(t, &controlpb.Entry{Body: &controlpb.Entry_Rotation{Rotation: rotation}})
+}
+
+func receive(t *testing.T, r *Receiver, u *controlpb.Update, want ErrorKind) {
+	t.Helper()
+	_, err := r.Receive(u)
+	var refused *UpdateError
+	if want == 0 {
+		assert.NilError(t, err)
+		return
+	}
+	assert.Assert(t, errors.As(err, &refused))
+	assert.Equal(t, refused.Kind, want, err.Error())
+}
+
+// Guards against a daemon that goes back to an older version, applies a difference to the
+// wrong version, or keeps content that was damaged on its way.
+func TestReceiverRefuses(t *testing.T) {
+	l := newLog()
+	v1 := l.put(t, "1.yaml", "a")
+	v2 := l.put(t, "2.yaml", "b")
+	v3 := l.put(t, "1.yaml", "c")
+	r, err := NewReceiver(nil)
+	assert.NilError(t, err)
+	receive(t, r, NewUpdate(v3, v2.Version), Gap)
+	receive(t, r, NewUpdate(v1, 0), 0)
+	receive(t, r, NewUpdate(v3, v2.Version), Gap)
+	damaged := NewUpdate(v2, v1.Version)
+	damaged.Files = []*controlpb.File{{Name: "2.yaml", Data: []byte("x")}}
+	receive(t, r, damaged, DigestMismatch)
+	receive(t, r, NewUpdate(v3, v1.Version), 0)
+	receive(t, r, NewUpdate(v2, 0), Stale)
+	receive(t, r, NewUpdate(v3, 0), Stale)
+	other := newLog()
+	other.put(t, "1.yaml", "other")
+	other.put(t, "2.yaml", "other")
+	receive(t, r, NewUpdate(other.put(t, "3.yaml", "other"), 0), Fork)
+	assert.Equal(t, r.Held().Digest, v3.Digest())
+}
+
+// Guards against a burst of changes sent one by one to a slow daemon, against an update
+// that is never sent again, and against a lagging replica that sends an older version.
+func TestPublisher(t *testing.T) {
+	l := newLog()
+	v1 := l.put(t, "1.yaml", "a")
+	p := NewPublisher(v1)
+	sends := p.Subscribe(start, 1, &controlpb.WatchRequest{Daemon: "d"})
+	assert.Equal(t, len(sends), 1)
+	assert.Equal(t, len(p.SetView(start, l.put(t, "2.yaml", "b"))), 0, "one update is on its way")
+	v3 := l.put(t, "3.yaml", "c")
+	assert.Equal(t, len(p.SetView(start, v3)), 0)
+	sends = p.Acknowledge(start, "d", v1.Version)
+	assert.Equal(t, len(sends), 1)
+	assert.Equal(t, sends[0].Update.GetFromVersion(), v1.Version)
+	assert.Equal(t, sends[0].Update.GetVersion(), v3.Version)
+	assert.DeepEqual(t, p.Behind(v3.Version, 9), []string{"d"})
+
+	assert.Equal(t, len(p.Tick(start.Add(AcknowledgeTimeout-1))), 0)
+	sends = p.Tick(start.Add(AcknowledgeTimeout))
+	assert.Equal(t, len(sends), 1)
+	assert.Equal(t, sends[0].Update.GetFromVersion(), uint64(0))
+	assert.Equal(t, len(p.Tick(start.Add(2*AcknowledgeTimeout))), 0, "the timeout doubles")
+	assert.Equal(t, len(p.Tick(start.Add(3*AcknowledgeTimeout))), 1)
+	assert.Equal(t, len(p.Acknowledge(start, "d", v3.Version)), 0)
+	inForce, daemons := InForce(v3.Version, []*controlpb.Progress{p.Progress("r")})
+	assert.Equal(t, inForce, 1)
+	assert.Equal(t, daemons, 1)
+
+	digest := v3.Digest()
+	assert.Equal(t, len(p.Subscribe(start, 2, &controlpb.WatchRequest{Daemon: "d", Version: v3.Version, Digest: digest[:]})), 0)
+	assert.Equal(t, len(p.Subscribe(start, 3, &controlpb.WatchRequest{Daemon: "ahead", Version: v3.Version + 1})), 0)
+	assert.Equal(t, len(p.SetView(start, v1)), 0)
+	p.Unsubscribe("d", 1)
+	_, daemons = p.InForce(1)
+	assert.Equal(t, daemons, 2, "the end of a replaced watch does not end the present one")
+	p.Unsubscribe("d", 2)
+	_, daemons = p.InForce(1)
+	assert.Equal(t, daemons, 1)
+}
+
+// Guards against a daemon that ends with other content than the replicas, or goes back,
+// when updates are lost, watches break and a lagging replica serves it.
+func TestRandomDistribution(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLog()
+		replicas := []*Publisher{NewPublisher(l.m.View()), NewPublisher(l.m.View())}
+		r, err := NewReceiver(nil)
+		assert.NilError(t, err)
+		now, watch, at := start, uint64(0), replicas[0]
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			var sends []Send
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				l.put(t, rapid.SampledFrom([]string{"1.yaml", "2.yaml", "3.yaml"}).Draw(t, "name"), fmt.Sprint(l.index))
+			case 1:
+				l.rotate(t)
+			case 2:
+				p := rapid.SampledFrom(replicas).Draw(t, "replica")
+				if out := p.SetView(now, l.m.View()); p == at {
+					sends = out
+				}
+			case 3:
+				watch++
+				at = rapid.SampledFrom(replicas).Draw(t, "watch")
+				sends = at.Subscribe(now, watch, r.WatchRequest("d", rapid.Bool().Draw(t, "snapshot")))
+			case 4:
+				now = now.Add(AcknowledgeTimeout)
+				sends = at.Tick(now)
+			case 5:
+				sends = at.Acknowledge(now, "d", r.Held().Version)
+			}
+			if rapid.Bool().Draw(t, "delivered") {
+				deliver(t, r, sends)
+			}
+		}
+		at.SetView(now, l.m.View())
+		deliver(t, r, at.Subscribe(now, watch+1, r.WatchRequest("d", false)))
+		assert.Equal(t, r.Held().Version, l.m.View().Version)
+		assert.Equal(t, r.Held().Digest, l.m.View().Digest())
+		again, err := NewReceiver(r.Held().Copy())
+		assert.NilError(t, err)
+		assert.Equal(t, again.Held().Digest, r.Held().Digest)
+	})
+}
+
+func deliver(t assert.TestingT, r *Receiver, sends []Send) {
+	for _, s := range sends {
+		before := r.Held()
+		if _, err := r.Receive(s.Update); err != nil {
+			assert.Equal(t, r.Held(), before)
+			continue
+		}
+		assert.Assert(t, r.Held().Version > before.Version)
+	}
+}
+
+// Guards against a damaged copy that is taken as good, against a copy that others can
+// read, and against files left by an interrupted save.
+func TestFileStore(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "copy")
+	assert.NilError(t, os.WriteFile(filepath.Join(filepath.Dir(path), ".copy123"), nil, 0o600))
+	s, err := NewFileStore(path)
+	assert.NilError(t, err)
+	none, err := s.Load()
+	assert.Assert(t, none == nil && err == nil)
+	l := newLog()
+	l.rotate(t)
+	r, err := NewReceiver(nil)
+	assert.NilError(t, err)
+	receive(t, r, NewUpdate(l.put(t, "1.yaml", "a"), 0), 0)
+	assert.NilError(t, s.Save(r.Held().Copy()))
+	got, err := s.Load()
+	assert.NilError(t, err)
+	assert.Assert(t, proto.Equal(got, r.Held().Copy()))
+	info, err := os.Stat(path)
+	assert.NilError(t, err)
+	assert.Equal(t, info.Mode().Perm(), os.FileMode(copyPermission))
+	entries, err := os.ReadDir(filepath.Dir(path))
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 1)
+
+	b, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for i := range b {
+		damaged := []byte(string(b))
+		damaged[i] ^= 1
+		assert.NilError(t, os.WriteFile(path, damaged, 0o600))
+		_, err = s.Load()
+		assert.ErrorContains(t, err, "delete it", "byte %d", i)
+	}
+}
+
+// Measures the bytes that a change costs a daemon, and what it costs a replica with 320
+// daemons, half of a data centre at the size aimed at.
+func BenchmarkChange(b *testing.B) {
+	for _, files := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(files, " files"), func(b *testing.B) {
+			l := newLog()
+			var all []*controlpb.FileChange
+			for i := range files {
+				all = append(all, &controlpb.FileChange{Name: fmt.Sprintf("%05d-service.yaml", i), Data: []byte(strings.Repeat("x", 500))})
+			}
+			before := l.push(b, all...)
+			p := NewPublisher(before)
+			for i := range 320 {
+				daemon := fmt.Sprintf("daemon-%03d", i)
+				p.Subscribe(start, 1, &controlpb.WatchRequest{Daemon: daemon})
+				p.Acknowledge(start, daemon, before.Version)
+			}
+			view := before
+			for b.Loop() {
+				view = l.put(b, "00000-service.yaml", fmt.Sprint(l.index, strings.Repeat("y", 500)))
+				for _, s := range p.SetView(start, view) {
+					p.Acknowledge(start, s.Daemon, view.Version)
+				}
+			}
+			report := &controlpb.ReportRequest{Daemon: "daemon-000", Incarnation: 1 << 60, VersionInForce: view.Version}
+			b.ReportMetric(float64(proto.Size(NewUpdate(view, view.Version-1))), "difference-bytes")
+			b.ReportMetric(float64(proto.Size(NewUpdate(view, 0))), "snapshot-bytes")
+			b.ReportMetric(float64(proto.Size(report)), "acknowledgement-bytes")
+		})
+	}
+}
--- /dev/null
+++ b/pkg/control/distribution/progress.go
@@ -0,0 +1,47 @@
+package distribution
+
+import (
+	"cmp"
+	"slices"
+
+	"rosemarygate/api/control/v1"
+)
+
+// maxProgressVersions bounds a progress message: older versions are counted together, as
+// the oldest one that the message names.
+const maxProgressVersions = 32
+
+// Progress counts this replica's daemons by the version in force, newest first. Replicas
+// exchange it, so that a push can wait for the daemons of all data centres.
+func (p *Publisher) Progress(replica string) *controlpb.Progress {
+	counts := map[uint64]uint32{}
+	for _, s := range p.subscribers {
+		counts[s.inForce]++
+	}
+	out := &controlpb.Progress{Replica: replica}
+	for version, n := range counts {
+		out.Counts = append(out.Counts, &controlpb.VersionCount{Version: version, Daemons: n})
+	}
+	slices.SortFunc(out.Counts, func(a, b *controlpb.VersionCount) int { return cmp.Compare(b.GetVersion(), a.GetVersion()) })
+	for len(out.Counts) > maxProgressVersions {
+		last := len(out.Counts) - 1
+		out.Counts[last-1].Version = out.Counts[last].GetVersion()
+		out.Counts[last-1].Daemons += out.Counts[last].GetDaemons()
+		out.Counts = out.Counts[:last]
+	}
+	return out
+}
+
+// InForce returns how many daemons of all replicas have the version or a later one in
+// force. A daemon that changes its replica may be counted at both for one exchange.
+func InForce(version uint64, all []*controlpb.Progress) (inForce, daemons int) {
+	for _, p := range all {
+		for _, c := range p.GetCounts() {
+			daemons += int(c.GetDaemons())
+			if c.GetVersion() >= version {
+				inForce += int(c.GetDaemons())
+			}
+		}
+	}
+	return inForce, daemons
+}
--- /dev/null
+++ b/pkg/control/distribution/store.go
@@ -0,0 +1,114 @@
+package distribution
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/google/renameio/v2"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"rosemarygate/api/control/v1"
+)
+
+// Store keeps the last accepted configuration of a daemon.
+type Store interface {
+	// Load returns nil if there is no copy.
+	Load() (*controlpb.Copy, error)
+	// Save returns when the copy is durable.
+	Save(*controlpb.Copy) error
+}
+
+const (
+	copyMagic      = "rosemarygate copy 1\n"
+	copyPermission = 0o600 // the copy holds token keys
+)
+
+// FileStore keeps the copy in one file: a magic line, the SHA-256 of the rest, and the
+// encoded copy.
+type FileStore struct{ path string }
+
+// NewFileStore returns a store at the path, whose folder must exist. It removes what an
+// interrupted Save left there.
+func NewFileStore(path string) (*FileStore, error) {
+	left, err := filepath.Glob(filepath.Join(filepath.Dir(path), "."+filepath.Base(path)+"*"))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	for _, name := range left {
+		if err := os.Remove(name); err != nil {
+			return nil, errors.WithStack(err)
+		}
+	}
+	return &FileStore{path}, nil
+}
+
+// Load reads the copy and checks it.
+func (s *FileStore) Load() (*controlpb.Copy, error) {
+	b, err := os.ReadFile(s.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	payload, ok := checkCopy(b)
+	if !ok {
+		return nil, s.damaged()
+	}
+	c := new(controlpb.Copy)
+	if proto.Unmarshal(payload, c) != nil {
+		return nil, s.damaged()
+	}
+	return c, nil
+}
+
+func checkCopy(b []byte) (payload []byte, ok bool) {
+	rest, ok := bytes.CutPrefix(b, []byte(copyMagic))
+	if !ok || len(rest) < sha256.Size {
+		return nil, false
+	}
+	sum := sha256.Sum256(rest[sha256.Size:])
+	return rest[sha256.Size:], bytes.Equal(sum[:], rest[:sha256.Size])
+}
+
+func (s *FileStore) damaged() error {
+	return errors.Errorf("copy of the configuration %s is damaged: delete it, and the daemon fetches it from a control replica", s.path)
+}
+
+// Save replaces the file and syncs it and its folder.
+func (s *FileStore) Save(c *controlpb.Copy) error {
+	payload, err := proto.Marshal(c)
+	if err != nil {
+		return errors.Wrap(err, "encode the copy of the configuration")
+	}
+	dir := filepath.Dir(s.path)
+	f, err := renameio.NewPendingFile(s.path, renameio.WithTempDir(dir), renameio.WithStaticPermissions(copyPermission))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer f.Cleanup()
+	sum := sha256.Sum256(payload)
+	for _, part := range [][]byte{[]byte(copyMagic), sum[:], payload} {
+		if _, err := f.Write(part); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	if err := f.CloseAtomicallyReplace(); err != nil {
+		return errors.WithStack(err)
+	}
+	return syncDir(dir)
+}
+
+// syncDir makes the renaming durable.
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer d.Close()
+	return errors.WithStack(d.Sync())
+}
--- a/pkg/control/state/keys.go
+++ b/pkg/control/state/keys.go
@@ -46,7 +46,7 @@
 	return func() {
 		m.lastKeyID = key.GetId()
 		m.lastRotated = now
-		m.view = newView(index, m.view.Folder, keys)
+		m.view = newView(index, m.view.Folder, keys, index)
 		m.record(index, e, &controlpb.HistoryRecord{})
 	}, accepted(index)
 }
--- a/pkg/control/state/push.go
+++ b/pkg/control/state/push.go
@@ -52,7 +52,7 @@
 		return nil, reply
 	}
 	return func() {
-		m.view = newView(index, next, m.view.Keys)
+		m.view = newView(index, next, m.view.Keys, m.view.KeysVersion)
 		m.record(index, e, &p.record)
 	}, accepted(index)
 }
--- a/pkg/control/state/state.go
+++ b/pkg/control/state/state.go
@@ -28,9 +28,10 @@
 
 // View is the content that daemons receive. It is immutable.
 type View struct {
-	Version uint64 // index of the last accepted change of the content; 0 before the first
-	Folder  *folder.Folder
-	Keys    []*controlpb.TokenKey // oldest first, at most two
+	Version     uint64 // index of the last accepted change of the content; 0 before the first
+	Folder      *folder.Folder
+	Keys        []*controlpb.TokenKey // oldest first, at most two
+	KeysVersion uint64                // version of the last key rotation
 	// Digest returns the digest of the files and keys, computed at the first call: the
 	// replay of a log needs none.
 	Digest func() folder.Sum
@@ -57,15 +58,15 @@
 func newMachine(rules Rules, maxHistory, maxReplies int) *Machine {
 	return &Machine{
 		rules:   rules,
-		view:    newView(0, folder.New(nil, nil, 0), nil),
+		view:    newView(0, folder.New(nil, nil, 0), nil, 0),
 		history: history{limit: maxHistory},
 		replies: newReplies(maxReplies),
 	}
 }
 
-func newView(version uint64, f *folder.Folder, keys []*controlpb.TokenKey) *View {
+func newView(version uint64, f *folder.Folder, keys []*controlpb.TokenKey, keysVersion uint64) *View {
 	digest := sync.OnceValue(func() folder.Sum { return f.Digest(keys) })
-	return &View{Version: version, Folder: f, Keys: keys, Digest: digest}
+	return &View{Version: version, Folder: f, Keys: keys, KeysVersion: keysVersion, Digest: digest}
 }
 
 // View returns the accepted content.
