--- /dev/null
+++ b/pkg/control/totals/counts.go
@@ -0,0 +1,79 @@
+package totals
+
+import (
+	"cmp"
+	"slices"
+
+	"rosemarygate/api/control/v1"
+)
+
+// Key names a counter.
+type Key struct {
+	User    string
+	Service string // without the user
+	Kind    controlpb.Counter_Kind
+	Reason  string // empty for flows carried
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(
+		cmp.Compare(a.User, b.User),
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Kind, b.Kind),
+		cmp.Compare(a.Reason, b.Reason),
+	)
+}
+
+// Counts are the values of counters.
+type Counts map[Key]uint64
+
+// keepMax raises the counts to those of other and reports whether any changed.
+func (c Counts) keepMax(other Counts) bool {
+	changed := false
+	for k, v := range other {
+		if v > c[k] {
+			c[k] = v
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (c Counts) add(other Counts) {
+	for k, v := range other {
+		c[k] += v
+	}
+}
+
+func (c Counts) sortedKeys() []Key {
+	keys := make([]Key, 0, len(c))
+	for k := range c {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
+// encode groups the counts by user and service, sorted.
+func (c Counts) encode() []*controlpb.ServiceCounters {
+	var out []*controlpb.ServiceCounters
+	for _, k := range c.sortedKeys() {
+		if n := len(out); n == 0 || out[n-1].GetUser() != k.User || out[n-1].GetService() != k.Service {
+			out = append(out, &controlpb.ServiceCounters{User: k.User, Service: k.Service})
+		}
+		last := out[len(out)-1]
+		last.Counters = append(last.Counters, &controlpb.Counter{Kind: k.Kind, Reason: k.Reason, Value: c[k]})
+	}
+	return out
+}
+
+func decode(services []*controlpb.ServiceCounters) Counts {
+	c := Counts{}
+	for _, s := range services {
+		for _, counter := range s.GetCounters() {
+			k := Key{s.GetUser(), s.GetService(), counter.GetKind(), counter.GetReason()}
+			c[k] = max(c[k], counter.GetValue())
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/pkg/control/totals/export.go
@@ -0,0 +1,137 @@
+package totals
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"rosemarygate/api/control/v1"
+)
+
+// Row is one line of an export.
+type Row struct {
+	Day   Day
+	Key   Key
+	Count uint64
+}
+
+// columns are the columns of both exports. New ones are only ever appended.
+var columns = []string{"day", "user", "service", "counter", "reason", "count"}
+
+// Combine returns the totals of the whole system from the answers of replicas by group.
+// The replicas of one group count the same daemons, so the larger value of each counter is
+// taken; the groups count different daemons, so their values are added.
+func Combine(groups map[string][][]*controlpb.DayCounters) []*controlpb.DayCounters {
+	sum := map[Day]Counts{}
+	for _, answers := range groups {
+		group := map[Day]Counts{}
+		for _, days := range answers {
+			for _, d := range days {
+				countsOf(group, Day(d.GetDay())).keepMax(decode(d.GetServices()))
+			}
+		}
+		for day, counts := range group {
+			countsOf(sum, day).add(counts)
+		}
+	}
+	var out []*controlpb.DayCounters
+	for _, day := range slices.Sorted(maps.Keys(sum)) {
+		out = append(out, &controlpb.DayCounters{Day: int32(day), Services: sum[day].encode()})
+	}
+	return out
+}
+
+func countsOf(days map[Day]Counts, day Day) Counts {
+	if days[day] == nil {
+		days[day] = Counts{}
+	}
+	return days[day]
+}
+
+// Rows returns the lines of an export, sorted by day, user, service, counter and reason.
+func Rows(days []*controlpb.DayCounters) []Row {
+	byDay := map[Day]Counts{}
+	for _, d := range days {
+		countsOf(byDay, Day(d.GetDay())).keepMax(decode(d.GetServices()))
+	}
+	var out []Row
+	for _, day := range slices.Sorted(maps.Keys(byDay)) {
+		for _, k := range byDay[day].sortedKeys() {
+			out = append(out, Row{day, k, byDay[day][k]})
+		}
+	}
+	return out
+}
+
+// WriteCSV writes the rows for a spreadsheet, with a header and RFC 4180 line ends.
+func WriteCSV(w io.Writer, rows []Row) error {
+	out := csv.NewWriter(w)
+	out.UseCRLF = true
+	if err := out.Write(columns); err != nil {
+		return errors.WithStack(err)
+	}
+	for _, r := range rows {
+		cells := r.cells()
+		for i := range cells {
+			cells[i] = guardFormula(cells[i])
+		}
+		if err := out.Write(cells); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	out.Flush()
+	return errors.WithStack(out.Error())
+}
+
+// WriteText writes the rows as an aligned table and names the groups that are missing.
+func WriteText(w io.Writer, rows []Row, missing []string) error {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, strings.Join(columns, "\t"))
+	for _, r := range rows {
+		cells := r.cells()
+		for i := range cells {
+			cells[i] = strconv.Quote(cells[i])
+			cells[i] = cells[i][1 : len(cells[i])-1] // keeps control characters off the terminal
+		}
+		fmt.Fprintln(out, strings.Join(cells, "\t"))
+	}
+	for _, name := range missing {
+		fmt.Fprintf(out, "incomplete: the counts of %s are missing, because none of its replicas answered\n", name)
+	}
+	return errors.WithStack(out.Flush())
+}
+
+func (r Row) cells() []string {
+	return []string{
+		r.Day.String(),
+		r.Key.User,
+		r.Key.Service,
+		kindName(r.Key.Kind),
+		r.Key.Reason,
+		strconv.FormatUint(r.Count, 10),
+	}
+}
+
+func kindName(k controlpb.Counter_Kind) string {
+	return strings.ToLower(strings.TrimPrefix(k.String(), "KIND_"))
+}
+
+// formulaStarts are the characters after which a spreadsheet may take a cell for a formula,
+// with the full-width forms that some of them convert.
+const formulaStarts = "=+-@\t\r\n＝＋－＠"
+
+// guardFormula makes a spreadsheet show a cell as text that it would run as a formula.
+func guardFormula(cell string) string {
+	first := strings.TrimLeft(cell, " ")
+	if first != "" && strings.ContainsRune(formulaStarts, []rune(first)[0]) {
+		return "'" + cell
+	}
+	return cell
+}
--- /dev/null
+++ b/pkg/control/totals/totals_test.go
@@ -0,0 +1,250 @@
+package totals
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"rosemarygate/api/control/v1"
+)
+
+const (
+	carried = controlpb.Counter_KIND_FLOWS_CARRIED
+	refused = controlpb.Counter_KIND_REQUESTS_REFUSED
+)
+
+var (
+	noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	key  = Key{User: "karri", Service: "ticket", Kind: carried}
+)
+
+func valueOf(days []*controlpb.DayCounters, day Day, k Key) uint64 {
+	for _, d := range days {
+		if Day(d.GetDay()) == day {
+			return decode(d.GetServices())[k]
+		}
+	}
+	return 0
+}
+
+func (b *Book) value(day Day, k Key) uint64 { return valueOf(b.Totals(0, 1<<30, ""), day, k) }
+
+// Guards against counts on the wrong day around midnight, on days of 23 and 25 hours, and
+// in zones that skip midnight itself.
+func TestDayBoundaries(t *testing.T) {
+	tests := []struct {
+		zone, day string
+		hours     int
+	}{
+		{"Australia/Perth", "2026-12-04", 24},
+		{"Asia/Kolkata", "2026-12-04", 24},
+		{"Europe/Berlin", "2026-03-29", 23},
+		{"Europe/Berlin", "2026-10-25", 25},
+		{"America/Sao_Paulo", "2018-11-04", 23}, // begins at 01:00
+		{"America/Sao_Paulo", "2018-02-17", 25}, // 23:00 occurs twice
+	}
+	for _, tt := range tests {
+		loc, err := time.LoadLocation(tt.zone)
+		assert.NilError(t, err)
+		day, err := ParseDay(tt.day)
+		assert.NilError(t, err)
+		a := NewAccumulator("d", 1)
+		a.SetLocation(key.User, loc)
+		begin := day.midnight(loc).Add(-3 * time.Hour)
+		for m := range 32 * 60 {
+			a.Add(begin.Add(time.Duration(m)*time.Minute), key, 1)
+		}
+		days := a.Report(0).GetDays()
+		assert.Equal(t, valueOf(days, day, key), uint64(tt.hours*60), "%s in %s", tt.day, tt.zone)
+	}
+}
+
+// Guards against a count that is lost or doubled when a report or its acknowledgement is
+// lost, and against counters that are sent again for nothing.
+func TestReportsAreCumulative(t *testing.T) {
+	a := NewAccumulator("d", 1)
+	b := NewBook(30)
+	day := DayOf(noon)
+	a.Add(noon, key, 2)
+	lost := a.Report(0)
+	a.Add(noon, key, 3)
+	second := a.Report(0)
+	b.Report(noon, second)
+	b.Report(noon, lost)
+	b.Report(noon, second)
+	assert.Equal(t, b.value(day, key), uint64(5))
+	a.Acknowledge(noon, lost.GetSequence())
+	assert.Equal(t, len(a.Report(0).GetDays()), 1, "only the last report's acknowledgement counts")
+	a.Acknowledge(noon, a.sequence)
+	assert.Equal(t, len(a.Report(0).GetDays()), 0)
+
+	a.Add(noon.Add(24*time.Hour), key, 1)
+	a.ResendAll()
+	other := NewBook(30)
+	other.Report(noon, a.Report(0))
+	assert.Equal(t, other.value(day, key), uint64(5))
+	assert.Equal(t, other.value(day+1, key), uint64(1))
+}
+
+// Guards against a daemon whose memory grows with its days, and against a day that is
+// counted from zero again after the clock was set back.
+func TestAccumulatorDropsOldDays(t *testing.T) {
+	a := NewAccumulator("d", 1)
+	b := NewBook(1000)
+	for i := range 100 {
+		now := noon.Add(time.Duration(i) * 24 * time.Hour)
+		a.Add(now, key, 5)
+		r := a.Report(0)
+		b.Report(now, r)
+		a.Acknowledge(now, r.GetSequence())
+		assert.Assert(t, len(a.days) <= keepDays+1)
+	}
+	a.Add(noon, key, 1)
+	b.Report(noon, a.Report(0))
+	assert.Equal(t, b.value(DayOf(noon), key), uint64(5))
+
+	a = NewAccumulator("d", 2)
+	for i := range 2 * maxUnreportedDays {
+		now := noon.Add(time.Duration(i) * 24 * time.Hour)
+		a.Add(now, key, 5)
+		a.Prune(now)
+		assert.Assert(t, len(a.days) <= maxUnreportedDays)
+	}
+	assert.Equal(t, a.Prune(noon), maxUnreportedDays)
+}
+
+func report(daemon string, incarnation, value uint64, day Day) *controlpb.ReportRequest {
+	counts := Counts{key: value}
+	return &controlpb.ReportRequest{Daemon: daemon, Incarnation: incarnation, Days: []*controlpb.DayCounters{{Day: int32(day), Services: counts.encode()}}}
+}
+
+// Guards against a book that grows with restarts, and against a late report of a folded
+// incarnation that counts twice.
+func TestFoldedIncarnations(t *testing.T) {
+	b := NewBook(30)
+	day := DayOf(noon)
+	now := noon
+	for i := range uint64(1000) {
+		now = now.Add(time.Second)
+		b.Report(now, report("d", i+1, 2, day))
+		b.Compact(now)
+		assert.Assert(t, len(b.days[day].daemons["d"].open) <= maxOpen)
+	}
+	assert.Equal(t, b.value(day, key), uint64(2000))
+	now = now.Add(FoldAfter)
+	b.Compact(now)
+	assert.Equal(t, len(b.days[day].daemons["d"].open), 1, "the latest incarnation stays")
+	b.Report(now, report("d", 500, 7, day))
+	assert.Equal(t, b.value(day, key), uint64(2000))
+	assert.Equal(t, b.Refused().Folded, uint64(1))
+}
+
+// Guards against days kept beyond the retention, and against a report for a closed or
+// future day that changes it.
+func TestClosedDays(t *testing.T) {
+	b, lagging := NewBook(10), NewBook(10)
+	day := DayOf(noon)
+	b.Report(noon, report("d", 1, 2, day))
+	lagging.Report(noon, report("e", 1, 9, day))
+	b.Report(noon, report("d", 1, 2, day+futureDays+1))
+	later := noon.Add((closeDays + 1) * 24 * time.Hour)
+	b.Compact(later)
+	b.Report(later, report("d", 1, 3, day))
+	assert.Equal(t, b.value(day, key), uint64(2))
+	assert.DeepEqual(t, b.Refused(), Refused{Closed: 1, Future: 1})
+	x, _ := lagging.ChangesSince(0)
+	b.Merge(later, x)
+	assert.Equal(t, b.value(day, key), uint64(9), "the larger of two lower bounds")
+	x, _ = b.ChangesSince(0)
+	lagging.Merge(later, x)
+	assert.Equal(t, lagging.value(day, key), uint64(9))
+	b.Compact(noon.Add(11 * 24 * time.Hour))
+	assert.Equal(t, len(b.days), 0)
+	assert.Equal(t, len(b.latest), 0)
+}
+
+// Guards against malformed reports that take memory or appear in an export.
+func TestMalformedReports(t *testing.T) {
+	b := NewBook(10)
+	day := DayOf(noon)
+	long := strings.Repeat("x", maxNameSize+1)
+	b.Report(noon, report("", 1, 1, day))
+	b.Report(noon, report(long, 1, 1, day))
+	b.Report(noon, report("d", 0, 1, day))
+	for _, k := range []Key{{}, {User: long, Service: "s", Kind: carried}, {User: "u", Service: "s"}, {User: "u", Service: "s", Kind: 99}} {
+		counts := Counts{k: 1}
+		b.Report(noon, &controlpb.ReportRequest{Daemon: "d", Incarnation: 1, Days: []*controlpb.DayCounters{{Day: int32(day), Services: counts.encode()}}})
+	}
+	assert.Equal(t, b.Refused().Malformed, uint64(7))
+	assert.Equal(t, len(b.Totals(0, 1<<30, "")), 0)
+}
+
+// Guards against exports whose columns move, that run as formulas in a spreadsheet, or
+// that leave out that they are incomplete; and against groups that count twice.
+func TestExport(t *testing.T) {
+	day := DayOf(noon)
+	one := Counts{key: 3, {User: "=cmd|' /C calc'!A0", Service: "a,b", Kind: refused, Reason: "-queue \"full\""}: 1}
+	more := Counts{key: 4}
+	answer := func(c Counts) []*controlpb.DayCounters {
+		return []*controlpb.DayCounters{{Day: int32(day), Services: c.encode()}}
+	}
+	days := Combine(map[string][][]*controlpb.DayCounters{
+		"north": {answer(one), answer(more)},
+		"south": {answer(more)},
+	})
+	var csv, text strings.Builder
+	assert.NilError(t, WriteCSV(&csv, Rows(days)))
+	assert.Equal(t, csv.String(), "day,user,service,counter,reason,count\r\n"+
+		"2026-12-04,'=cmd|' /C calc'!A0,\"a,b\",requests_refused,\"'-queue \"\"full\"\"\",1\r\n"+
+		"2026-12-04,karri,ticket,flows_carried,,8\r\n")
+	assert.NilError(t, WriteText(&text, Rows(days), []string{"east"}))
+	assert.Assert(t, strings.Contains(text.String(), "incomplete: the counts of east are missing"))
+	for _, cell := range []string{"+1", "@a", "\tx", " =x", "＝x"} {
+		assert.Equal(t, guardFormula(cell), "'"+cell)
+	}
+	assert.Equal(t, guardFormula("queue-full"), "queue-full")
+}
+
+// Measures a data centre of 640 daemons: the bytes of a report and of a book, and the cost
+// of merging a report. Each daemon counts 30 counters: 6 services with flows carried, flows
+// broken and 3 reasons of refused requests.
+func BenchmarkBook(b *testing.B) {
+	const daemons = 640
+	day := DayOf(noon)
+	counts := Counts{}
+	for s := range 6 {
+		for r := range 5 {
+			kind := controlpb.Counter_Kind(min(r+1, 3))
+			counts[Key{"karri", "service-" + string(rune('a'+s)), kind, []string{"", "upstream lost", "queue full", "deadline", "draining"}[r]}] = 100_000
+		}
+	}
+	r := &controlpb.ReportRequest{Incarnation: 1 << 60, Sequence: 1000, VersionInForce: 40_000, Days: []*controlpb.DayCounters{{Day: int32(day), Services: counts.encode()}}}
+	book := NewBook(62)
+	i := 0
+	for b.Loop() {
+		r.Daemon = "daemon-" + string(rune('a'+i%daemons))
+		book.Report(noon, r)
+		i++
+	}
+	for i := range daemons {
+		r.Daemon = "daemon-" + string(rune('a'+i))
+		book.Report(noon, r)
+	}
+	x, _ := book.ChangesSince(0)
+	b.ReportMetric(float64(proto.Size(r)), "report-bytes")
+	b.ReportMetric(float64(proto.Size(x)), "book-bytes")
+	book.Compact(noon.Add((closeDays + 1) * 24 * time.Hour))
+	x, _ = book.ChangesSince(0)
+	b.ReportMetric(float64(proto.Size(x)), "closed-day-bytes")
+}
+
+// Measures one count on the path of the daemon's counters.
+func BenchmarkAdd(b *testing.B) {
+	a := NewAccumulator("d", 1)
+	for b.Loop() {
+		a.Add(noon, key, 1)
+	}
+}
