Keep a token key until the earlier keep-alive interval has passed

Cause: a rotation waited for the interval of the present configuration, but an open flow follows the one it was told until its next keep-alive, so a shorter one could drop its key.

--- a/pkg/control/distribution/distribution_test.go
+++ b/pkg/control/distribution/distribution_test.go
@@ -125,10 +125,15 @@
 	assert.Equal(t, inForce, 1)
 	assert.Equal(t, daemons, 1)
 
-	digest := v3.Digest()
-	assert.Equal(t, len(p.Subscribe(start, 2, &controlpb.WatchRequest{Daemon: "d", Version: v3.Version, Digest: digest[:]})), 0)
-	assert.Equal(t, len(p.Subscribe(start, 3, &controlpb.WatchRequest{Daemon: "ahead", Version: v3.Version + 1})), 0)
+	v4 := l.put(t, "1.yaml", "d")
+	sends = p.SetView(start, v4)
+	assert.Equal(t, len(sends), 1)
+	assert.Equal(t, sends[0].Update.GetFromVersion(), v3.Version)
 	assert.Equal(t, len(p.SetView(start, v1)), 0)
+
+	digest := v4.Digest()
+	assert.Equal(t, len(p.Subscribe(start, 2, &controlpb.WatchRequest{Daemon: "d", Version: v4.Version, Digest: digest[:]})), 0)
+	assert.Equal(t, len(p.Subscribe(start, 3, &controlpb.WatchRequest{Daemon: "ahead", Version: v4.Version + 1})), 0)
 	p.Unsubscribe("d", 1)
 	_, daemons = p.InForce(1)
 	assert.Equal(t, daemons, 2, "the end of a replaced watch does not end the present one")
--- a/pkg/control/distribution/publisher.go
+++ b/pkg/control/distribution/publisher.go
@@ -135,6 +135,9 @@
 		return u
 	}
 	u := NewUpdate(p.view, from)
+	if u.GetFromVersion() == 0 && from != 0 {
+		u = p.update(0) // all daemons that need a snapshot share one
+	}
 	p.updates[from] = u
 	return u
 }
--- a/pkg/control/state/keys.go
+++ b/pkg/control/state/keys.go
@@ -46,6 +46,7 @@
 	return func() {
 		m.lastKeyID = key.GetId()
 		m.lastRotated = now
+		m.keepAlive.rotate(m.rules.LongestKeepAlive(m.view.Folder.Files()))
 		m.view = newView(index, m.view.Folder, keys, index)
 		m.record(index, e, &controlpb.HistoryRecord{})
 	}, accepted(index)
@@ -55,7 +56,7 @@
 	if len(m.view.Keys) == 0 {
 		return 0
 	}
-	wait := KeyActivation + MaxClockSkew + m.rules.LongestKeepAlive(m.view.Folder.Files())
+	wait := KeyActivation + MaxClockSkew + max(m.keepAlive.current, m.keepAlive.earlier)
 	return m.lastRotated + wait.Milliseconds()
 }
 
@@ -72,3 +73,12 @@
 	}
 	return append(waiting, out...)
 }
+
+// keepAlive remembers the longest keep-alive interval in force since the last rotation and
+// between the last two. A flow keeps the interval it was told until its next keep-alive, so
+// a shorter one in a new configuration must not let a key be dropped earlier.
+type keepAlive struct{ current, earlier time.Duration }
+
+func (k *keepAlive) observe(d time.Duration) { k.current = max(k.current, d) }
+
+func (k *keepAlive) rotate(d time.Duration) { k.earlier, k.current = max(k.current, d), d }
--- a/pkg/control/state/push.go
+++ b/pkg/control/state/push.go
@@ -53,6 +53,7 @@
 	}
 	return func() {
 		m.view = newView(index, next, m.view.Keys, m.view.KeysVersion)
+		m.keepAlive.observe(m.rules.LongestKeepAlive(next.Files()))
 		m.record(index, e, &p.record)
 	}, accepted(index)
 }
--- a/pkg/control/state/random_test.go
+++ b/pkg/control/state/random_test.go
@@ -56,6 +56,7 @@
 			}
 			e := o.next(t, fmt.Sprint("change", i))
 			before := m.View()
+			checked := m.Check(e)
 			data, err := proto.Marshal(e)
 			assert.NilError(t, err)
 			reply, err := m.Apply(uint64(i+1), data)
@@ -63,6 +64,11 @@
 			_, err = other.Apply(uint64(i+1), data)
 			assert.NilError(t, err)
 
+			if checked == nil {
+				assert.NilError(t, Refused(reply))
+			} else {
+				assert.Assert(t, proto.Equal(checked, reply), "checked %v, applied %v", checked, reply)
+			}
 			checkReply(t, e, reply, firstReply)
 			if m.View() != before {
 				assert.Equal(t, acceptedAt[e.GetChangeId()], uint64(0), "change %s accepted twice", e.GetChangeId())
--- a/pkg/control/state/snapshot.go
+++ b/pkg/control/state/snapshot.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -19,6 +21,8 @@
 		Keys:               m.view.Keys,
 		LastKeyId:          m.lastKeyID,
 		LastRotationUnixMs: m.lastRotated,
+		KeepAliveMs:        m.keepAlive.current.Milliseconds(),
+		EarlierKeepAliveMs: m.keepAlive.earlier.Milliseconds(),
 		History:            m.history.records,
 		HistoryTruncated:   m.history.truncated,
 		ForgottenIndex:     m.replies.forgotten,
@@ -60,6 +64,8 @@
 	m.applied = s.GetAppliedIndex()
 	m.lastKeyID = s.GetLastKeyId()
 	m.lastRotated = s.GetLastRotationUnixMs()
+	m.keepAlive.current = time.Duration(s.GetKeepAliveMs()) * time.Millisecond
+	m.keepAlive.earlier = time.Duration(s.GetEarlierKeepAliveMs()) * time.Millisecond
 	m.history.records = s.GetHistory()
 	m.history.truncated = s.GetHistoryTruncated()
 	m.replicas = s.GetReplicas()
--- a/pkg/control/state/state.go
+++ b/pkg/control/state/state.go
@@ -18,11 +18,13 @@
 )
 
 // Rules are the checks that depend on the content of the configuration. They must be
-// deterministic, including the texts of their errors.
+// deterministic, including the texts of their errors. They run on the whole folder for each
+// change; files are immutable, so results can be cached by their pointers.
 type Rules struct {
 	// Validate returns an error if the files are not a valid configuration.
 	Validate func(files []*folder.File) error
-	// LongestKeepAlive returns the longest keep-alive interval of any flow.
+	// LongestKeepAlive returns the longest keep-alive interval of any flow, in whole
+	// milliseconds.
 	LongestKeepAlive func(files []*folder.File) time.Duration
 }
 
@@ -44,6 +46,7 @@
 	view        *View
 	lastKeyID   uint32
 	lastRotated int64 // Unix milliseconds; 0 before the first rotation
+	keepAlive   keepAlive
 	history     history
 	replies     replies
 	replicas    []*controlpb.Replica
--- a/pkg/control/state/state_test.go
+++ b/pkg/control/state/state_test.go
@@ -15,7 +15,7 @@
 	"rosemarygate/pkg/control/folder"
 )
 
-const keepAlive = 15 * time.Second
+const interval = 15 * time.Second
 
 func testRules() Rules {
 	return Rules{
@@ -27,7 +27,7 @@
 			}
 			return nil
 		},
-		LongestKeepAlive: func([]*folder.File) time.Duration { return keepAlive },
+		LongestKeepAlive: func([]*folder.File) time.Duration { return interval },
 	}
 }
 
@@ -172,7 +172,7 @@
 func TestKeyRotation(t *testing.T) {
 	m := New(testRules())
 	assert.NilError(t, Refused(apply(t, m, rotation("1", 0))))
-	wait := KeyActivation + MaxClockSkew + keepAlive
+	wait := KeyActivation + MaxClockSkew + interval
 	assert.Equal(t, kindOf(apply(t, m, rotation("2", wait-time.Millisecond))), controlpb.Refusal_KIND_ROTATION_TOO_SOON)
 	assert.NilError(t, Refused(apply(t, m, rotation("3", wait))))
 	assert.NilError(t, Refused(apply(t, m, rotation("4", 2*wait))))
@@ -226,3 +226,64 @@
 	_, err = m.Apply(1, nil)
 	assert.ErrorContains(t, err, "once and in order")
 }
+
+// Guards against a snapshot that leaves out a part of the state: a restored replica would
+// decide otherwise than the others.
+func TestSnapshotHoldsTheWholeState(t *testing.T) {
+	m := newMachine(testRules(), 3, 100)
+	replica := &controlpb.Replica{Name: "a", Address: "1"}
+	joining := &controlpb.Replica{Name: "b", Address: "2"}
+	wait := KeyActivation + MaxClockSkew + interval
+	for _, e := range []*controlpb.Entry{
+		{ChangeId: "boot", TimeUnixMs: 1, Body: &controlpb.Entry_Bootstrap{Bootstrap: &controlpb.Bootstrap{Replicas: []*controlpb.Replica{replica}}}},
+		pushEntry("1", 0, put("1.yaml", "a")),
+		pushEntry("2", 2, put("1.yaml", "b"), put("2.yaml", "c")),
+		pushEntry("3", 3, remove("2.yaml")),
+		rotation("4", 0),
+		rotation("5", wait),
+		{ChangeId: "6", TimeUnixMs: 1, Body: &controlpb.Entry_Replacement{Replacement: &controlpb.Replacement{Leaving: "a", Joining: joining}}},
+	} {
+		assert.NilError(t, Refused(apply(t, m, e)))
+	}
+	r, err := Restore(testRules(), snapshot(t, m))
+	assert.NilError(t, err)
+	assert.Equal(t, r.Applied(), m.Applied())
+	assert.Equal(t, r.View().Version, m.View().Version)
+	assert.Equal(t, r.View().KeysVersion, m.View().KeysVersion)
+	assert.Equal(t, r.View().Digest(), m.View().Digest())
+	assert.DeepEqual(t, r.View().Folder.Removed(), m.View().Folder.Removed())
+	assert.DeepEqual(t, *r.View().Folder.Get("1.yaml"), *m.View().Folder.Get("1.yaml"))
+	assert.Assert(t, proto.Equal(r.History(0, 9), m.History(0, 9)))
+	assert.Assert(t, r.History(0, 9).GetTruncated())
+	assert.Assert(t, proto.Equal(r.Replacement(), m.Replacement()))
+	assert.Assert(t, proto.Equal(r.Replicas()[0], replica))
+	assert.Equal(t, r.lastRotated, m.lastRotated)
+	assert.Equal(t, r.lastKeyID, m.lastKeyID)
+	assert.Equal(t, r.keepAlive, m.keepAlive)
+	assert.Equal(t, r.replies.forgotten, m.replies.forgotten)
+
+	for _, bad := range [][]byte{{0xff}, nil} {
+		_, err = Restore(testRules(), bad)
+		assert.ErrorContains(t, err, "the snapshot")
+	}
+}
+
+// Guards against a key dropped early because a new configuration has a shorter keep-alive
+// interval than the one that open flows still follow.
+func TestRotationWaitsForEarlierInterval(t *testing.T) {
+	interval := time.Minute
+	rules := testRules()
+	rules.LongestKeepAlive = func([]*folder.File) time.Duration { return interval }
+	m := New(rules)
+	apply(t, m, pushEntry("1", 0, put("1.yaml", "a")))
+	apply(t, m, rotation("2", 0))
+	interval = time.Second
+	apply(t, m, pushEntry("3", 2, put("1.yaml", "b")))
+	margin := KeyActivation + MaxClockSkew
+	assert.Equal(t, kindOf(apply(t, m, rotation("4", margin+59*time.Second))), controlpb.Refusal_KIND_ROTATION_TOO_SOON)
+	assert.NilError(t, Refused(apply(t, m, rotation("5", margin+time.Minute))))
+	second := 2*margin + time.Minute + 59*time.Second
+	assert.Equal(t, kindOf(apply(t, m, rotation("6", second))), controlpb.Refusal_KIND_ROTATION_TOO_SOON)
+	assert.NilError(t, Refused(apply(t, m, rotation("7", second+time.Second))))
+	assert.NilError(t, Refused(apply(t, m, rotation("8", second+margin+2*time.Second))))
+}
--- a/pkg/control/totals/totals_test.go
+++ b/pkg/control/totals/totals_test.go
@@ -80,12 +80,17 @@
 	assert.Equal(t, len(a.Report(0).GetDays()), 1, "only the last report's acknowledgement counts")
 	a.Acknowledge(noon, a.sequence)
 	assert.Equal(t, len(a.Report(0).GetDays()), 0)
+	a.Add(noon, key, 1)
+	third := a.Report(0)
+	a.Add(noon, key, 1)
+	a.Acknowledge(noon, third.GetSequence())
+	assert.Equal(t, valueOf(a.Report(0).GetDays(), day, key), uint64(7), "counted after the report was made")
 
 	a.Add(noon.Add(24*time.Hour), key, 1)
 	a.ResendAll()
 	other := NewBook(30)
 	other.Report(noon, a.Report(0))
-	assert.Equal(t, other.value(day, key), uint64(5))
+	assert.Equal(t, other.value(day, key), uint64(7))
 	assert.Equal(t, other.value(day+1, key), uint64(1))
 }
 
@@ -102,9 +107,10 @@
 		a.Acknowledge(now, r.GetSequence())
 		assert.Assert(t, len(a.days) <= keepDays+1)
 	}
-	a.Add(noon, key, 1)
-	b.Report(noon, a.Report(0))
+	a.Add(noon, key, 9)
+	b.Report(noon.Add(99*24*time.Hour), a.Report(0))
 	assert.Equal(t, b.value(DayOf(noon), key), uint64(5))
+	assert.Equal(t, b.sum(), uint64(509))
 
 	a = NewAccumulator("d", 2)
 	for i := range 2 * maxUnreportedDays {
@@ -134,11 +140,13 @@
 		assert.Assert(t, len(b.days[day].daemons["d"].open) <= maxOpen)
 	}
 	assert.Equal(t, b.value(day, key), uint64(2000))
+	b.Report(now, report("d", 990, 3, day))
+	assert.Equal(t, b.value(day, key), uint64(2001), "a late report counts before FoldAfter")
 	now = now.Add(FoldAfter)
 	b.Compact(now)
 	assert.Equal(t, len(b.days[day].daemons["d"].open), 1, "the latest incarnation stays")
 	b.Report(now, report("d", 500, 7, day))
-	assert.Equal(t, b.value(day, key), uint64(2000))
+	assert.Equal(t, b.value(day, key), uint64(2001))
 	assert.Equal(t, b.Refused().Folded, uint64(1))
 }
 
