Count a daemon as in force only by what it reports

Cause: a daemon that watches again was counted with the version it holds, even if it could not put that version in force. Change: the watch request carries both versions; the publisher keeps both. Conclusion: a waiting push does not count a daemon that acts on an older version.

--- a/pkg/control/distribution/distribution_test.go
+++ b/pkg/control/distribution/distribution_test.go
@@ -132,7 +132,10 @@
 	assert.Equal(t, len(p.SetView(start, v1)), 0)
 
 	digest := v4.Digest()
-	assert.Equal(t, len(p.Subscribe(start, 2, &controlpb.WatchRequest{Daemon: "d", Version: v4.Version, Digest: digest[:]})), 0)
+	assert.Equal(t, len(p.Subscribe(start, 2, &controlpb.WatchRequest{Daemon: "d", Version: v4.Version, Digest: digest[:], VersionInForce: v3.Version})), 0)
+	assert.DeepEqual(t, p.Behind(v4.Version, 9), []string{"d"}) // holds it, but cannot put it in force
+	assert.Equal(t, len(p.Acknowledge(start, "d", v4.Version)), 0)
+	assert.Equal(t, len(p.Behind(v4.Version, 9)), 0)
 	assert.Equal(t, len(p.Subscribe(start, 3, &controlpb.WatchRequest{Daemon: "ahead", Version: v4.Version + 1})), 0)
 	sends = p.Subscribe(start, 4, &controlpb.WatchRequest{Daemon: "ahead", Version: v4.Version})
 	assert.Equal(t, len(sends), 1, "the daemon holds another content")
@@ -168,7 +171,7 @@
 			case 3:
 				watch++
 				at = rapid.SampledFrom(replicas).Draw(t, "watch")
-				sends = at.Subscribe(now, watch, r.WatchRequest("d", rapid.Bool().Draw(t, "snapshot")))
+				sends = at.Subscribe(now, watch, r.WatchRequest("d", r.Held().Version, rapid.Bool().Draw(t, "snapshot")))
 			case 4:
 				now = now.Add(AcknowledgeTimeout)
 				sends = at.Tick(now)
@@ -180,7 +183,7 @@
 			}
 		}
 		at.SetView(now, l.m.View())
-		deliver(t, r, at.Subscribe(now, watch+1, r.WatchRequest("d", false)))
+		deliver(t, r, at.Subscribe(now, watch+1, r.WatchRequest("d", r.Held().Version, false)))
 		assert.Equal(t, r.Held().Version, l.m.View().Version)
 		assert.Equal(t, r.Held().Digest, l.m.View().Digest())
 		again, err := NewReceiver(r.Held().Copy())
--- a/pkg/control/distribution/publisher.go
+++ b/pkg/control/distribution/publisher.go
@@ -33,6 +33,7 @@
 type subscriber struct {
 	daemon  string
 	watch   uint64
+	held    uint64 // version that the next difference starts from
 	inForce uint64 // version that the daemon reported last
 	sent    uint64 // version on its way; 0 for none
 	sentAt  time.Time
@@ -66,7 +67,7 @@
 	var out []Send
 	for _, s := range p.sorted() {
 		if s.sent == 0 {
-			out = p.send(now, s, s.inForce, out)
+			out = p.send(now, s, s.held, out)
 		}
 	}
 	return out
@@ -75,14 +76,14 @@
 // Subscribe adds a daemon's watch with the version and digest that it holds. A later watch
 // of the same daemon replaces the earlier one.
 func (p *Publisher) Subscribe(now time.Time, watch uint64, r *controlpb.WatchRequest) []Send {
-	s := &subscriber{daemon: r.GetDaemon(), watch: watch, inForce: r.GetVersion()}
+	s := &subscriber{daemon: r.GetDaemon(), watch: watch, held: r.GetVersion(), inForce: r.GetVersionInForce()}
 	p.subscribers[s.daemon] = s
-	if s.inForce == p.view.Version && s.inForce > 0 {
+	if s.held == p.view.Version && s.held > 0 {
 		if digest := p.view.Digest(); string(r.GetDigest()) != string(digest[:]) {
-			s.inForce = 0
+			s.held = 0
 		}
 	}
-	return p.send(now, s, s.inForce, nil)
+	return p.send(now, s, s.held, nil)
 }
 
 // Unsubscribe ends a watch.
@@ -99,12 +100,13 @@
 		return nil
 	}
 	s.inForce = version
+	s.held = max(s.held, version)
 	s.resent = 0
 	if s.sent > version {
 		return nil
 	}
 	s.sent = 0
-	return p.send(now, s, s.inForce, nil)
+	return p.send(now, s, s.held, nil)
 }
 
 // Tick sends a snapshot to the daemons that have not put their update in force in time.
@@ -122,7 +124,7 @@
 // send appends the update from a version, unless the daemon is up to date. A daemon ahead
 // of this replica gets nothing: this replica has yet to catch up.
 func (p *Publisher) send(now time.Time, s *subscriber, from uint64, out []Send) []Send {
-	if s.inForce >= p.view.Version {
+	if s.held >= p.view.Version {
 		return out
 	}
 	s.sent = p.view.Version
--- a/pkg/control/distribution/receiver.go
+++ b/pkg/control/distribution/receiver.go
@@ -38,10 +38,11 @@
 // Held returns the last accepted configuration; its version is 0 if there is none.
 func (r *Receiver) Held() *Held { return r.held }
 
-// WatchRequest returns the request for a new watch. With snapshot set it asks for a
-// snapshot, as is needed after an error whose NeedsSnapshot is true.
-func (r *Receiver) WatchRequest(daemon string, snapshot bool) *controlpb.WatchRequest {
-	req := &controlpb.WatchRequest{Daemon: daemon}
+// WatchRequest returns the request for a new watch of a daemon that has a version in force.
+// With snapshot set it asks for a snapshot, as is needed after an error whose NeedsSnapshot
+// is true.
+func (r *Receiver) WatchRequest(daemon string, inForce uint64, snapshot bool) *controlpb.WatchRequest {
+	req := &controlpb.WatchRequest{Daemon: daemon, VersionInForce: inForce}
 	if !snapshot {
 		req.Version = r.held.Version
 		req.Digest = r.held.Digest[:]
