--- /dev/null
+++ b/pkg/agreement/node_test.go
@@ -0,0 +1,225 @@
+package agreement_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	controlpb "rosemarygate/api/control/v1"
+	"rosemarygate/pkg/agreement"
+	"rosemarygate/pkg/ident"
+)
+
+// electedGroup returns a group with a leader.
+func electedGroup(t *testing.T, cfg agreement.Config, voters, size int) (*memGroup, *agreement.Node) {
+	t.Helper()
+	g := newMemGroup(t, cfg, voters, size)
+	g.ticks(50)
+	leader := g.leader()
+	assert.Assert(t, leader != nil)
+	return g, leader
+}
+
+// follower returns a voter that is not the leader.
+func (g *memGroup) follower() *agreement.Node {
+	for _, n := range g.nodes {
+		if st := n.Status(); st.Role == agreement.Follower && st.Membership.IsVoter(st.Self) {
+			return n
+		}
+	}
+	return nil
+}
+
+// Guards against a planned stop of the leader that leaves the group without a leader for long.
+func TestTransferLeadership(t *testing.T) {
+	g, leader := electedGroup(t, agreement.Config{}, 3, 3)
+	target := g.follower().Status().Self
+	assert.ErrorIs(t, g.follower().TransferLeadership(target), agreement.ErrNotLeader)
+	assert.NilError(t, leader.TransferLeadership(target))
+	_, err := leader.Propose(nil)
+	assert.ErrorIs(t, err, agreement.ErrTransferring)
+	g.settle()
+	assert.Equal(t, g.leader().Status().Self, target)
+}
+
+// Guards against a transfer to a dead target that stops proposals for good.
+func TestTransferGivesUp(t *testing.T) {
+	g, leader := electedGroup(t, agreement.Config{}, 3, 3)
+	target := g.follower().Status().Self
+	g.cut[target.ID] = true
+	assert.NilError(t, leader.TransferLeadership(target))
+	g.ticks(11)
+	_, err := leader.Propose(nil)
+	assert.NilError(t, err)
+}
+
+// Guards against an isolated leader that answers reads or keeps its role without a majority.
+func TestIsolatedLeader(t *testing.T) {
+	g, leader := electedGroup(t, agreement.Config{}, 3, 3)
+	assert.NilError(t, leader.ReadIndex(1))
+	g.settle()
+	assert.Equal(t, len(g.reads), 1)
+	g.cut[leader.Status().Self.ID] = true
+	assert.NilError(t, leader.ReadIndex(2))
+	g.ticks(60)
+	assert.Equal(t, len(g.reads), 1)
+	assert.Assert(t, leader.Status().Role != agreement.Leader)
+	assert.ErrorIs(t, leader.ReadIndex(3), agreement.ErrNoLeader)
+	assert.Assert(t, g.leader() != nil)
+}
+
+// Guards against unbounded data under way to a replica that does not answer.
+func TestFlowControl(t *testing.T) {
+	cfg := agreement.Config{MaxInflightBytes: 1000, MaxMessageBytes: 300, MaxUncommittedBytes: 5000}
+	g, leader := electedGroup(t, cfg, 3, 3)
+	slow := g.follower().Status().Self
+	g.cut[slow.ID], g.record = true, true
+	for range 50 {
+		_, err := leader.Propose(make([]byte, 100))
+		assert.NilError(t, err)
+		g.settle()
+	}
+	bytes := 0
+	for _, m := range g.sent {
+		if m.To != slow {
+			continue
+		}
+		for _, e := range m.Entries {
+			bytes += len(e.Data)
+		}
+	}
+	assert.Assert(t, bytes <= cfg.MaxInflightBytes+cfg.MaxMessageBytes, "%d bytes", bytes)
+	delete(g.cut, slow.ID)
+	g.ticks(20)
+	assert.Equal(t, g.applied[slow.ID-1], leader.Status().Commit)
+}
+
+// Guards against proposals that grow without limit while no majority answers.
+func TestProposalLimits(t *testing.T) {
+	cfg := agreement.Config{MaxMessageBytes: 300, MaxUncommittedBytes: 1000}
+	g, leader := electedGroup(t, cfg, 3, 3)
+	_, err := leader.Propose(make([]byte, 301))
+	assert.ErrorIs(t, err, agreement.ErrTooLarge)
+	_, err = g.follower().Propose(nil)
+	assert.ErrorIs(t, err, agreement.ErrNotLeader)
+	g.cut[leader.Status().Self.ID] = true
+	for err == agreement.ErrNotLeader || err == nil {
+		_, err = leader.Propose(make([]byte, 300))
+	}
+	assert.ErrorIs(t, err, agreement.ErrOverloaded)
+}
+
+// Guards against a follower that stays behind when the entries it lacks were compacted.
+func TestSnapshotToSlowFollower(t *testing.T) {
+	g, leader := electedGroup(t, agreement.Config{RetainEntries: 1}, 3, 3)
+	slow := g.follower().Status().Self
+	g.cut[slow.ID] = true
+	for range 20 {
+		_, err := leader.Propose([]byte("x"))
+		assert.NilError(t, err)
+		g.settle()
+	}
+	_, err := leader.Compact(leader.Status().Applied, []byte("state"))
+	assert.NilError(t, err)
+	_, err = leader.Compact(leader.Status().Applied, nil)
+	assert.ErrorIs(t, err, agreement.ErrCompacted)
+	delete(g.cut, slow.ID)
+	g.ticks(60)
+	assert.Equal(t, g.applied[slow.ID-1], leader.Status().Commit)
+}
+
+// Guards against a learner that votes or counts before it was promoted, and one promoted too early.
+func TestLearnerLifecycle(t *testing.T) {
+	g, leader := electedGroup(t, agreement.Config{ManualRepair: true}, 2, 3)
+	learner := g.nodes[2].Status().Self
+	g.cut[learner.ID] = true
+	_, err := leader.Propose(nil)
+	assert.NilError(t, err)
+	g.ticks(10)
+	_, err = leader.ProposeChange(agreement.Change{Kind: agreement.Promote, Replica: learner})
+	assert.ErrorIs(t, err, agreement.ErrNotCaughtUp)
+	delete(g.cut, learner.ID)
+	g.ticks(100)
+	assert.Equal(t, g.nodes[2].Status().Role, agreement.Follower)
+	// Leader and learner alone are no majority of the two voters.
+	other := g.follower().Status().Self
+	g.cut[other.ID] = true
+	before := leader.Status().Commit
+	_, err = leader.Propose(nil)
+	assert.NilError(t, err)
+	g.ticks(5)
+	assert.Equal(t, leader.Status().Commit, before)
+	delete(g.cut, other.ID)
+	g.ticks(5)
+	_, err = leader.ProposeChange(agreement.Change{Kind: agreement.Promote, Replica: learner})
+	assert.NilError(t, err)
+	_, err = leader.ProposeChange(agreement.Change{Kind: agreement.Remove, Replica: other})
+	assert.ErrorIs(t, err, agreement.ErrChangePending)
+	g.ticks(5)
+	assert.Assert(t, leader.Status().Membership.IsVoter(learner))
+}
+
+// Guards against an empty disk that keeps its vote: the new incarnation replaces the old one, which
+// stays out, and becomes a voter by itself once it has caught up.
+func TestReplacedDisk(t *testing.T) {
+	cfg := agreement.Config{Peers: []ident.DaemonID{1, 2, 3}}
+	g, leader := electedGroup(t, cfg, 3, 3)
+	old := g.follower().Status().Self
+	renewed := agreement.Replica{ID: old.ID, Incarnation: 2}
+	fresh, err := agreement.New(cfg, agreement.State{Self: renewed}, rand.New(rand.NewPCG(9, 9)))
+	assert.NilError(t, err)
+	g.nodes[old.ID-1] = fresh
+	vote := agreement.Message{Kind: agreement.MsgVote, From: leader.Status().Self, To: old, Term: 99, Group: testGroup}
+	assert.ErrorIs(t, fresh.Step(vote), agreement.ErrOtherReplica)
+	g.ticks(100)
+	st := g.leader().Status()
+	assert.Assert(t, st.Membership.IsVoter(renewed) && !st.Membership.Contains(old))
+	_, err = g.leader().ProposeChange(agreement.Change{Kind: agreement.AddLearner, Replica: old})
+	assert.ErrorIs(t, err, agreement.ErrStaleReplica)
+}
+
+// Guards against a removal that leaves the group without a majority, and a removed leader that goes on.
+func TestRemove(t *testing.T) {
+	g, leader := electedGroup(t, agreement.Config{ManualRepair: true}, 3, 3)
+	self, other := leader.Status().Self, g.follower().Status().Self
+	g.cut[other.ID] = true
+	g.ticks(8)
+	third := agreement.Replica{ID: 6 - self.ID - other.ID, Incarnation: 1}
+	_, err := leader.ProposeChange(agreement.Change{Kind: agreement.Remove, Replica: third})
+	assert.ErrorIs(t, err, agreement.ErrQuorumAtRisk)
+	delete(g.cut, other.ID)
+	g.ticks(5)
+	_, err = leader.ProposeChange(agreement.Change{Kind: agreement.Remove, Replica: self})
+	assert.NilError(t, err)
+	g.ticks(60)
+	assert.Equal(t, leader.Status().Role, agreement.Follower)
+	assert.Assert(t, g.leader() != nil && !g.leader().Status().Membership.Contains(self))
+	_, err = agreement.New(agreement.Config{ElectionTicks: 1}, agreement.State{Self: self}, nil)
+	assert.ErrorIs(t, err, agreement.ErrBadConfig)
+}
+
+// Guards against two groups that merge because their replicas have equal names.
+func TestOtherGroup(t *testing.T) {
+	g, leader := electedGroup(t, agreement.Config{}, 3, 3)
+	m := agreement.Message{Kind: agreement.MsgAppend, From: g.nodes[1].Status().Self, To: leader.Status().Self, Term: 99, Group: 5}
+	assert.ErrorIs(t, leader.Step(m), agreement.ErrOtherGroup)
+}
+
+// Guards against a field that is lost between the Go and the protobuf form of a message.
+func TestMessageProtoRoundTrip(t *testing.T) {
+	r := agreement.Replica{ID: 1, Incarnation: 2}
+	members := agreement.NewMembership(agreement.Member{Replica: r, Voter: true}, agreement.Member{Replica: agreement.Replica{ID: 3, Incarnation: 4}})
+	want := agreement.Message{
+		Kind: agreement.MsgSnapshot, From: r, To: agreement.Replica{ID: 5, Incarnation: 6},
+		Term: 7, Group: 8, Index: 9, LogTerm: 10, Commit: 11, Reject: true, Hint: 12, Context: 13, Force: true,
+		Entries:  []agreement.Entry{{Term: 1, Index: 2, Kind: agreement.EntryData, Data: []byte("d")}, {Term: 1, Index: 3, Kind: agreement.EntryMembership, Membership: members}},
+		Snapshot: &agreement.Snapshot{Index: 1, Term: 2, Membership: members, Data: []byte("s")},
+	}
+	wire, err := proto.Marshal(agreement.MessageProto(&want))
+	assert.NilError(t, err)
+	var p controlpb.AgreementMessage
+	assert.NilError(t, proto.Unmarshal(wire, &p))
+	assert.DeepEqual(t, agreement.MessageFromProto(&p), want)
+}
