Refuse messages that contradict themselves and let unconfirmed learners ask again

A replica that got entries from a leader whose change to add it was never committed did not ask to join again. Messages with entries out of order could panic.

--- a/pkg/agreement/errors.go
+++ b/pkg/agreement/errors.go
@@ -17,6 +17,7 @@
 	ErrStaleReplica   = errors.New("the group has this or a later incarnation of the replica: start it with an empty data folder and a larger incarnation")
 	ErrLastVoter      = errors.New("the group's last voter cannot be removed: add another replica first")
 	ErrOtherReplica   = errors.New("message is for another replica or incarnation: ignored, the sender learns the new member list from the leader")
+	ErrInvalidMessage = errors.New("message contradicts itself or the log: check that both hosts run compatible versions")
 	ErrOtherGroup     = errors.New("message is from another group: check that the replica lists of both hosts agree")
 	ErrDiverged       = errors.New("the log conflicts with committed entries: remove the data folder, the replica then rejoins as a learner")
 	ErrBadState       = errors.New("the durable state is inconsistent: remove the data folder, the replica then rejoins as a learner")
--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -190,7 +190,14 @@
 	return err
 }
 
-// requestJoin asks every configured peer to add this replica, which has no state yet, as a learner.
+// removed reports whether the log shows that this replica was a member and is no longer one.
+func (n *Node) removed() bool {
+	was := slices.ContainsFunc(n.log.confs, func(c confAt) bool { return c.membership.Contains(n.self) })
+	return was && !n.log.membershipAt(n.log.committed).Contains(n.self) && !n.membership().Contains(n.self)
+}
+
+// requestJoin asks every configured peer to add this replica as a learner. A replica that already
+// holds entries asks again, because the change that added it may not have been committed.
 func (n *Node) requestJoin() {
 	for _, id := range n.cfg.Peers {
 		if id != n.self.ID {
--- a/pkg/agreement/node.go
+++ b/pkg/agreement/node.go
@@ -134,12 +134,11 @@
 	n.electionElapsed = 0
 	n.resetElectionTimeout()
 	n.leader = None
-	if n.log.lastIndex() == 0 {
-		n.requestJoin()
-		return
-	}
-	if n.membership().IsVoter(n.self) {
+	switch {
+	case n.membership().IsVoter(n.self):
 		n.campaign(false)
+	case !n.removed():
+		n.requestJoin()
 	}
 }
 
@@ -159,6 +158,9 @@
 	if n.group != 0 && m.Group != n.group {
 		return ErrOtherGroup
 	}
+	if !m.valid() {
+		return ErrInvalidMessage
+	}
 	if m.Term != n.term && !n.acceptTerm(m) {
 		return nil
 	}
@@ -217,6 +219,9 @@
 	case MsgAppend, MsgHeartbeat, MsgSnapshot:
 		return n.stepFromLeader(m)
 	case MsgAppendReply:
+		if m.Index > n.log.lastIndex() && n.role == Leader && !m.Reject {
+			return ErrInvalidMessage
+		}
 		n.stepAppendReply(m)
 	case MsgHeartbeatReply:
 		n.stepHeartbeatReply(m)
--- a/pkg/agreement/node_test.go
+++ b/pkg/agreement/node_test.go
@@ -223,3 +223,39 @@
 	assert.NilError(t, proto.Unmarshal(wire, &p))
 	assert.DeepEqual(t, agreement.MessageFromProto(&p), want)
 }
+
+// Guards against a panic on random messages, as a faulty peer may send them.
+func TestRandomMessages(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	for range 300 {
+		g := newMemGroup(t, agreement.Config{}, 3, 3)
+		g.ticks(rng.IntN(40))
+		n := g.nodes[0]
+		for range 300 {
+			_ = n.Step(randomMessage(rng, n.Status()))
+			if rng.IntN(4) == 0 {
+				g.ticks(1)
+			}
+		}
+	}
+}
+
+func randomMessage(rng *rand.Rand, st agreement.Status) agreement.Message {
+	number := func() uint64 { return rng.Uint64N(6) }
+	term := st.Term + number() - min(st.Term, 2)
+	m := agreement.Message{
+		Kind: agreement.MessageKind(rng.IntN(15)), To: st.Self, Term: term, Group: testGroup,
+		From:  agreement.Replica{ID: ident.DaemonID(1 + rng.IntN(4)), Incarnation: 1},
+		Index: number(), LogTerm: number(), Commit: number(), Hint: number(), Context: number(),
+		Reject: rng.IntN(2) == 0, Force: rng.IntN(2) == 0,
+	}
+	for i := range rng.IntN(4) {
+		m.Entries = append(m.Entries, agreement.Entry{
+			Term: number(), Index: m.Index + uint64(i) + number()/5, Kind: agreement.EntryKind(1 + rng.IntN(3)),
+		})
+	}
+	if rng.IntN(3) == 0 {
+		m.Snapshot = &agreement.Snapshot{Index: number(), Term: number(), Membership: st.Membership}
+	}
+	return m
+}
--- a/pkg/agreement/replication.go
+++ b/pkg/agreement/replication.go
@@ -213,9 +213,6 @@
 // followSnapshot installs a snapshot unless the log already holds what it stands for.
 func (n *Node) followSnapshot(m Message) {
 	s := m.Snapshot
-	if s == nil {
-		return
-	}
 	if s.Index > n.log.committed {
 		if n.log.matches(s.Index, s.Term) {
 			n.commitTo(s.Index)
--- a/pkg/agreement/types.go
+++ b/pkg/agreement/types.go
@@ -109,6 +109,25 @@
 	Force    bool   // vote requested by the leader itself, which ends its lease
 }
 
+// valid reports whether the parts of a message fit together.
+func (m *Message) valid() bool {
+	if m.From == None || m.Term == 0 || m.Kind < MsgPreVote || m.Kind > MsgJoin {
+		return false
+	}
+	for i := range m.Entries {
+		e := &m.Entries[i]
+		inOrder := e.Index == m.Index+uint64(i)+1 && e.Term >= m.LogTerm && e.Term <= m.Term
+		if !inOrder || e.Kind == EntryMembership && e.Membership.Voters() == 0 {
+			return false
+		}
+	}
+	s := m.Snapshot
+	if m.Kind != MsgSnapshot {
+		return s == nil
+	}
+	return s != nil && s.Index > 0 && s.Term <= m.Term && s.Membership.Voters() > 0
+}
+
 // ReadState releases a read: it may be answered once the entry at Index is applied.
 type ReadState struct {
 	Context uint64
--- a/pkg/storage/faultfs/faultfs.go
+++ b/pkg/storage/faultfs/faultfs.go
@@ -24,6 +24,7 @@
 type inode struct {
 	data   []byte
 	synced int
+	lost   bool // a sync failed: later ones report success without making the data durable
 }
 
 // FS is a file system in memory. It is not safe for concurrent use.
@@ -271,9 +272,10 @@
 // Sync implements storage.File.
 func (h *file) Sync() error {
 	if err := h.change(); err != nil {
+		h.node.lost = true
 		return err
 	}
-	if !h.ignoreSync {
+	if !h.ignoreSync && !h.node.lost {
 		h.node.synced = len(h.node.data)
 	}
 	return nil
