--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -182,7 +182,11 @@
 	if n.membership().Contains(m.From) {
 		return nil
 	}
-	_, known := n.membership().Find(m.From.ID)
+	old, known := n.membership().Find(m.From.ID)
+	if known && old.Replica.Incarnation > m.From.Incarnation {
+		n.send(Message{Kind: MsgJoinRefused, To: m.From})
+		return ErrStaleReplica
+	}
 	if !known && !slices.Contains(n.cfg.Peers, m.From.ID) {
 		return ErrUnknownMember
 	}
--- a/pkg/agreement/node.go
+++ b/pkg/agreement/node.go
@@ -229,6 +229,8 @@
 		n.stepTimeoutNow(m)
 	case MsgReadIndex:
 		return n.readFor(m.From, m.Context)
+	case MsgJoinRefused:
+		n.superseded = true
 	case MsgReadIndexReply:
 		n.readStates = append(n.readStates, ReadState{Context: m.Context, Index: m.Index})
 	}
--- a/pkg/agreement/node_test.go
+++ b/pkg/agreement/node_test.go
@@ -180,6 +180,21 @@
 	assert.ErrorIs(t, err, agreement.ErrStaleReplica)
 }
 
+// Guards against an empty replica with too small an incarnation that waits for ever without a reason.
+func TestStaleIncarnationIsTold(t *testing.T) {
+	cfg := agreement.Config{Peers: []ident.DaemonID{1, 2, 3}}
+	g, _ := electedGroup(t, cfg, 3, 3)
+	old := agreement.Replica{ID: g.follower().Status().Self.ID}
+	for _, incarnation := range []ident.Incarnation{9, 5} {
+		old.Incarnation = incarnation
+		fresh, err := agreement.New(cfg, agreement.State{Self: old}, rand.New(rand.NewPCG(9, 9)))
+		assert.NilError(t, err)
+		g.nodes[old.ID-1] = fresh
+		g.ticks(100)
+		assert.Equal(t, fresh.Status().Superseded, incarnation == 5)
+	}
+}
+
 // Guards against a removal that leaves the group without a majority, and a removed leader that goes on.
 func TestRemove(t *testing.T) {
 	g, leader := electedGroup(t, agreement.Config{ManualRepair: true}, 3, 3)
@@ -244,7 +259,7 @@
 	number := func() uint64 { return rng.Uint64N(6) }
 	term := st.Term + number() - min(st.Term, 2)
 	m := agreement.Message{
-		Kind: agreement.MessageKind(rng.IntN(15)), To: st.Self, Term: term, Group: testGroup,
+		Kind: agreement.MessageKind(rng.IntN(16)), To: st.Self, Term: term, Group: testGroup,
 		From:  agreement.Replica{ID: ident.DaemonID(1 + rng.IntN(4)), Incarnation: 1},
 		Index: number(), LogTerm: number(), Commit: number(), Hint: number(), Context: number(),
 		Reject: rng.IntN(2) == 0, Force: rng.IntN(2) == 0,
--- a/pkg/agreement/types.go
+++ b/pkg/agreement/types.go
@@ -90,6 +90,7 @@
 	MsgReadIndex      MessageKind = 11
 	MsgReadIndexReply MessageKind = 12
 	MsgJoin           MessageKind = 13
+	MsgJoinRefused    MessageKind = 14
 )
 
 // Message is one message between replicas. Messages may be lost, duplicated and reordered.
@@ -111,7 +112,7 @@
 
 // valid reports whether the parts of a message fit together.
 func (m *Message) valid() bool {
-	if m.From == None || m.Term == 0 || m.Kind < MsgPreVote || m.Kind > MsgJoin {
+	if m.From == None || m.Term == 0 || m.Kind < MsgPreVote || m.Kind > MsgJoinRefused {
 		return false
 	}
 	for i := range m.Entries {
@@ -166,6 +167,7 @@
 	Applied    uint64
 	LastIndex  uint64
 	Membership Membership
-	// Superseded is true if the group has a later incarnation of this replica.
+	// Superseded is true if the group has a later incarnation of this replica. It cannot take part
+	// any more: the remedy is an empty data folder and a larger incarnation.
 	Superseded bool
 }
