--- a/pkg/agreement/election.go
+++ b/pkg/agreement/election.go
@@ -26,6 +26,12 @@
 	n.leader = leader
 }
 
+// mayCampaign reports whether the replica is a voter, or one until a change in its log is
+// committed: without its vote and its log the others may be unable to elect a leader until then.
+func (n *Node) mayCampaign() bool {
+	return n.membership().IsVoter(n.self) || n.log.membershipAt(n.log.committed).IsVoter(n.self)
+}
+
 // campaign starts an election, with a pre-vote unless the leader itself asked for the election.
 func (n *Node) campaign(force bool) {
 	if force || n.cfg.withoutPreVote {
--- a/pkg/agreement/node.go
+++ b/pkg/agreement/node.go
@@ -135,7 +135,7 @@
 	n.resetElectionTimeout()
 	n.leader = None
 	switch {
-	case n.membership().IsVoter(n.self):
+	case n.mayCampaign():
 		n.campaign(false)
 	case !n.removed():
 		n.requestJoin()
--- a/pkg/agreement/schedule_test.go
+++ b/pkg/agreement/schedule_test.go
@@ -99,27 +99,40 @@
 	return true
 }
 
-// injectFaults starts the round's faults.
+// injectFaults starts the round's faults, often at the leader.
 func (s *sim) injectFaults() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
-	before := s.check.promoted
-	switch k := s.rng.IntN(1000); {
-	case k < 20 && h.alive():
+	if leader := s.leader(); leader != nil && s.rng.IntN(3) == 0 {
+		h = leader
+	}
+	switch k := s.rng.IntN(1000) / s.rate; {
+	case k < 10 && h.alive():
 		h.fs.FailIn(1 + s.rng.IntN(12))
-	case k < 25 && h.alive():
+	case k < 15 && h.alive():
 		s.crash(h)
-	case k < 45:
+	case k < 25:
 		s.loseDisk(h)
-	case k < 70:
+	case k < 40:
 		s.partition(h)
-	case k < 85:
+	case k < 48:
 		h.pausedTo = s.round + s.rng.IntN(40)
-	case k < 100 && h.alive():
+	case k < 56:
+		h.frozenTo = s.round + s.rng.IntN(40)
+	case k < 64 && h.alive():
 		s.jump(h)
-	case k < 115 && h.alive():
+	case k < 72 && h.alive():
 		s.planned(h)
 	}
-	s.stats.promotions = max(s.stats.promotions, before)
+}
+
+// leader returns a host that leads, if there is one.
+func (s *sim) leader() *host {
+	for _, h := range s.hosts {
+		if h.alive() && h.node.Status().Role == agreement.Leader {
+			return h
+		}
+	}
+	return nil
 }
 
 // secondFailure hits another host in the round after a learner was promoted.
@@ -140,6 +153,9 @@
 	s.stats.partitions++
 	until := s.round + 5 + s.rng.IntN(60)
 	mode := s.rng.IntN(3)
+	if s.rng.IntN(2) == 0 {
+		h.pausedTo = until // its clock stands still as well
+	}
 	all := s.rng.IntN(2) == 0
 	for _, o := range s.hosts {
 		if o == h || !all && s.rng.IntN(2) == 0 {
@@ -217,7 +233,7 @@
 	}
 	s.deliver()
 	for _, h := range s.hosts {
-		if h.alive() && (!faults || s.round >= h.pausedTo) {
+		if h.alive() && s.round >= h.pausedTo && s.round >= h.frozenTo {
 			h.node.Tick()
 		}
 	}
@@ -225,7 +241,8 @@
 		s.tickClient(c, faults)
 	}
 	for _, h := range s.hosts {
-		if !faults || s.rng.IntN(10) > 0 { // a host is sometimes slow
+		slow := faults && s.rng.IntN(10) == 0
+		if !slow && s.round >= h.frozenTo {
 			s.pump(h)
 		}
 	}
@@ -242,7 +259,7 @@
 			h.fs.Restart()
 			s.crash(h)
 		}
-		h.restartAt = s.round
+		h.restartAt, h.pausedTo, h.frozenTo = s.round, 0, 0
 	}
 }
 
--- a/pkg/agreement/sim_test.go
+++ b/pkg/agreement/sim_test.go
@@ -31,6 +31,7 @@
 	snapIndex uint64
 	restartAt int
 	pausedTo  int // no ticks before this round
+	frozenTo  int // the process does nothing before this round
 	removed   bool
 }
 
@@ -52,6 +53,7 @@
 	clock   int64
 	blocked map[[2]ident.DaemonID]int // until round
 	loss    float64
+	rate    int // faults in a thousand rounds are scaled by this
 	check   *checker
 	clients []*client
 	stats   stats
@@ -76,6 +78,8 @@
 	if off.noPreVote {
 		s.cfg = s.cfg.WithoutPreVote()
 	}
+	s.cfg.ElectionTicks = []int{4, 6, 10}[rng.IntN(3)]
+	s.rate = 1 + rng.IntN(4)
 	s.cfg.RetainEntries = uint64(1 + rng.IntN(10))
 	s.cfg.MaxInflightBytes = 200
 	s.cfg.MaxMessageBytes = 100
@@ -145,7 +149,10 @@
 	} else {
 		h.fs.Restart()
 	}
-	h.restartAt = s.round + 3 + s.rng.IntN(40)
+	h.restartAt = s.round + s.rng.IntN(3)
+	if s.rng.IntN(2) == 0 {
+		h.restartAt += s.rng.IntN(40)
+	}
 }
 
 // mayLose reports whether the group may lose a host's disk: without it, a majority of the voters
@@ -218,11 +225,11 @@
 	s.queue = nil
 	s.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	for _, p := range due {
-		if p.at > s.round {
+		h := s.hosts[p.m.To.ID-1]
+		if p.at > s.round || s.round < h.frozenTo {
 			s.queue = append(s.queue, p)
 			continue
 		}
-		h := s.hosts[p.m.To.ID-1]
 		if !h.alive() || s.blocked[[2]ident.DaemonID{p.m.From.ID, p.m.To.ID}] > s.round {
 			continue
 		}
