--- a/pkg/agreement/node_test.go
+++ b/pkg/agreement/node_test.go
@@ -274,3 +274,63 @@
 	}
 	return m
 }
+
+// newNode returns one of three voters with a log that consists of entries of the given terms.
+func newNode(t *testing.T, terms ...uint64) *agreement.Node {
+	t.Helper()
+	var members []agreement.Member
+	for id := range ident.DaemonID(3) {
+		members = append(members, agreement.Member{Replica: agreement.Replica{ID: id + 1, Incarnation: 1}, Voter: true})
+	}
+	st := agreement.FoundingState(members[0].Replica, testGroup, agreement.NewMembership(members...))
+	for i, term := range terms {
+		st.Entries = append(st.Entries, agreement.Entry{Term: term, Index: uint64(i) + 2, Kind: agreement.EntryData})
+		st.HardState.Term = term
+	}
+	n, err := agreement.New(agreement.Config{}, st, rand.New(rand.NewPCG(1, 1)))
+	assert.NilError(t, err)
+	return n
+}
+
+func fromSecond(kind agreement.MessageKind, term, index uint64) agreement.Message {
+	return agreement.Message{
+		Kind: kind, Term: term, Index: index, Group: testGroup,
+		From: agreement.Replica{ID: 2, Incarnation: 1}, To: agreement.Replica{ID: 1, Incarnation: 1},
+	}
+}
+
+// Guards against a leader that counts copies of earlier terms' entries as a commit, although a
+// later leader can still replace them, and one that acts before it knows what is committed.
+func TestCommitNeedsEntryOfOwnTerm(t *testing.T) {
+	n := newNode(t, 2)
+	for n.Status().Role != agreement.PreCandidate {
+		n.Tick()
+	}
+	assert.NilError(t, n.Step(fromSecond(agreement.MsgPreVoteReply, 3, 0)))
+	assert.NilError(t, n.Step(fromSecond(agreement.MsgVoteReply, 3, 0)))
+	assert.Equal(t, n.Status().Role, agreement.Leader)
+	n.Advance(n.Ready())
+	assert.NilError(t, n.Step(fromSecond(agreement.MsgAppendReply, 3, 2)))
+	assert.Equal(t, n.Status().Commit, uint64(1))
+	_, err := n.ProposeChange(agreement.Change{Kind: agreement.Remove, Replica: agreement.Replica{ID: 3, Incarnation: 1}})
+	assert.ErrorIs(t, err, agreement.ErrLeaderNotReady)
+	assert.ErrorIs(t, n.ReadIndex(1), agreement.ErrLeaderNotReady)
+	assert.NilError(t, n.Step(fromSecond(agreement.MsgAppendReply, 3, 3)))
+	assert.Equal(t, n.Status().Commit, uint64(3))
+}
+
+// Guards against a follower that takes its own conflicting entries for committed ones.
+func TestCommitStopsAtMatchedEntries(t *testing.T) {
+	n := newNode(t, 1, 1, 1)
+	m := fromSecond(agreement.MsgAppend, 2, 1)
+	m.LogTerm, m.Commit = 1, 4
+	assert.NilError(t, n.Step(m))
+	assert.Equal(t, n.Status().Commit, uint64(1))
+	m.Entries = []agreement.Entry{{Term: 2, Index: 2, Kind: agreement.EntryEmpty}}
+	assert.NilError(t, n.Step(m))
+	assert.Equal(t, n.Status().Commit, uint64(2))
+	assert.Equal(t, n.Status().LastIndex, uint64(2))
+	assert.ErrorIs(t, n.Step(fromSecond(agreement.MsgAppend, 3, 9)), nil)
+	m = fromSecond(agreement.MsgSnapshot, 3, 0)
+	assert.ErrorIs(t, n.Step(m), agreement.ErrInvalidMessage)
+}
--- a/pkg/agreement/schedule_test.go
+++ b/pkg/agreement/schedule_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 
 	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/ident"
@@ -11,9 +12,8 @@
 )
 
 const (
-	faultRounds  = 300 // rounds with faults
-	healRounds   = 800 // rounds without faults, in which the group must converge
-	clientRounds = 25  // rounds after which a client tries another host
+	faultRounds = 300 // rounds with faults
+	healRounds  = 800 // rounds without faults, in which the group must converge
 )
 
 func isInjected(err error) bool { return errors.Is(err, faultfs.ErrInjected) }
@@ -30,12 +30,12 @@
 
 func (s *sim) tickClient(c *client, start bool) {
 	if c.op == nil {
-		if start && s.rng.IntN(8) == 0 {
+		if start && s.rng.IntN(s.pause) == 0 {
 			s.startOperation(c)
 		}
 		return
 	}
-	if len(c.asked) == 0 || s.round-c.sent > clientRounds {
+	if len(c.asked) == 0 || s.round-c.sent > s.patience {
 		s.ask(c)
 	}
 	for _, h := range c.asked {
@@ -99,9 +99,13 @@
 	return true
 }
 
-// injectFaults starts the round's faults, often at the leader.
+// injectFaults starts the round's faults, often at the leader or during an election.
 func (s *sim) injectFaults() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
+	if s.electing() && h.alive() && s.rng.IntN(10) == 0 {
+		s.crash(h)
+		h.restartAt = s.round
+	}
 	if leader := s.leader(); leader != nil && s.rng.IntN(3) == 0 {
 		h = leader
 	}
@@ -125,6 +129,12 @@
 	}
 }
 
+func (s *sim) electing() bool {
+	return slices.ContainsFunc(s.hosts, func(h *host) bool {
+		return h.alive() && h.node.Status().Role == agreement.Candidate
+	})
+}
+
 // leader returns a host that leads, if there is one.
 func (s *sim) leader() *host {
 	for _, h := range s.hosts {
@@ -187,8 +197,11 @@
 	if !s.othersIntact(target) {
 		return
 	}
-	_, err := h.node.ProposeChange(agreement.Change{Kind: agreement.Remove, Replica: target.self})
-	target.removed = target.removed || err == nil
+	index, err := h.node.ProposeChange(agreement.Change{Kind: agreement.Remove, Replica: target.self})
+	if err == nil {
+		target.removed = true
+		s.check.proposed = append(s.check.proposed, confIndex{index, h.node.Status().Membership})
+	}
 }
 
 // othersIntact reports whether the disks of all voters but one are intact, without which an operator
--- a/pkg/agreement/sim_test.go
+++ b/pkg/agreement/sim_test.go
@@ -54,9 +54,12 @@
 	blocked map[[2]ident.DaemonID]int // until round
 	loss    float64
 	rate    int // faults in a thousand rounds are scaled by this
-	check   *checker
-	clients []*client
-	stats   stats
+
+	patience int // rounds after which a client tries another host
+	pause    int // mean rounds between a client's operations
+	check    *checker
+	clients  []*client
+	stats    stats
 }
 
 type stats struct {
@@ -80,6 +83,8 @@
 	}
 	s.cfg.ElectionTicks = []int{4, 6, 10}[rng.IntN(3)]
 	s.rate = 1 + rng.IntN(4)
+	s.patience = 5 + rng.IntN(30)
+	s.pause = 2 + rng.IntN(12)
 	s.cfg.RetainEntries = uint64(1 + rng.IntN(10))
 	s.cfg.MaxInflightBytes = 200
 	s.cfg.MaxMessageBytes = 100
