--- a/pkg/agreement/doc.go
+++ b/pkg/agreement/doc.go
@@ -20,5 +20,29 @@
 //     and a candidate first asks whether it would win, without raising its term. So a replica that
 //     was isolated does not force the leader out when it returns.
 //
+// A runner opens pkg/storage with a new incarnation for the case that the folder is empty, starts a
+// node from the state, and then, for each message, tick and request, performs what Ready returns:
+//
+//	for node.HasReady() {
+//		rd := node.Ready()
+//		if rd.Snapshot != nil {
+//			err = store.SaveSnapshot(*rd.Snapshot, nil)
+//		}
+//		err = store.Save(rd.HardState, rd.Entries)
+//		send(rd.Messages)
+//		restore(rd.Snapshot), apply(rd.Committed), release(rd.Reads)
+//		node.Advance(rd)
+//	}
+//
+// After an error of the store the runner discards node and store and opens the folder again. After
+// Advance it may take a snapshot: Compact, then SaveSnapshot with EntriesAfter(snapshot.Index). A
+// replica with an unreadable folder removes it and joins as a learner.
+//
+// A group is founded once, by an explicit act of the operator (FoundingState). A replica must not
+// found a group because its folder is empty: after a lost disk it would start a second group.
+//
+// The group tolerates the loss of fewer than half of its voters, where a learner counts as a voter
+// from the moment it has caught up. Beyond that it accepts no change any more.
+//
 // Duplicates of a proposal are distinct entries; the layer above recognises them by its change id.
 package agreement
--- a/pkg/agreement/node.go
+++ b/pkg/agreement/node.go
@@ -291,7 +291,7 @@
 }
 
 // Compact makes data, the state of the layer above at an applied index, the snapshot of the log.
-// The returned snapshot must be saved; entries before it are dropped except for RetainEntries.
+// It is called after Advance. The returned snapshot must be saved; entries before it are dropped except for RetainEntries.
 func (n *Node) Compact(index uint64, data []byte) (Snapshot, error) {
 	term, ok := n.log.term(index)
 	if !ok || index > n.log.applied || index <= n.log.snapshot.Index {
