--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -182,7 +182,11 @@
 	if n.membership().Contains(m.From) {
 		return nil
 	}
-	_, known := n.membership().Find(m.From.ID)
+	old, known := n.membership().Find(m.From.ID)
+	if known && old.Replica.Incarnation > m.From.Incarnation {
+		n.send(Message{Kind: MsgJoinRefused, To: m.From})
+		return ErrStaleReplica
+	}
 	if !known && !slices.Contains(n.cfg.Peers, m.From.ID) {
 		return ErrUnknownMember
 	}
@@ -190,7 +194,14 @@
 	return err
 }
 
-// requestJoin asks every configured peer to add this replica, which has no state yet, as a learner.
+// removed reports whether the log shows that this replica was a member and is no longer one.
+func (n *Node) removed() bool {
+	was := slices.ContainsFunc(n.log.confs, func(c confAt) bool { return c.membership.Contains(n.self) })
+	return was && !n.log.membershipAt(n.log.committed).Contains(n.self) && !n.membership().Contains(n.self)
+}
+
+// requestJoin asks every configured peer to add this replica as a learner. A replica that already
+// holds entries asks again, because the change that added it may not have been committed.
 func (n *Node) requestJoin() {
 	for _, id := range n.cfg.Peers {
 		if id != n.self.ID {
--- a/pkg/agreement/node.go
+++ b/pkg/agreement/node.go
@@ -134,12 +134,11 @@
 	n.electionElapsed = 0
 	n.resetElectionTimeout()
 	n.leader = None
-	if n.log.lastIndex() == 0 {
-		n.requestJoin()
-		return
-	}
-	if n.membership().IsVoter(n.self) {
+	switch {
+	case n.mayCampaign():
 		n.campaign(false)
+	case !n.removed():
+		n.requestJoin()
 	}
 }
 
@@ -159,6 +158,9 @@
 	if n.group != 0 && m.Group != n.group {
 		return ErrOtherGroup
 	}
+	if !m.valid() {
+		return ErrInvalidMessage
+	}
 	if m.Term != n.term && !n.acceptTerm(m) {
 		return nil
 	}
@@ -217,6 +219,9 @@
 	case MsgAppend, MsgHeartbeat, MsgSnapshot:
 		return n.stepFromLeader(m)
 	case MsgAppendReply:
+		if m.Index > n.log.lastIndex() && n.role == Leader && !m.Reject {
+			return ErrInvalidMessage
+		}
 		n.stepAppendReply(m)
 	case MsgHeartbeatReply:
 		n.stepHeartbeatReply(m)
@@ -224,6 +229,8 @@
 		n.stepTimeoutNow(m)
 	case MsgReadIndex:
 		return n.readFor(m.From, m.Context)
+	case MsgJoinRefused:
+		n.superseded = true
 	case MsgReadIndexReply:
 		n.readStates = append(n.readStates, ReadState{Context: m.Context, Index: m.Index})
 	}
@@ -284,7 +291,7 @@
 }
 
 // Compact makes data, the state of the layer above at an applied index, the snapshot of the log.
-// The returned snapshot must be saved; entries before it are dropped except for RetainEntries.
+// It is called after Advance. The returned snapshot must be saved; entries before it are dropped except for RetainEntries.
 func (n *Node) Compact(index uint64, data []byte) (Snapshot, error) {
 	term, ok := n.log.term(index)
 	if !ok || index > n.log.applied || index <= n.log.snapshot.Index {
--- a/pkg/agreement/types.go
+++ b/pkg/agreement/types.go
@@ -90,6 +90,7 @@
 	MsgReadIndex      MessageKind = 11
 	MsgReadIndexReply MessageKind = 12
 	MsgJoin           MessageKind = 13
+	MsgJoinRefused    MessageKind = 14
 )
 
 // Message is one message between replicas. Messages may be lost, duplicated and reordered.
@@ -109,6 +110,25 @@
 	Force    bool   // vote requested by the leader itself, which ends its lease
 }
 
+// valid reports whether the parts of a message fit together.
+func (m *Message) valid() bool {
+	if m.From == None || m.Term == 0 || m.Kind < MsgPreVote || m.Kind > MsgJoinRefused {
+		return false
+	}
+	for i := range m.Entries {
+		e := &m.Entries[i]
+		inOrder := e.Index == m.Index+uint64(i)+1 && e.Term >= m.LogTerm && e.Term <= m.Term
+		if !inOrder || e.Kind == EntryMembership && e.Membership.Voters() == 0 {
+			return false
+		}
+	}
+	s := m.Snapshot
+	if m.Kind != MsgSnapshot {
+		return s == nil
+	}
+	return s != nil && s.Index > 0 && s.Term <= m.Term && s.Membership.Voters() > 0
+}
+
 // ReadState releases a read: it may be answered once the entry at Index is applied.
 type ReadState struct {
 	Context uint64
@@ -147,6 +167,7 @@
 	Applied    uint64
 	LastIndex  uint64
 	Membership Membership
-	// Superseded is true if the group has a later incarnation of this replica.
+	// Superseded is true if the group has a later incarnation of this replica. It cannot take part
+	// any more: the remedy is an empty data folder and a larger incarnation.
 	Superseded bool
 }
