--- a/pkg/registration/core.go
+++ b/pkg/registration/core.go
@@ -263,7 +263,7 @@
 	if e == nil {
 		e = &entry{}
 		next.centre = c.centreOf(next.DataCentre)
-		next.centre.entries[next.Upstream] = e
+		next.centre.add(e, next.Upstream)
 		c.entries[next.Upstream] = e
 	} else {
 		next.centre = e.centre
@@ -283,7 +283,7 @@
 
 func (c *Core) remove(e *entry) {
 	e.centre.account(e)
-	delete(e.centre.entries, e.Upstream)
+	delete(e.centre.buckets[e.Upstream>>bucketShift].entries, e.Upstream)
 	delete(c.entries, e.Upstream)
 	delete(c.owned, e.Upstream)
 	delete(c.ended, e.Upstream)
--- a/pkg/registration/network_test.go
+++ b/pkg/registration/network_test.go
@@ -14,6 +14,7 @@
 	"rosemarygate/api/peer/v1"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/membership"
+	"rosemarygate/pkg/ownership"
 	"rosemarygate/pkg/registration"
 )
 
@@ -35,7 +36,10 @@
 	byID   map[ident.DaemonID]*node
 	queue  deliveries
 	serial int
-	cut    func(a, b *node) bool
+	// table answers for the view tableOf.
+	table   *ownership.Table
+	tableOf *membership.View
+	cut     func(a, b *node) bool
 	// onChange is called when a daemon's registrations changed.
 	onChange func(d *node)
 }
--- a/pkg/registration/spread.go
+++ b/pkg/registration/spread.go
@@ -185,35 +185,54 @@
 	c.message(from, answer)
 }
 
+// sendBuckets sends the records of the buckets in mask. It begins with a random one and ends
+// with the bucket that exceeds maxSyncPages messages; a later exchange brings the others. The
+// first message asks for the receiver's records of the same buckets when pull is set.
 func (c *Core) sendBuckets(now time.Time, to ident.DaemonID, own *centre, mask uint64, pull bool) {
-	page := func() *peerpb.RegistrationUpdate {
-		d := &peerpb.Digest{DataCentre: uint32(own.id), Mask: mask}
-		return &peerpb.RegistrationUpdate{Digests: []*peerpb.Digest{d}, Pull: pull}
-	}
-	u := page()
-	room := membership.MaxAttachmentSize - digestEntry
-	pages := 1
-	// Map order is random, so repeated exchanges get past the first pages.
-	for _, e := range own.entries {
-		if mask&(1<<(e.Upstream>>bucketShift)) == 0 {
+	p := pager{core: c, to: to, digest: &peerpb.Digest{DataCentre: uint32(own.id), Mask: mask}}
+	p.begin(pull)
+	start := c.rng.IntN(bucketCount)
+	for i := range bucketCount {
+		b := (start + i) % bucketCount
+		if mask&(1<<b) == 0 {
 			continue
 		}
-		rec := encodeRecord(now, e)
-		size := proto.Size(rec) + fieldOverhead
-		if size > room {
-			c.message(to, u)
-			if pages == maxSyncPages {
-				return
-			}
-			pages++
-			pull = false
-			u = page()
-			room = membership.MaxAttachmentSize - digestEntry
+		for _, e := range own.buckets[b].entries {
+			p.add(encodeRecord(now, e))
 		}
-		u.Records = append(u.Records, rec)
-		room -= size
+		if p.pages > maxSyncPages {
+			break
+		}
+	}
+	p.flush()
+}
+
+// pager splits records into messages.
+type pager struct {
+	core   *Core
+	to     ident.DaemonID
+	digest *peerpb.Digest
+	update *peerpb.RegistrationUpdate
+	room   int
+	pages  int
+}
+
+func (p *pager) begin(pull bool) {
+	p.update = &peerpb.RegistrationUpdate{Digests: []*peerpb.Digest{p.digest}, Pull: pull}
+	p.room = membership.MaxAttachmentSize - digestEntry
+	p.pages++
+}
+
+func (p *pager) flush() { p.core.message(p.to, p.update) }
+
+func (p *pager) add(rec *peerpb.RegistrationRecord) {
+	size := proto.Size(rec) + fieldOverhead
+	if size > p.room {
+		p.flush()
+		p.begin(false)
 	}
-	c.message(to, u)
+	p.update.Records = append(p.update.Records, rec)
+	p.room -= size
 }
 
 func (c *centre) digest() *peerpb.Digest {
@@ -222,16 +241,16 @@
 
 func (c *centre) encodeBuckets() []byte {
 	b := make([]byte, 0, bucketCount*4)
-	for _, sum := range c.buckets {
-		b = binary.LittleEndian.AppendUint32(b, sum)
+	for i := range c.buckets {
+		b = binary.LittleEndian.AppendUint32(b, c.buckets[i].sum)
 	}
 	return b
 }
 
 func (c *centre) differing(buckets []byte) uint64 {
 	var mask uint64
-	for i, sum := range c.buckets {
-		if binary.LittleEndian.Uint32(buckets[i*4:]) != sum {
+	for i := range c.buckets {
+		if binary.LittleEndian.Uint32(buckets[i*4:]) != c.buckets[i].sum {
 			mask |= 1 << i
 		}
 	}
@@ -253,5 +272,5 @@
 	}
 	h := xxhash.Sum64(b[:])
 	c.sum ^= h
-	c.buckets[e.Upstream>>bucketShift] ^= uint32(h)
+	c.buckets[e.Upstream>>bucketShift].sum ^= uint32(h)
 }
--- a/pkg/registration/view.go
+++ b/pkg/registration/view.go
@@ -12,20 +12,33 @@
 type centre struct {
 	id      ident.DataCentreID
 	name    string
-	entries map[ident.UpstreamID]*entry
 	sum     uint64 // of live entries
-	buckets [bucketCount]uint32
+	buckets [bucketCount]bucket
 
 	owners     uint64 // signature of the members that own its upstreams
 	nextDigest time.Time
 }
 
+// bucket holds the registrations whose identifiers begin with the same bits.
+type bucket struct {
+	sum     uint32 // of live entries
+	entries map[ident.UpstreamID]*entry
+}
+
+func (c *centre) add(e *entry, u ident.UpstreamID) {
+	b := &c.buckets[u>>bucketShift]
+	if b.entries == nil {
+		b.entries = make(map[ident.UpstreamID]*entry)
+	}
+	b.entries[u] = e
+}
+
 func (c *Core) centreOf(name string) *centre {
 	id := ident.DataCentre(name)
 	if known := c.centres[id]; known != nil {
 		return known
 	}
-	fresh := &centre{id: id, name: name, entries: make(map[ident.UpstreamID]*entry)}
+	fresh := &centre{id: id, name: name}
 	c.centres[id] = fresh
 	c.list = append(c.list, fresh)
 	return fresh
@@ -60,11 +73,12 @@
 		return
 	}
 	centre.owners = signature
-	for _, e := range centre.entries {
-		if !member && !e.owned {
-			continue
+	for i := range centre.buckets {
+		for _, e := range centre.buckets[i].entries {
+			if member || e.owned {
+				c.settle(now, e)
+			}
 		}
-		c.settle(now, e)
 	}
 }
 
