--- a/pkg/membership/apply.go
+++ b/pkg/membership/apply.go
@@ -66,14 +66,14 @@
 // learn adds a member that is not known. Of an unknown dead one only a tombstone is kept.
 func (c *Core) learn(now time.Time, u *peerpb.Member) {
 	m, complete := decodeMember(u)
-	if m.State == Dead {
+	if m.State == Dead && len(m.DataCentre) <= maxName && len(m.Name) <= maxName {
 		m.DataCentre = centreOrOwn(m.DataCentre, c.self.DataCentre)
 		r := c.table.insert(m)
 		r.deadSince = now
 		r.forgotten = !complete
 		return
 	}
-	if !complete || m.State == Suspect {
+	if !complete || m.State == Suspect || m.State == Dead {
 		return
 	}
 	c.announce(c.table.insert(m))
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"rosemarygate/api/peer/v1"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/membership"
 )
@@ -211,3 +212,59 @@
 		}
 	}
 }
+
+// Guards against two processes with one name that both serve.
+func TestServingDaemonIsToldThatItIsSuperseded(t *testing.T) {
+	n := cluster(t, 1, 3, 1)
+	d, peer := n.nodes[0], n.nodes[1].member
+	m := &peerpb.Membership{Kind: peerpb.Membership_KIND_GOSSIP, From: uint64(peer.ID), Updates: []*peerpb.Member{{
+		Id: uint64(d.member.ID), Incarnation: 9, State: peerpb.MemberState_MEMBER_STATE_SERVING,
+	}}}
+	for range 2 {
+		n.step(d, membership.Received{From: peer.PeerAddr, Message: m})
+	}
+	assert.DeepEqual(t, []membership.Action{membership.Joined{}, membership.Superseded{Incarnation: 9}}, d.actions)
+}
+
+// Guards against a daemon that never serves because no seed answers.
+func TestDaemonWithoutPeersJoinsAlone(t *testing.T) {
+	n := newNetwork(t, 1)
+	d := n.add(5, "dc-0", 1)
+	n.run(2 * time.Second)
+	assert.DeepEqual(t, []membership.Action{membership.Joined{Alone: true}}, d.actions)
+}
+
+// Guards against messages of a faulty peer that stop the daemon or make it send oversize ones.
+func TestArbitraryMessagesDoNoHarm(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n := cluster(t, 1, 3, 2)
+		d := n.nodes[0]
+		ids := []uint64{uint64(d.member.ID), uint64(n.nodes[1].member.ID), 7}
+		for range rapid.IntRange(1, 20).Draw(r, "messages") {
+			m := &peerpb.Membership{
+				Kind:          peerpb.Membership_Kind(rapid.IntRange(0, 7).Draw(r, "kind")),
+				Sequence:      rapid.Uint32().Draw(r, "sequence"),
+				From:          rapid.SampledFrom(ids).Draw(r, "from"),
+				TargetAddress: rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(r, "target"),
+				Pull:          rapid.Bool().Draw(r, "pull"),
+				Answer:        rapid.Bool().Draw(r, "answer"),
+			}
+			for range rapid.IntRange(0, 3).Draw(r, "updates") {
+				m.Updates = append(m.Updates, &peerpb.Member{
+					Id: rapid.SampledFrom(ids).Draw(r, "id"), Incarnation: rapid.Uint64Range(0, 3).Draw(r, "incarnation"),
+					Revision: rapid.Uint32Range(0, 4).Draw(r, "revision"), State: peerpb.MemberState(rapid.IntRange(-1, 6).Draw(r, "state")),
+					DataCentre: rapid.String().Draw(r, "data centre"), PeerAddress: rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(r, "address"),
+					SuspicionMs: rapid.Uint32().Draw(r, "age"),
+				})
+			}
+			for range rapid.IntRange(0, 2).Draw(r, "digests") {
+				m.Digests = append(m.Digests, &peerpb.Digest{
+					DataCentre: uint32(ident.DataCentre(rapid.SampledFrom([]string{"dc-0", "dc-1", "x"}).Draw(r, "centre"))),
+					Buckets:    make([]byte, rapid.SampledFrom([]int{0, 3, 256}).Draw(r, "buckets")), Mask: rapid.Uint64().Draw(r, "mask"),
+				})
+			}
+			n.step(d, membership.Received{From: n.nodes[1].member.PeerAddr, Message: m})
+			n.run(50 * time.Millisecond)
+		}
+	})
+}
