--- a/pkg/control/state/replicas.go
+++ b/pkg/control/state/replicas.go
@@ -55,7 +55,7 @@
 	return func() {
 		if body.GetCompleted() {
 			leaving := m.replacement.GetLeaving()
-			next := slices.DeleteFunc(slices.Clone(m.replicas), func(r *controlpb.Replica) bool { return r.GetName() == leaving })
+			next := slices.DeleteFunc(slices.Clone(m.replicas), func(r *controlpb.ReplicaHost) bool { return r.GetName() == leaving })
 			m.setReplicas(append(next, m.replacement.GetJoining()))
 		}
 		m.replacement = nil
@@ -63,7 +63,7 @@
 	}, accepted(index)
 }
 
-func (m *Machine) replica(name string) *controlpb.Replica {
+func (m *Machine) replica(name string) *controlpb.ReplicaHost {
 	for _, r := range m.replicas {
 		if r.GetName() == name {
 			return r
@@ -72,15 +72,15 @@
 	return nil
 }
 
-func (m *Machine) setReplicas(replicas []*controlpb.Replica) {
+func (m *Machine) setReplicas(replicas []*controlpb.ReplicaHost) {
 	m.replicas = nil
 	for _, r := range replicas {
 		m.replicas = append(m.replicas, proto.CloneOf(r))
 	}
-	slices.SortFunc(m.replicas, func(a, b *controlpb.Replica) int { return strings.Compare(a.GetName(), b.GetName()) })
+	slices.SortFunc(m.replicas, func(a, b *controlpb.ReplicaHost) int { return strings.Compare(a.GetName(), b.GetName()) })
 }
 
-func badReplica(r *controlpb.Replica) bool {
+func badReplica(r *controlpb.ReplicaHost) bool {
 	return r.GetName() == "" || r.GetAddress() == ""
 }
 
--- a/pkg/control/state/replies.go
+++ b/pkg/control/state/replies.go
@@ -109,7 +109,7 @@
 	return b
 }
 
-func appendReplica(b []byte, r *controlpb.Replica) []byte {
+func appendReplica(b []byte, r *controlpb.ReplicaHost) []byte {
 	return appendField(appendField(b, []byte(r.GetName())), []byte(r.GetAddress()))
 }
 
--- a/pkg/control/state/state.go
+++ b/pkg/control/state/state.go
@@ -49,7 +49,7 @@
 	keepAlive   keepAlive
 	history     history
 	replies     replies
-	replicas    []*controlpb.Replica
+	replicas    []*controlpb.ReplicaHost
 	replacement *controlpb.Replacement
 }
 
@@ -79,7 +79,7 @@
 func (m *Machine) Applied() uint64 { return m.applied }
 
 // Replicas returns the control replicas by name. The caller must not change them.
-func (m *Machine) Replicas() []*controlpb.Replica { return m.replicas }
+func (m *Machine) Replicas() []*controlpb.ReplicaHost { return m.replicas }
 
 // Replacement returns the replacement in progress, or nil.
 func (m *Machine) Replacement() *controlpb.Replacement { return m.replacement }
--- a/pkg/control/state/state_test.go
+++ b/pkg/control/state/state_test.go
@@ -186,10 +186,10 @@
 // Guards against two replacements at once and against a replica set that differs from the log's.
 func TestReplaceReplica(t *testing.T) {
 	m := New(testRules())
-	replicas := []*controlpb.Replica{{Name: "c", Address: "3"}, {Name: "a", Address: "1"}, {Name: "b", Address: "2"}}
+	replicas := []*controlpb.ReplicaHost{{Name: "c", Address: "3"}, {Name: "a", Address: "1"}, {Name: "b", Address: "2"}}
 	boot := &controlpb.Entry{ChangeId: "boot", TimeUnixMs: 1, Body: &controlpb.Entry_Bootstrap{Bootstrap: &controlpb.Bootstrap{Replicas: replicas}}}
 	replace := func(id, leaving, joining string) *controlpb.Entry {
-		r := &controlpb.Replacement{Leaving: leaving, Joining: &controlpb.Replica{Name: joining, Address: "9"}}
+		r := &controlpb.Replacement{Leaving: leaving, Joining: &controlpb.ReplicaHost{Name: joining, Address: "9"}}
 		return &controlpb.Entry{ChangeId: id, TimeUnixMs: 1, Body: &controlpb.Entry_Replacement{Replacement: r}}
 	}
 	outcome := func(id, joining string, completed bool) *controlpb.Entry {
@@ -231,11 +231,11 @@
 // decide otherwise than the others.
 func TestSnapshotHoldsTheWholeState(t *testing.T) {
 	m := newMachine(testRules(), 3, 100)
-	replica := &controlpb.Replica{Name: "a", Address: "1"}
-	joining := &controlpb.Replica{Name: "b", Address: "2"}
+	replica := &controlpb.ReplicaHost{Name: "a", Address: "1"}
+	joining := &controlpb.ReplicaHost{Name: "b", Address: "2"}
 	wait := KeyActivation + MaxClockSkew + interval
 	for _, e := range []*controlpb.Entry{
-		{ChangeId: "boot", TimeUnixMs: 1, Body: &controlpb.Entry_Bootstrap{Bootstrap: &controlpb.Bootstrap{Replicas: []*controlpb.Replica{replica}}}},
+		{ChangeId: "boot", TimeUnixMs: 1, Body: &controlpb.Entry_Bootstrap{Bootstrap: &controlpb.Bootstrap{Replicas: []*controlpb.ReplicaHost{replica}}}},
 		pushEntry("1", 0, put("1.yaml", "a")),
 		pushEntry("2", 2, put("1.yaml", "b"), put("2.yaml", "c")),
 		pushEntry("3", 3, remove("2.yaml")),
