Let callers release the records of ended requests

A caller that posts 20 counts a second reaches the 256 records of a flow, which the owner kept for deadline plus 30 s. Ruled out: lost handover, since the reason was limit in every case. Change: a request names the smallest id still in progress at its caller; the owner drops ended records below it and answers late copies as unknown. A handover of an upstream that the core does not know yet releases it instead of being repeated.

--- a/client/request.go
+++ b/client/request.go
@@ -189,6 +189,7 @@
 	if p.assembly != nil {
 		held = p.assembly.Held()
 	}
+	ended := f.endedBelow()
 	f.mu.Unlock()
 	parts := frame.PartCount(len(p.request.Payload))
 	for i := range parts {
@@ -196,11 +197,20 @@
 			RequestId: p.id, Class: p.request.Class, Idempotent: p.request.Idempotent,
 			DeadlineMs: uint32(left.Milliseconds()) + 1, Attempt: p.attempt,
 			Part: uint32(i), Parts: uint32(parts), Payload: frame.Part(p.request.Payload, i),
-			AnswerPartsHeld: held,
+			AnswerPartsHeld: held, EndedBelow: ended,
 		}}})
 	}
 }
 
+// endedBelow returns the smallest id of the requests in progress; f.mu is held.
+func (f *Flow) endedBelow() uint64 {
+	lowest := f.nextID + 1
+	for id := range f.requests {
+		lowest = min(lowest, id)
+	}
+	return lowest
+}
+
 func (f *Flow) handleAnswer(a *wirepb.Answer) {
 	f.mu.Lock()
 	p := f.requests[a.RequestId]
--- a/pkg/demo/callers.go
+++ b/pkg/demo/callers.go
@@ -130,7 +130,9 @@
 		s.report.RefusedByReason[reason]++
 	case client.Deadline:
 		s.report.RequestsDeadline++
+		s.opts.Log.Warnf("request %d of flow %x: deadline (%s)", a.Result.ID, a.Flow, reason)
 	default:
+		s.opts.Log.Warnf("request %d of flow %x: unknown (%s)", a.Result.ID, a.Flow, reason)
 		s.report.RequestsUnknown++
 		s.report.UnknownByReason[reason]++
 	}
--- a/pkg/owner/core_test.go
+++ b/pkg/owner/core_test.go
@@ -312,3 +312,22 @@
 	}
 	assert.Equal(t, again.After, uint64(feedWindow))
 }
+
+// Guards against a busy flow whose records pile up until its requests are refused, and
+// against a late copy that runs after the caller allowed its record to be dropped.
+func TestEndedRequestsAreDropped(t *testing.T) {
+	b := newBench(t, 10)
+	b.up()
+	b.open()
+	for id := uint64(1); id <= 2*maxRecordsPerFlow; id++ {
+		q := tally(id)
+		q.GetRequest().EndedBelow = id
+		runs := executes(b.frame(q))
+		assert.Equal(t, len(runs), 1)
+		b.step(ExecuteDone{Upstream: testUpstream, Call: runs[0].Call, Result: Answered})
+	}
+	assert.Equal(t, len(b.core.upstreams[testUpstream].flows[testFlow].records), 1)
+	late := b.frame(tally(5))
+	assert.Equal(t, len(executes(late)), 0)
+	assert.Equal(t, outcomes(late)[0].Outcome, wirepb.Outcome_OUTCOME_UNKNOWN)
+}
--- a/pkg/owner/handover.go
+++ b/pkg/owner/handover.go
@@ -20,7 +20,11 @@
 // handoverRequested freezes the upstream and sends its state to the new owner.
 func (c *Core) handoverRequested(ev HandoverRequested) {
 	u := c.upstreams[ev.Upstream]
-	if u == nil || u.frozen || u.movedTo != 0 {
+	if u == nil {
+		c.emit(ReleaseUpstream{Upstream: ev.Upstream})
+		return
+	}
+	if u.frozen || u.movedTo != 0 {
 		return
 	}
 	u.frozen = true
--- a/pkg/owner/request.go
+++ b/pkg/owner/request.go
@@ -44,6 +44,7 @@
 // request handles one part of a request.
 func (c *Core) request(f *flow, cl *token.Claims, q *wirepb.Request) {
 	id := ident.RequestID(q.RequestId)
+	c.dropEnded(f, ident.RequestID(q.EndedBelow))
 	if r := f.records[id]; r != nil {
 		c.repeatedRequest(r, q)
 		return
@@ -69,6 +70,25 @@
 	c.addPart(r, q)
 }
 
+// dropEnded drops the records of requests that have ended at the caller. Late copies of
+// them are answered as unknown and never run.
+func (c *Core) dropEnded(f *flow, below ident.RequestID) {
+	if below <= f.droppedBelow+1 {
+		return
+	}
+	f.droppedBelow = below - 1
+	for id, r := range f.records {
+		if id < below && r.ended() {
+			delete(f.records, id)
+		}
+	}
+}
+
+// ended reports whether nothing happens any more for the record's request.
+func (r *record) ended() bool {
+	return r.state == stateAnswered || r.state == stateNotRun || r.state == stateUnknown
+}
+
 func (c *Core) newRecord(f *flow, q *wirepb.Request) *record {
 	r := &record{
 		id: ident.RequestID(q.RequestId), flow: f, state: stateAssembling,
@@ -319,7 +339,9 @@
 			continue
 		}
 		f := r.flow
-		delete(f.records, r.id)
+		if f.records[r.id] == r {
+			delete(f.records, r.id)
+		}
 		f.droppedBelow = max(f.droppedBelow, r.id)
 	}
 }
