Retry at the owner within a budget

Change: the owner asks pkg/retry after a call that did not begin or failed. An idempotent request whose earlier attempt may have run is never reported as not run, also after a handover.

--- a/pkg/owner/core.go
+++ b/pkg/owner/core.go
@@ -20,6 +20,7 @@
 	wirepb "rosemarygate/api/wire/v1"
 	"rosemarygate/pkg/dispatch"
 	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/retry"
 	"rosemarygate/pkg/token"
 )
 
@@ -71,8 +72,10 @@
 	services  map[ident.ServiceID]*Service
 	upstreams map[ident.UpstreamID]*upstream
 	// ended is the largest incarnation of each upstream whose lease ended.
-	ended    map[ident.UpstreamID]ident.Incarnation
-	calls    map[uint64]*record
+	ended map[ident.UpstreamID]ident.Incarnation
+	calls map[uint64]*record
+	// budgets limit the retries of each service to a part of its successes.
+	budgets  map[ident.ServiceID]*retry.Budget
 	nextCall uint64
 	now      time.Time
 	out      []Action
@@ -87,6 +90,7 @@
 		upstreams: map[ident.UpstreamID]*upstream{},
 		ended:     map[ident.UpstreamID]ident.Incarnation{},
 		calls:     map[uint64]*record{},
+		budgets:   map[ident.ServiceID]*retry.Budget{},
 	}
 }
 
--- a/pkg/owner/handover.go
+++ b/pkg/owner/handover.go
@@ -132,6 +132,7 @@
 		RequestId: uint64(r.id), Class: r.className, Idempotent: r.idempotent,
 		DeadlineMs: millisLeft(c.now, r.deadline), ExpireMs: millisLeft(c.now, r.expires),
 		Payload: r.payload, Answer: r.answer, Reason: uint32(r.reason),
+		MayHaveRun: r.mayHaveRun, Attempts: uint32(r.attempts),
 	}
 	switch r.state {
 	case stateAssembling:
@@ -225,6 +226,7 @@
 		id: id, flow: f, className: p.Class, idempotent: p.Idempotent,
 		deadline: c.now.Add(time.Duration(p.DeadlineMs) * time.Millisecond),
 		payload:  p.Payload, answer: p.Answer, reason: wirepb.Reason(p.Reason),
+		mayHaveRun: p.MayHaveRun, attempts: int(p.Attempts),
 	}
 	c.keepRecord(r)
 	switch p.State {
--- a/pkg/owner/request.go
+++ b/pkg/owner/request.go
@@ -39,6 +39,10 @@
 	reason     wirepb.Reason
 	call       uint64
 	started    time.Time
+	attempts   int       // calls to the upstream so far
+	retryAt    time.Time // with stateQueued: not to be submitted before
+	// mayHaveRun says that an earlier attempt may have run; the request is idempotent.
+	mayHaveRun bool
 }
 
 // request handles one part of a request.
@@ -170,6 +174,7 @@
 
 func (c *Core) execute(r *record) {
 	r.state, r.started = stateRunning, c.now
+	r.attempts++
 	r.flow.up.running++
 	c.count(RequestsRun, r.flow.up.service, 0)
 	c.emit(Execute{
@@ -193,7 +198,7 @@
 			OK: ev.Result == Answered, Duration: c.now.Sub(r.started),
 		})
 	}
-	if r.state == stateRunning {
+	if r.state == stateRunning && !c.retry(r, ev) {
 		c.finishCall(r, ev)
 	}
 	if u.movedTo != 0 {
@@ -224,6 +229,7 @@
 	switch ev.Result {
 	case Answered:
 		r.state, r.answer, r.payload = stateAnswered, ev.Payload, nil
+		c.budget(r.flow.up.service).Success()
 		c.count(RequestsOK, r.flow.up.service, 0)
 		c.sendAnswer(r, nil)
 	case NotBegun:
@@ -243,7 +249,12 @@
 	}
 }
 
+// finishNotRun refuses a request, unless an earlier attempt of it may have run.
 func (c *Core) finishNotRun(r *record, reason wirepb.Reason) {
+	if r.mayHaveRun {
+		c.finishUnknown(r, reason)
+		return
+	}
 	r.state, r.reason, r.payload, r.assembly = stateNotRun, reason, nil, nil
 	c.count(RequestsNotRun, r.flow.up.service, reason)
 	c.replyOutcome(r.flow, r.id, wirepb.Outcome_OUTCOME_NOT_RUN, reason)
--- a/pkg/owner/upstream.go
+++ b/pkg/owner/upstream.go
@@ -29,6 +29,8 @@
 	predecessors map[ownerKey]bool
 	// held are requests that wait for a connection or for the end of a handover.
 	held []*record
+	// retries are requests that wait before their next attempt.
+	retries []*record
 	// unacked are flows with feed items that their callers have not acknowledged.
 	unacked map[ident.FlowID]*flow
 	// expiry holds flows by the second in which they have to be looked at.
@@ -184,6 +186,7 @@
 			continue
 		}
 		c.start(u.sched.Tick(c.now))
+		c.submitRetries(u)
 		c.expireFlows(u, second)
 		c.expireRecords(u, second)
 	}
