--- a/pkg/dispatch/class.go
+++ b/pkg/dispatch/class.go
@@ -18,10 +18,21 @@
 	// longFactor is the ratio of mean service times from which a class counts as long
 	// for a more urgent class: below it waiting for a running request costs little.
 	longFactor = 4
-	// reservedLoad is the load of reserved slots above which one more is reserved. At
-	// 0.35 the 99th percentile of the response time of a single M/M/1 slot is about 1.5
-	// times that of an idle one.
+	// reservedLoad is the load up to which slots without long requests serve the others
+	// almost undelayed: at 0.35 the 99th percentile of the response time of an M/M/1 slot
+	// is about 1.5 times that of an idle one.
 	reservedLoad = 0.35
+	// usualHeadroom is the allowance for long requests relative to their usual slot use.
+	// At 1.1 their own queue was near saturation in the steady state.
+	usualHeadroom = 1.5
+	// firstUsual is the part of the slots assumed as usual before any observation.
+	firstUsual = 0.8
+	// usualFall and usualRise are the time constants of the usual slot use of long
+	// requests. It rises slowly so that a flood does not become usual.
+	usualFall = time.Minute
+	usualRise = 10 * time.Minute
+	// allowanceBurst is the number of long requests that may exceed the allowance.
+	allowanceBurst = 4
 	// idleServiceProbe is the age of the last service time after which a request that
 	// would miss its deadline by the estimate runs anyway and corrects the estimate.
 	idleServiceProbe = time.Second
@@ -37,6 +48,7 @@
 	running     int     // dispatched requests
 	credit      float64 // slot-nanoseconds of guaranteed service not yet received
 	service     float64 // mean service time; 0 until observed
+	spread      float64 // mean absolute deviation of the service time
 	observedAt  int64   // time of the last service time sample or probe
 	arrivedAt   int64   // time of the last request
 	arrived     bool
@@ -63,6 +75,7 @@
 	if c.service == 0 {
 		c.service = d
 	} else {
+		c.spread += serviceWeight * (math.Abs(d-c.service) - c.spread)
 		c.service += serviceWeight * (d - c.service)
 	}
 	c.observedAt = now
@@ -77,26 +90,29 @@
 		c.credit = math.Min(c.credit, 0)
 	}
 	rate := c.Share * slots
-	top := c.service + 2*rate*longest
+	top := c.service + 3*rate*longest
 	c.credit = math.Max(-c.service, math.Min(top, c.credit+rate*dt))
 }
 
-// overdue returns for how long (nanoseconds) the class has been owed the service time
-// of one request; it is negative when nothing is owed.
-func (c *class) overdue(slots float64) float64 {
+// overdue returns for how long (nanoseconds) the class has been owed the service time of
+// one request. It is negative when nothing is owed, and until the class has waited for
+// the longest mean service time: the guarantee holds over time, and within that time
+// priority keeps the urgent classes fast.
+func (c *class) overdue(slots, longest float64) float64 {
 	rate := c.Share * slots
 	if rate <= 0 {
 		return -1
 	}
-	return (c.credit - c.service) / rate
+	return (c.credit-c.service)/rate - longest
 }
 
 // classify recomputes how many reservations apply to each class: a class is one tier
 // above every more urgent active class whose requests are much shorter than its own.
 func (s *Scheduler) classify() {
 	dt := float64(s.now - s.classifiedAt)
-	urgent := 0.0
+	s.classifiedAt = s.now
 	s.maxTier = 0
+	urgent, long, share := 0.0, 0.0, 0.0
 	for at, ci := range s.order {
 		c := &s.classes[ci]
 		if dt > 0 {
@@ -108,10 +124,36 @@
 		s.maxTier = max(s.maxTier, c.tier)
 		if c.tier == 0 {
 			urgent += c.use
+			continue
 		}
+		long += c.use
+		share += c.Share
 	}
-	s.classifiedAt = s.now
-	s.setCaps(urgent)
+	s.setCaps()
+	s.setAllowance(dt, urgent, long, share)
+}
+
+// setAllowance computes how many slots long requests may occupy on average beyond what
+// they are owed: their usual use, or what leaves enough for the other classes.
+func (s *Scheduler) setAllowance(dt, urgent, long, share float64) {
+	limit := float64(s.limit.slots())
+	fall := 1 - math.Exp(-dt/float64(usualFall))
+	rise := 1 - math.Exp(-dt/float64(usualRise))
+	switch {
+	case long < s.usual && s.maxTier > 0:
+		s.usual += fall * (long - s.usual)
+	case !s.throttled:
+		s.usual += fall * (long - s.usual)
+	default:
+		s.usual += rise * (long - s.usual)
+	}
+	s.throttled = false
+	s.allowance = max(share*limit, limit-urgent/reservedLoad, usualHeadroom*s.usual)
+}
+
+// accrueAllowance adds the allowance of an interval, up to a few long requests.
+func (s *Scheduler) accrueAllowance(dt float64) {
+	s.longCredit = min(allowanceBurst*s.longest, s.longCredit+s.allowance*dt)
 }
 
 func (s *Scheduler) tierOf(at int) int {
@@ -135,21 +177,17 @@
 // setCaps computes how many slots the classes of each tier and above may occupy together.
 // A lower tier always gets one slot more than the tier above it, so that long requests
 // cannot occupy every slot that it may use.
-func (s *Scheduler) setCaps(urgentLoad float64) {
+func (s *Scheduler) setCaps() {
 	limit := s.limit.slots()
-	reserved := int(math.Ceil(urgentLoad / reservedLoad))
-	reserved = max(1, min(reserved, limit-1))
 	s.caps = slices.Grow(s.caps[:0], s.maxTier+1)[:s.maxTier+1]
-	for tier := s.maxTier; tier >= 0; tier-- {
-		n := max(1, limit-reserved-(tier-1))
+	for tier := s.maxTier; tier >= 1; tier-- {
+		n := max(1, limit-tier)
 		if tier < s.maxTier {
 			n = max(n, s.caps[tier+1]+1)
 		}
-		if tier == 0 {
-			n = limit
-		}
 		s.caps[tier] = min(n, limit)
 	}
+	s.caps[0] = limit
 }
 
 // mayRun reports whether the reservations let a class take a free slot. A class that is
@@ -165,6 +203,10 @@
 			return false
 		}
 	}
+	if c.tier > 0 && !owed && s.longCredit < 0 {
+		s.throttled = true
+		return false
+	}
 	return true
 }
 
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -6,6 +6,7 @@
 // so that admission in the steady state does not allocate.
 type item struct {
 	req        Request
+	arrived    int64 // scheduler time of Submit
 	deadline   int64 // scheduler time; noDeadline when the request has none
 	started    int64 // scheduler time of dispatch
 	busyAt     float64
@@ -14,6 +15,7 @@
 	prev, next int32
 	running    bool
 	cancelled  bool
+	long       bool // charged to the allowance of long requests
 }
 
 type slab struct {
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// marginSpreads is the margin of deadline estimates in mean absolute deviations.
+const marginSpreads = 2
+
 // Scheduler admits and dispatches the requests of one upstream. The slices that its
 // methods return are valid until the next call. It is not safe for concurrent use.
 type Scheduler struct {
@@ -23,6 +26,10 @@
 	busy         float64 // slot-nanoseconds of all classes since base
 	longest      float64 // largest mean service time of a class
 	classifiedAt int64
+	usual        float64 // usual slot use of long requests
+	allowance    float64 // slots that long requests may occupy on average
+	longCredit   float64 // slot-nanoseconds left of the allowance
+	throttled    bool    // the allowance held a long request back since the last classify
 	run          []Request
 	refused      []Refusal
 }
@@ -30,6 +37,7 @@
 // NewScheduler returns an idle scheduler for one upstream.
 func NewScheduler(l Limits) *Scheduler {
 	s := &Scheduler{slab: newSlab(), limit: newLimiter(l.Slots)}
+	s.usual = firstUsual * float64(s.limit.slots())
 	s.setClasses(l.Classes)
 	return s
 }
@@ -83,6 +91,7 @@
 	for i := range s.classes {
 		s.classes[i].accrue(dt, slots, s.longest)
 	}
+	s.accrueAllowance(dt)
 	if t-s.classifiedAt >= int64(classifyEvery) {
 		s.classify()
 	}
@@ -98,7 +107,7 @@
 		return s.run, s.refused
 	}
 	c := &s.classes[r.Class]
-	i := s.slab.add(item{req: r, class: int32(r.Class), deadline: deadline})
+	i := s.slab.add(item{req: r, class: int32(r.Class), arrived: s.now, deadline: deadline})
 	c.queue.push(&s.slab, i)
 	c.minDeadline = min(c.minDeadline, deadline)
 	s.queued++
@@ -140,7 +149,7 @@
 		return ReasonDeadline
 	}
 	wait := s.waitOf(r.Class)
-	if s.misses(c, deadline, wait) && (wait > 0 || !c.stale(s.now)) {
+	if s.misses(c, s.now, deadline, wait) && (wait > 0 || !c.stale(s.now)) {
 		return ReasonDeadline
 	}
 	return 0
@@ -148,15 +157,19 @@
 
 // canStart reports whether a request of the class would run at once.
 func (s *Scheduler) canStart(c *class) bool {
-	return c.queue.n == 0 && s.running < s.limit.slots() && s.mayRun(c, c.overdue(float64(s.limit.slots())) >= 0)
+	return c.queue.n == 0 && s.running < s.limit.slots() && s.mayRun(c, c.overdue(float64(s.limit.slots()), s.longest) >= 0)
 }
 
-// misses reports whether a request that starts after wait would end after its deadline.
-func (s *Scheduler) misses(c *class, deadline int64, wait float64) bool {
+// misses reports whether a request that starts after wait would probably end after its
+// deadline. A request that uses up its slack by waiting has to leave a margin for a long
+// service time, since under overload another one would make better use of the slot.
+func (s *Scheduler) misses(c *class, arrived, deadline int64, wait float64) bool {
 	if deadline == noDeadline {
 		return false
 	}
-	return float64(s.now)+wait+c.service > float64(deadline)
+	slack := float64(deadline-arrived) - c.service
+	margin := min(marginSpreads*c.spread, slack/2)
+	return float64(s.now)+wait+c.service+max(0, margin) > float64(deadline)
 }
 
 // waitOf estimates how long (nanoseconds) a new request of a class waits: the queued
@@ -203,7 +216,7 @@
 			s.drop(i, ReasonExpired)
 			continue
 		}
-		if s.misses(c, it.deadline, 0) {
+		if s.misses(c, it.arrived, it.deadline, 0) {
 			if !c.stale(s.now) {
 				s.drop(i, ReasonDeadline)
 				continue
@@ -224,7 +237,7 @@
 		if c.queue.n == 0 {
 			continue
 		}
-		late := c.overdue(slots)
+		late := c.overdue(slots, s.longest)
 		if late >= longest && s.mayRun(c, true) && (owed < 0 || late > longest) {
 			owed, longest = ci, late
 		}
@@ -261,6 +274,9 @@
 	it.busyAt = s.busy
 	it.charged = c.service
 	c.credit -= c.service
+	if it.long = c.tier > 0; it.long {
+		s.longCredit -= c.service
+	}
 	c.running++
 	s.running++
 	s.run = append(s.run, it.req)
@@ -288,6 +304,9 @@
 		c := &s.classes[it.class]
 		c.running--
 		c.credit -= took - it.charged
+		if it.long {
+			s.longCredit -= took - it.charged
+		}
 		if o == Answered && !it.cancelled {
 			s.learn(c, it, took)
 		}
--- /dev/null
+++ b/pkg/load/model/flows.go
@@ -0,0 +1,144 @@
+package model
+
+import (
+	"time"
+
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/selection"
+)
+
+// open opens a flow of a caller in a data centre. Extra flows do not schedule the next one.
+func (s *simulation) open(dc int, extra bool) {
+	if !extra {
+		rate := float64(s.steadyFlows()) / s.Deployment.FlowLife.Seconds()
+		s.after(s.exponential(1e9/rate), openFlow, s.callerDC(), 0)
+	}
+	i, ok := s.place(dc)
+	if !ok {
+		return
+	}
+	f := s.newFlow()
+	s.flows[f] = flow{server: i, dc: dc, gen: s.flows[f].gen + 1, pos: len(s.live)}
+	s.live = append(s.live, f)
+	u := s.servers[i]
+	u.advance(s.now)
+	u.flows++
+	s.after(s.exponential(float64(s.Deployment.FlowLife)), endFlow, f, s.flows[f].gen)
+	if s.phase >= 0 && s.phase < len(s.result.Phases) {
+		p := s.result.Phases[s.phase]
+		p.opened++
+		if u.dc != dc {
+			p.remote++
+		}
+	}
+}
+
+// place lets the entry daemon select an upstream. An owner whose upstream is full passes
+// the open on.
+func (s *simulation) place(dc int) (int, bool) {
+	entry := s.entry(dc)
+	var tried []ident.UpstreamID
+	for range maxOpenHops {
+		i, ok := s.policy.pick(entry, tried)
+		if !ok {
+			return 0, false
+		}
+		if s.servers[i].flows < s.Deployment.FlowLimit {
+			return i, true
+		}
+		tried = append(tried, upstreamID(i))
+	}
+	return 0, false
+}
+
+func (s *simulation) newFlow() int {
+	if n := len(s.freeFlow); n > 0 {
+		f := s.freeFlow[n-1]
+		s.freeFlow = s.freeFlow[:n-1]
+		return f
+	}
+	s.flows = append(s.flows, flow{pos: -1})
+	return len(s.flows) - 1
+}
+
+func (s *simulation) close(f int) {
+	fl := &s.flows[f]
+	if fl.pos < 0 {
+		return
+	}
+	last := len(s.live) - 1
+	moved := s.live[last]
+	s.live[fl.pos] = moved
+	s.flows[moved].pos = fl.pos
+	s.live = s.live[:last]
+	fl.pos = -1
+	fl.gen++
+	u := s.servers[fl.server]
+	u.advance(s.now)
+	u.flows--
+	s.freeFlow = append(s.freeFlow, f)
+}
+
+// report takes the load of upstream i (slot -1) or delivers report slot to all daemons.
+func (s *simulation) report(slot, i int) {
+	if slot >= 0 {
+		s.policy.report(i, s.reports[slot])
+		s.freeRep = append(s.freeRep, slot)
+		return
+	}
+	s.after(int64(reportEvery), deliver, -1, i)
+	if s.servers[i].absent {
+		return
+	}
+	slot = s.newReport()
+	s.reports[slot] = s.distort(i)
+	delay := s.rng.Int64N(int64(maxReportDelay))
+	if s.wrong[i] == stale {
+		delay = int64(staleReport)
+	}
+	s.after(delay, deliver, slot, i)
+}
+
+func (s *simulation) newReport() int {
+	if n := len(s.freeRep); n > 0 {
+		slot := s.freeRep[n-1]
+		s.freeRep = s.freeRep[:n-1]
+		return slot
+	}
+	s.reports = append(s.reports, selection.Report{})
+	return len(s.reports) - 1
+}
+
+func (s *simulation) distort(i int) selection.Report {
+	u := s.servers[i]
+	running, queued := s.policy.load(i)
+	r := selection.Report{Upstream: upstreamID(i), Flows: u.flows, Running: running, Queued: queued, Healthy: true, At: s.time()}
+	switch s.wrong[i] {
+	case zero:
+		r.Flows = 0
+	case scaledDown:
+		r.Flows = r.Flows * 3 / 10
+	case scaledUp:
+		r.Flows *= 2
+	case constant:
+		r.Flows = s.Deployment.FlowLimit / 2
+	}
+	return r
+}
+
+func upstreamID(i int) ident.UpstreamID { return ident.UpstreamID(i + 1) }
+
+func (s *simulation) candidate(i int) selection.Candidate {
+	c := selection.Candidate{
+		Upstream:    upstreamID(i),
+		Incarnation: 1,
+		DataCentre:  ident.DataCentreID(s.servers[i].dc + 1),
+		FlowLimit:   s.Deployment.FlowLimit,
+		Slots:       s.Deployment.Slots,
+		Since:       s.clock.start.Add(-time.Hour),
+	}
+	if i == len(s.servers)-1 && s.ColdAt > 0 {
+		c.Since = s.clock.start.Add(s.ColdAt)
+	}
+	return c
+}
--- /dev/null
+++ b/pkg/load/model/policy.go
@@ -0,0 +1,284 @@
+package model
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"rosemarygate/pkg/dispatch"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/naive"
+	"rosemarygate/pkg/retry"
+	"rosemarygate/pkg/selection"
+)
+
+// policy decides for the daemons of a run.
+type policy interface {
+	submit(r int)
+	done(r int, o dispatch.Outcome)
+	retry(r int, notRun bool)
+	observe(r int, ok bool, latency time.Duration)
+	pick(entry int, tried []ident.UpstreamID) (int, bool)
+	report(i int, r selection.Report)
+	load(i int) (running, queued int)
+	candidates()
+	tick()
+}
+
+func newPolicy(s *simulation) policy {
+	if s.Policy == Naive {
+		return newNaivePolicy(s)
+	}
+	return newOurPolicy(s)
+}
+
+// ourPolicy uses one Scheduler for each upstream, and a Table and a retry budget for
+// each daemon.
+type ourPolicy struct {
+	*simulation
+	schedulers []*dispatch.Scheduler
+	tables     []*selection.Table
+	budgets    []*retry.Budget
+	queued     []float64 // reported queue per slot, for the threshold rule
+}
+
+func newOurPolicy(s *simulation) *ourPolicy {
+	p := &ourPolicy{simulation: s, queued: make([]float64, len(s.servers))}
+	for range s.servers {
+		p.schedulers = append(p.schedulers, dispatch.NewScheduler(s.Deployment.limits()))
+	}
+	for i, dc := range s.daemons {
+		t := selection.NewTable(ident.DataCentreID(dc+1), rand.New(rand.NewPCG(s.Seed, uint64(i)+1)))
+		t.SetPeers(p.peers(dc))
+		p.tables = append(p.tables, t)
+		p.budgets = append(p.budgets, retry.NewBudget(retry.DefaultRatio, retry.DefaultMinRate, retry.DefaultBurst))
+	}
+	p.candidates()
+	return p
+}
+
+func (p *ourPolicy) peers(dc int) int {
+	n := 0
+	for _, d := range p.daemons {
+		if d == dc {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *ourPolicy) candidates() {
+	var all []selection.Candidate
+	for i, u := range p.servers {
+		if !u.absent {
+			all = append(all, p.candidate(i))
+		}
+	}
+	for _, t := range p.tables {
+		t.Set(p.time(), service, all)
+	}
+}
+
+func (p *ourPolicy) submit(r int) {
+	q := &p.requests[r]
+	run, refused := p.schedulers[q.server].Submit(p.time(), dispatch.Request{
+		ID:         uint64(r),
+		Class:      q.class,
+		Deadline:   p.clock.start.Add(time.Duration(q.deadline)),
+		Idempotent: p.Deployment.Classes[q.class].Idempotent,
+	})
+	p.take(run, refused)
+}
+
+func (p *ourPolicy) take(run []dispatch.Request, refused []dispatch.Refusal) {
+	for _, r := range run {
+		p.todo = append(p.todo, int(r.ID))
+	}
+	for _, f := range refused {
+		p.class(int(f.ID)).Refused[f.Reason.String()]++
+		p.retry(int(f.ID), true)
+	}
+}
+
+func (p *ourPolicy) done(r int, o dispatch.Outcome) {
+	run, refused := p.schedulers[p.requests[r].server].Done(p.time(), uint64(r), o)
+	p.take(run, refused)
+}
+
+func (p *ourPolicy) retry(r int, notRun bool) {
+	q := &p.requests[r]
+	c := &p.Deployment.Classes[q.class]
+	d := retry.Decide(p.time(), retry.Attempt{
+		Idempotent:  c.Idempotent,
+		NotRun:      notRun,
+		Attempts:    q.attempts,
+		MaxAttempts: maxAttempts,
+		Deadline:    p.clock.start.Add(time.Duration(q.deadline)),
+		Expected:    c.Service,
+	}, p.budgets[q.entry])
+	p.result.Phases[q.phase].Retries[d.Reason.String()]++
+	if !d.Retry {
+		p.lost(r)
+		return
+	}
+	q.tried = append(q.tried, upstreamID(q.server))
+	next, err := p.tables[q.entry].PickRetry(p.time(), service, q.tried)
+	if err != nil {
+		p.lost(r)
+		return
+	}
+	q.server = int(next.Upstream) - 1
+	p.after(int64(d.Wait), attempt, r, 0)
+}
+
+func (p *ourPolicy) observe(r int, ok bool, latency time.Duration) {
+	q := &p.requests[r]
+	if ok {
+		p.budgets[q.entry].Success()
+	}
+	p.tables[q.entry].Observe(p.time(), service, upstreamID(q.server), ok, latency)
+}
+
+func (p *ourPolicy) pick(entry int, tried []ident.UpstreamID) (int, bool) {
+	if p.Policy == Threshold {
+		return p.pickByThreshold(entry, tried)
+	}
+	c, err := p.tables[entry].Pick(p.time(), service, tried)
+	return int(c.Upstream) - 1, err == nil
+}
+
+// pickByThreshold opens in another data centre when the reported queues differ by more
+// than the threshold, and otherwise locally, with the same Table.
+func (p *ourPolicy) pickByThreshold(entry int, tried []ident.UpstreamID) (int, bool) {
+	local, remote, best := 0.0, -1.0, -1
+	sum := make([]float64, p.Deployment.DataCentres)
+	n := make([]float64, p.Deployment.DataCentres)
+	for i, u := range p.servers {
+		sum[u.dc] += p.queued[i]
+		n[u.dc]++
+	}
+	for dc := range sum {
+		mean := sum[dc] / max(1, n[dc])
+		switch {
+		case dc == p.daemons[entry]:
+			local = mean
+		case best < 0 || mean < remote:
+			remote, best = mean, dc
+		}
+	}
+	dc := p.daemons[entry]
+	mean := p.Deployment.Classes[Post].Service
+	if best >= 0 && naive.SpillByThreshold(local, remote, p.Deployment.Hop, mean) {
+		dc = best
+	}
+	for _, t := range p.tablesIn(dc) {
+		c, err := t.Pick(p.time(), service, tried)
+		return int(c.Upstream) - 1, err == nil
+	}
+	return 0, false
+}
+
+func (p *ourPolicy) tablesIn(dc int) []*selection.Table {
+	for i, d := range p.daemons {
+		if d == dc {
+			return p.tables[i : i+1]
+		}
+	}
+	return nil
+}
+
+func (p *ourPolicy) report(i int, r selection.Report) {
+	p.queued[i] = float64(r.Queued) / float64(p.Deployment.Slots)
+	for _, t := range p.tables {
+		t.Report(p.time(), service, r)
+	}
+}
+
+func (p *ourPolicy) load(i int) (running, queued int) {
+	l := p.schedulers[i].Load()
+	return l.Running, l.Queued
+}
+
+func (p *ourPolicy) tick() {
+	for _, s := range p.schedulers {
+		run, refused := s.Tick(p.time())
+		p.take(run, refused)
+	}
+}
+
+// naivePolicy lets each daemon dispatch alone, in order of arrival, to random upstreams.
+type naivePolicy struct {
+	*simulation
+	dispatchers [][]*naive.Dispatcher // by daemon and upstream
+}
+
+func newNaivePolicy(s *simulation) *naivePolicy {
+	p := &naivePolicy{simulation: s}
+	for range s.daemons {
+		var row []*naive.Dispatcher
+		for range s.servers {
+			row = append(row, naive.NewDispatcher(s.Deployment.Slots, 0))
+		}
+		p.dispatchers = append(p.dispatchers, row)
+	}
+	return p
+}
+
+func (p *naivePolicy) submit(r int) {
+	q := &p.requests[r]
+	run, ok := p.dispatchers[q.entry][q.server].Submit(dispatch.Request{ID: uint64(r), Class: q.class})
+	if !ok {
+		p.class(r).Refused[dispatch.ReasonQueueFull.String()]++
+		p.retry(r, true)
+	}
+	p.take(run)
+}
+
+func (p *naivePolicy) take(run []dispatch.Request) {
+	for _, r := range run {
+		p.todo = append(p.todo, int(r.ID))
+	}
+}
+
+func (p *naivePolicy) done(r int, _ dispatch.Outcome) {
+	q := &p.requests[r]
+	p.take(p.dispatchers[q.entry][q.server].Done(uint64(r)))
+}
+
+func (p *naivePolicy) retry(r int, _ bool) {
+	q := &p.requests[r]
+	if !naive.Retry(q.attempts, maxAttempts) {
+		p.lost(r)
+		return
+	}
+	p.result.Phases[q.phase].Retries["immediate"]++
+	if i, ok := p.pick(q.entry, nil); ok {
+		q.server = i
+	}
+	p.after(0, attempt, r, 0)
+}
+
+func (p *naivePolicy) observe(int, bool, time.Duration) {}
+
+func (p *naivePolicy) pick(int, []ident.UpstreamID) (int, bool) {
+	for {
+		i := naive.Choose(p.rng, len(p.servers))
+		if !p.servers[i].absent {
+			return i, true
+		}
+	}
+}
+
+func (p *naivePolicy) report(int, selection.Report) {}
+
+func (p *naivePolicy) load(i int) (running, queued int) {
+	for _, row := range p.dispatchers {
+		r, q := row[i].Load()
+		running += r
+		queued += q
+	}
+	return running, queued
+}
+
+func (p *naivePolicy) candidates() {}
+
+func (p *naivePolicy) tick() {}
--- /dev/null
+++ b/pkg/load/model/scenario.go
@@ -0,0 +1,262 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Check compares a measured value with its bound.
+type Check struct {
+	Name  string
+	Value float64
+	Bound float64
+	OK    bool
+}
+
+func atMost(name string, value, bound float64) Check {
+	return Check{Name: name, Value: value, Bound: bound, OK: value <= bound}
+}
+
+func atLeast(name string, value, bound float64) Check {
+	return Check{Name: name, Value: value, Bound: bound, OK: value >= bound}
+}
+
+// Bounds of the checks (design, section 1.5).
+const (
+	urgentGoodput   = 0.99 // of the goodput without the flood
+	urgentLatency   = 1.5  // times the 99th percentile without the flood
+	keptShare       = 0.95 // of the guaranteed share
+	totalGoodput    = 0.95 // of capacity
+	recoveredFactor = 1.5  // times the 99th percentile before the flood
+	imbalance       = 1.10 // busiest over mean
+	steadyGoodput   = 0.99
+)
+
+// Offered loads of the scenarios, as parts of all slots.
+const (
+	floodLoad = 10.0
+	// pressingLoad is the demand of the other classes relative to their guaranteed shares
+	// during a flood of the most urgent class: above 1, so that the share itself shows.
+	pressingLoad = 1.2
+)
+
+// Lengths of the phases.
+const (
+	warmUp     = 15 * time.Second
+	steadyTime = 30 * time.Second
+	longFlood  = 20 * time.Second
+	shortFlood = 8 * time.Second
+	onset      = time.Second     // of a flood, not measured: queues fill and estimates adapt
+	settling   = 2 * time.Second // allowed until latency is back to normal
+	afterFlood = 10 * time.Second
+	observed   = 60 * time.Second
+)
+
+// Scenario is a run with checks on its result.
+type Scenario struct {
+	Name   string
+	Config func(d Deployment) Config
+	Checks func(r *Result) []Check
+}
+
+// Scenarios returns all scenarios in the order of the documentation.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "steady", Config: steadyConfig, Checks: steadyChecks},
+		{Name: "flood-least-urgent", Config: leastUrgentConfig, Checks: leastUrgentChecks},
+		{Name: "flood-most-urgent", Config: mostUrgentConfig, Checks: mostUrgentChecks},
+		{Name: "recovery", Config: recoveryConfig, Checks: recoveryChecks},
+		{Name: "misleading-load", Config: misleadingConfig, Checks: misleadingChecks},
+		{Name: "spill-over", Config: spillConfig, Checks: spillChecks},
+	}
+}
+
+// ScenarioByName returns a scenario; it reports false when there is none of that name.
+func ScenarioByName(name string) (Scenario, bool) {
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Scenario{}, false
+}
+
+// Run executes the scenario on a deployment and returns the result with its checks.
+func (s Scenario) Run(d Deployment, p Policy, seed uint64) (*Result, []Check) {
+	c := s.Config(d)
+	c.Policy = p
+	c.Seed = seed
+	r := Run(c)
+	return r, s.Checks(r)
+}
+
+func steadyConfig(d Deployment) Config {
+	return Config{Deployment: d, Phases: []Phase{
+		{Name: "warm-up", Length: warmUp},
+		{Name: "steady", Length: observed},
+	}}
+}
+
+func steadyChecks(r *Result) []Check {
+	p := r.Phase("steady")
+	var out []Check
+	for i := range p.Classes {
+		out = append(out, atLeast("goodput "+p.Classes[i].Class, p.Classes[i].Goodput(), steadyGoodput))
+	}
+	return append(out,
+		atMost("flow imbalance", p.FlowImbalance, imbalance),
+		atMost("slot overruns", float64(r.Overruns), 0))
+}
+
+func flooded(d Deployment, class int) []float64 {
+	loads := make([]float64, len(d.Classes))
+	for i, c := range d.Classes {
+		loads[i] = c.Load
+	}
+	loads[class] = floodLoad
+	return loads
+}
+
+func leastUrgentConfig(d Deployment) Config {
+	loads := flooded(d, Pull)
+	return Config{Deployment: d, Phases: []Phase{
+		{Name: "warm-up", Length: warmUp},
+		{Name: "steady", Length: steadyTime},
+		{Name: "onset", Length: onset, Loads: loads},
+		{Name: "flood", Length: longFlood, Loads: loads},
+	}}
+}
+
+func leastUrgentChecks(r *Result) []Check {
+	before, flood := r.Phase("steady"), r.Phase("flood")
+	onset := r.Phase("onset")
+	var out []Check
+	for i := range flood.Classes {
+		if i == Pull {
+			continue
+		}
+		b, f, o := &before.Classes[i], &flood.Classes[i], &onset.Classes[i]
+		out = append(out,
+			atLeast("goodput "+f.Class, f.Goodput()/b.Goodput(), urgentGoodput),
+			atLeast("goodput at onset "+f.Class, o.Goodput()/b.Goodput(), urgentGoodput),
+			atMost("p99 ratio "+f.Class, ratio(f.Quantile(99), b.Quantile(99)), urgentLatency))
+	}
+	return append(out, atMost("slot overruns", float64(r.Overruns), 0))
+}
+
+func ratio(a, b time.Duration) float64 {
+	if b <= 0 {
+		return math.Inf(1)
+	}
+	return float64(a) / float64(b)
+}
+
+func mostUrgentConfig(d Deployment) Config {
+	loads := flooded(d, Feed)
+	for i, c := range d.Classes {
+		if i != Feed {
+			loads[i] = pressingLoad * c.Share
+		}
+	}
+	return Config{Deployment: d, Phases: []Phase{
+		{Name: "warm-up", Length: warmUp},
+		{Name: "onset", Length: onset, Loads: loads},
+		{Name: "flood", Length: shortFlood, Loads: loads},
+	}}
+}
+
+func mostUrgentChecks(r *Result) []Check {
+	flood := r.Phase("flood")
+	out := []Check{
+		atLeast("total goodput", flood.Work(), totalGoodput),
+		atMost("slot overruns", float64(r.Overruns), 0),
+	}
+	for i := range flood.Classes {
+		c := &flood.Classes[i]
+		if i != Feed {
+			out = append(out, atLeast("kept share "+c.Class, c.Work/flood.Capacity/r.shares[i], keptShare))
+		}
+	}
+	return out
+}
+
+func recoveryConfig(d Deployment) Config {
+	var phases []Phase
+	phases = append(phases, Phase{Name: "warm-up", Length: warmUp}, Phase{Name: "steady", Length: steadyTime})
+	for _, class := range []int{Pull, Feed} {
+		name := d.Classes[class].Name
+		phases = append(phases,
+			Phase{Name: "flood " + name, Length: shortFlood, Loads: flooded(d, class)},
+			Phase{Name: "settling " + name, Length: settling},
+			Phase{Name: "after " + name, Length: afterFlood})
+	}
+	return Config{Deployment: d, Phases: phases}
+}
+
+func recoveryChecks(r *Result) []Check {
+	before := r.Phase("steady")
+	var out []Check
+	for _, flood := range []int{Pull, Feed} {
+		after := r.Phase("after " + before.Classes[flood].Class)
+		for i := range after.Classes {
+			b, a := &before.Classes[i], &after.Classes[i]
+			name := fmt.Sprintf("p99 ratio %s after %s", a.Class, before.Classes[flood].Class)
+			out = append(out, atMost(name, ratio(a.Quantile(99), b.Quantile(99)), recoveredFactor))
+		}
+	}
+	return out
+}
+
+func misleadingConfig(d Deployment) Config {
+	d.DataCentres = 1
+	d.Upstreams = 15
+	return Config{
+		Deployment: d,
+		Misleading: true,
+		ColdAt:     warmUp,
+		StallAt:    warmUp,
+		Phases: []Phase{
+			{Name: "warm-up", Length: warmUp},
+			{Name: "settling", Length: steadyTime},
+			{Name: "measured", Length: observed},
+		},
+	}
+}
+
+func misleadingChecks(r *Result) []Check {
+	p := r.Phase("measured")
+	return []Check{
+		atMost("flow imbalance", p.FlowImbalance, imbalance),
+		atMost("busy imbalance", p.BusyImbalance, imbalance),
+	}
+}
+
+// spillConfig overloads the first data centre: its callers need 1.3 times its slots while
+// the other data centres have room.
+func spillConfig(d Deployment) Config {
+	n := float64(d.DataCentres)
+	weights := make([]float64, d.DataCentres)
+	first := spillSkew / n
+	for i := range weights {
+		weights[i] = (1 - first) / (n - 1)
+	}
+	weights[0] = first
+	return Config{Deployment: d, DCWeights: weights, Phases: []Phase{
+		{Name: "warm-up", Length: warmUp},
+		{Name: "settling", Length: steadyTime},
+		{Name: "measured", Length: observed},
+	}}
+}
+
+// spillSkew is the load of the first data centre's callers relative to the mean.
+const spillSkew = 1.6
+
+func spillChecks(r *Result) []Check {
+	p := r.Phase("measured")
+	var out []Check
+	for i := range p.Classes {
+		out = append(out, atLeast("goodput "+p.Classes[i].Class, p.Classes[i].Goodput(), steadyGoodput))
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/load/model/sim.go
@@ -0,0 +1,451 @@
+package model
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"rosemarygate/pkg/dispatch"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/selection"
+)
+
+// Policy is what decides in a run.
+type Policy string
+
+// Policies.
+const (
+	Ours      Policy = "ours"
+	Naive     Policy = "naive"
+	Threshold Policy = "threshold" // ours, with spill-over by a queue-difference threshold
+)
+
+const (
+	service        = ident.ServiceID(1)
+	tickEvery      = 10 * time.Millisecond
+	reportEvery    = time.Second
+	maxReportDelay = 500 * time.Millisecond
+	staleReport    = 5 * time.Second
+	maxAttempts    = 3
+	maxOpenHops    = 3
+)
+
+// Config is one run.
+type Config struct {
+	Deployment Deployment
+	Policy     Policy
+	Seed       uint64
+	Phases     []Phase
+	DCWeights  []float64     // part of the callers in each data centre; nil for even by capacity
+	Misleading bool          // a third of the reports is wrong or old
+	ColdAt     time.Duration // the last upstream joins then; 0 for at the start
+	StallAt    time.Duration // the first upstream stalls then; 0 for never
+}
+
+type request struct {
+	class    int
+	server   int
+	entry    int // daemon that relayed it
+	flow     int
+	attempts int
+	arrived  int64
+	deadline int64
+	work     float64 // nanoseconds
+	phase    int
+	tried    []ident.UpstreamID
+	running  bool
+	extra    int64 // network delay, nanoseconds
+}
+
+type flow struct {
+	server int
+	dc     int
+	gen    int
+	pos    int // in live, -1 when closed
+}
+
+type simulation struct {
+	Config
+	clock
+	rng      *rand.Rand
+	servers  []*server
+	daemons  []int // data centre of each
+	policy   policy
+	requests []request
+	freeReq  []int
+	flows    []flow
+	freeFlow []int
+	live     []int
+	reports  []selection.Report
+	freeRep  []int
+	phase    int
+	rates    []float64 // arrivals per second by class
+	result   *Result
+	wrong    []distortion
+	todo     []int // requests to start, see drain
+}
+
+// distortion is how the reports of an upstream mislead.
+type distortion uint8
+
+const (
+	honest distortion = iota
+	zero
+	scaledDown
+	scaledUp
+	constant
+	stale
+)
+
+// Run executes one run.
+func Run(c Config) *Result {
+	s := &simulation{Config: c, rng: rand.New(rand.NewPCG(c.Seed, 0))}
+	s.clock.start = time.Unix(1_000_000, 0)
+	s.result = &Result{Deployment: c.Deployment.Name, Policy: c.Policy, Seed: c.Seed}
+	for _, cl := range c.Deployment.Classes {
+		s.result.shares = append(s.result.shares, cl.Share)
+	}
+	s.phase = -1
+	s.build()
+	s.policy = newPolicy(s)
+	s.begin()
+	for {
+		e, ok := s.next()
+		if !ok || s.phase >= len(s.Phases) {
+			break
+		}
+		s.result.Events++
+		s.handle(e)
+	}
+	return s.result
+}
+
+func (s *simulation) build() {
+	d := s.Deployment
+	for i := range d.Upstreams {
+		s.servers = append(s.servers, &server{slots: d.Slots, dc: i % d.DataCentres})
+	}
+	for i := range d.Daemons {
+		s.daemons = append(s.daemons, i%d.DataCentres)
+	}
+	s.wrong = make([]distortion, d.Upstreams)
+	if s.Misleading {
+		kinds := []distortion{zero, scaledDown, scaledUp, constant, stale}
+		for i, k := range s.rng.Perm(d.Upstreams - 2)[:d.Upstreams/3] {
+			s.wrong[k+1] = kinds[i%len(kinds)]
+		}
+	}
+	if s.ColdAt > 0 {
+		s.servers[d.Upstreams-1].absent = true
+	}
+}
+
+// begin schedules the first events. The flows of the steady state open during the first
+// two seconds.
+func (s *simulation) begin() {
+	d := s.Deployment
+	at := int64(0)
+	for i, p := range s.Phases {
+		s.after(at, mark, i, 0)
+		at += int64(p.Length)
+	}
+	s.after(at, mark, len(s.Phases), 0)
+	const fill = 2 * time.Second
+	n := s.steadyFlows()
+	for i := range n {
+		s.after(int64(fill)*int64(i)/int64(n), openFlow, s.callerDC(), 1)
+	}
+	s.after(int64(fill), openFlow, s.callerDC(), 0)
+	s.after(int64(tickEvery), tick, 0, 0)
+	for i := range d.Upstreams {
+		s.after(int64(reportEvery)*int64(i)/int64(d.Upstreams), deliver, -1, i)
+	}
+}
+
+// steadyFlows returns 80% of the flow limits of the upstreams that serve.
+func (s *simulation) steadyFlows() int {
+	return s.Deployment.FlowLimit * s.serving() * 8 / 10
+}
+
+func (s *simulation) serving() int {
+	n := s.Deployment.Upstreams
+	if s.StallAt > 0 {
+		n--
+	}
+	return n
+}
+
+func (s *simulation) callerDC() int {
+	n := s.Deployment.DataCentres
+	if s.DCWeights == nil {
+		return s.servers[s.rng.IntN(len(s.servers))].dc
+	}
+	x := s.rng.Float64()
+	for i, w := range s.DCWeights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// entry returns the daemon of a data centre to which the fabric brings a packet.
+func (s *simulation) entry(dc int) int {
+	n := 0
+	chosen := 0
+	for i, d := range s.daemons {
+		if d != dc {
+			continue
+		}
+		n++
+		if s.rng.IntN(n) == 0 {
+			chosen = i
+		}
+	}
+	return chosen
+}
+
+func (s *simulation) exponential(mean float64) int64 { return int64(s.rng.ExpFloat64() * mean) }
+
+func (s *simulation) handle(e event) {
+	a, b := int(e.a), int(e.b)
+	switch e.kind {
+	case mark:
+		s.enter(a)
+	case arrival:
+		s.arrive(a, b)
+	case openFlow:
+		s.open(a, b == 1)
+	case endFlow:
+		if s.flows[a].gen == b {
+			s.close(a)
+		}
+	case finish:
+		s.finish(a, b)
+	case attempt:
+		s.submit(a)
+	case deliver:
+		s.report(a, b)
+	case tick:
+		s.tick()
+	}
+}
+
+// enter begins a phase and closes the books of the last one.
+func (s *simulation) enter(phase int) {
+	if s.phase >= 0 {
+		s.closeBooks(s.result.Phases[s.phase])
+	}
+	s.phase = phase
+	if phase >= len(s.Phases) {
+		return
+	}
+	p := s.Phases[phase]
+	s.result.Phases = append(s.result.Phases, newPhaseResult(s.Deployment, p))
+	for _, u := range s.servers {
+		u.advance(s.now)
+		u.busy, u.flowTime = 0, 0
+	}
+	s.rates = s.rates[:0]
+	for i, c := range s.Deployment.Classes {
+		load := c.Load
+		if p.Loads != nil {
+			load = p.Loads[i]
+		}
+		s.rates = append(s.rates, s.Deployment.rate(i, load, s.serving()))
+		s.nextArrival(i, phase)
+	}
+}
+
+func (s *simulation) closeBooks(p *PhaseResult) {
+	var flows, busy []float64
+	for i, u := range s.servers {
+		u.advance(s.now)
+		if u.absent || (i == 0 && s.StallAt > 0) {
+			continue
+		}
+		flows = append(flows, u.flowTime)
+		busy = append(busy, u.busy)
+	}
+	p.FlowImbalance = busiestOverMean(flows)
+	p.BusyImbalance = busiestOverMean(busy)
+	p.Capacity = float64(len(busy)*s.Deployment.Slots) * p.Phase.Length.Seconds()
+	if p.opened > 0 {
+		p.SpillOver = float64(p.remote) / float64(p.opened)
+	}
+}
+
+func (s *simulation) nextArrival(class, phase int) {
+	if s.rates[class] > 0 {
+		s.after(s.exponential(1e9/s.rates[class]), arrival, class, phase)
+	}
+}
+
+func (s *simulation) arrive(class, phase int) {
+	if phase != s.phase {
+		return // of a rate that no longer applies
+	}
+	s.nextArrival(class, phase)
+	if len(s.live) == 0 {
+		return
+	}
+	f := s.live[s.rng.IntN(len(s.live))]
+	c := &s.Deployment.Classes[class]
+	r := s.newRequest()
+	s.requests[r] = request{
+		class:    class,
+		server:   s.flows[f].server,
+		entry:    s.entry(s.flows[f].dc),
+		flow:     f,
+		arrived:  s.now,
+		deadline: s.now + int64(c.Deadline),
+		work:     s.rng.ExpFloat64() * float64(c.Service),
+		phase:    phase,
+		tried:    s.requests[r].tried[:0],
+	}
+	s.class(r).Offered++
+	s.submit(r)
+}
+
+func (s *simulation) newRequest() int {
+	if n := len(s.freeReq); n > 0 {
+		r := s.freeReq[n-1]
+		s.freeReq = s.freeReq[:n-1]
+		return r
+	}
+	s.requests = append(s.requests, request{})
+	return len(s.requests) - 1
+}
+
+func (s *simulation) class(r int) *ClassResult {
+	q := &s.requests[r]
+	return &s.result.Phases[q.phase].Classes[q.class]
+}
+
+func (s *simulation) submit(r int) {
+	q := &s.requests[r]
+	q.attempts++
+	q.running = false
+	if s.servers[q.server].dc != s.daemons[q.entry] {
+		q.extra += 2 * int64(s.Deployment.Hop)
+	}
+	s.policy.submit(r)
+	s.drain()
+}
+
+// drain starts the requests that schedulers released. Starting one can shed it, which
+// releases further ones.
+func (s *simulation) drain() {
+	for len(s.todo) > 0 {
+		r := s.todo[0]
+		s.todo = s.todo[1:]
+		s.startRequest(r)
+	}
+	s.todo = s.todo[:0]
+}
+
+func (s *simulation) startRequest(r int) {
+	q := &s.requests[r]
+	u := s.servers[q.server]
+	if !u.begin(s.now, r, q.work) {
+		s.class(r).Refused["shed"]++
+		s.policy.done(r, dispatch.Shed)
+		s.policy.retry(r, true)
+		return
+	}
+	q.running = true
+	if len(u.jobs) > u.slots {
+		s.result.Overruns++
+	}
+	s.schedule(q.server)
+}
+
+// schedule plans the next end of a running request of an upstream.
+func (s *simulation) schedule(i int) {
+	u := s.servers[i]
+	u.version++
+	if d, ok := u.nextEnd(); ok {
+		s.after(d, finish, i, u.version)
+	}
+}
+
+func (s *simulation) finish(i, version int) {
+	u := s.servers[i]
+	if u.version != version {
+		return
+	}
+	r, ok := u.finished(s.now)
+	if ok {
+		s.answered(r)
+	}
+	s.schedule(i)
+	s.drain()
+}
+
+func (s *simulation) answered(r int) {
+	q := &s.requests[r]
+	latency := s.now - q.arrived + q.extra
+	inTime := s.now <= q.deadline
+	s.class(r).answered(time.Duration(latency), inTime)
+	if inTime && s.phase < len(s.result.Phases) {
+		s.result.Phases[s.phase].Classes[q.class].Work += q.work / 1e9
+	}
+	s.policy.done(r, dispatch.Answered)
+	s.policy.observe(r, true, time.Duration(latency))
+	s.freeReq = append(s.freeReq, r)
+}
+
+// lost ends a request without an answer.
+func (s *simulation) lost(r int) {
+	s.class(r).Lost++
+	s.freeReq = append(s.freeReq, r)
+}
+
+// tick runs what happens at intervals: scheduler ticks, cancellation of running requests
+// whose deadline has passed, and the planned faults.
+func (s *simulation) tick() {
+	s.after(int64(tickEvery), tick, 0, 0)
+	if s.ColdAt > 0 && s.now >= int64(s.ColdAt) && s.servers[len(s.servers)-1].absent {
+		s.servers[len(s.servers)-1].absent = false
+		s.policy.candidates()
+	}
+	if s.StallAt > 0 && s.now >= int64(s.StallAt) && !s.servers[0].stalled {
+		s.servers[0].advance(s.now)
+		s.servers[0].stalled = true
+	}
+	for i, u := range s.servers {
+		if s.Policy != Naive || u.stalled {
+			s.giveUp(i, u)
+		}
+	}
+	s.policy.tick()
+	s.drain()
+}
+
+func (s *simulation) giveUp(i int, u *server) {
+	for j := 0; j < len(u.jobs); j++ {
+		r := u.jobs[j].request
+		q := &s.requests[r]
+		if s.now <= q.deadline {
+			continue
+		}
+		u.abort(s.now, r)
+		j--
+		s.policy.done(r, dispatch.Failed)
+		s.policy.observe(r, false, 0)
+		if u.stalled {
+			s.reopen(q.flow, i)
+		}
+		s.lost(r)
+		s.schedule(i)
+	}
+}
+
+// reopen closes a flow at an upstream that does not answer and opens another one.
+func (s *simulation) reopen(f, server int) {
+	if s.flows[f].pos < 0 || s.flows[f].server != server {
+		return
+	}
+	dc := s.flows[f].dc
+	s.close(f)
+	s.open(dc, true)
+}
--- /dev/null
+++ b/pkg/load/model/upstream.go
@@ -0,0 +1,97 @@
+package model
+
+import "math"
+
+// shedAt is the multiple of its slots at which an upstream sheds requests.
+const shedAt = 4
+
+// server is the real behaviour of an upstream: up to slots requests run at full speed,
+// more share that capacity evenly, and from shedAt times the slots requests are shed.
+type server struct {
+	slots    int
+	dc       int
+	jobs     []job
+	progress float64 // nanoseconds of service each running request has got since start
+	at       int64
+	version  int
+	stalled  bool
+	absent   bool // has not joined yet
+	flows    int
+	opened   int
+	busy     float64 // slot-nanoseconds in use
+	flowTime float64
+}
+
+type job struct {
+	request int
+	end     float64 // progress at which the request is complete
+}
+
+func (u *server) speed() float64 {
+	if u.stalled || len(u.jobs) == 0 {
+		return 0
+	}
+	return math.Min(1, float64(u.slots)/float64(len(u.jobs)))
+}
+
+// advance brings the progress of the running requests up to now.
+func (u *server) advance(now int64) {
+	dt := float64(now - u.at)
+	u.progress += dt * u.speed()
+	u.busy += dt * math.Min(float64(len(u.jobs)), float64(u.slots))
+	u.flowTime += dt * float64(u.flows)
+	u.at = now
+}
+
+// begin starts a request; it reports false when the upstream sheds it.
+func (u *server) begin(now int64, request int, work float64) bool {
+	if len(u.jobs) >= shedAt*u.slots {
+		return false
+	}
+	u.advance(now)
+	u.jobs = append(u.jobs, job{request: request, end: u.progress + work})
+	return true
+}
+
+// nextEnd returns the time until the first running request is complete.
+func (u *server) nextEnd() (int64, bool) {
+	speed := u.speed()
+	if speed == 0 {
+		return 0, false
+	}
+	least := math.Inf(1)
+	for _, j := range u.jobs {
+		least = math.Min(least, j.end)
+	}
+	return int64(math.Ceil(math.Max(0, least-u.progress) / speed)), true
+}
+
+// finished removes and returns the first complete request.
+func (u *server) finished(now int64) (int, bool) {
+	u.advance(now)
+	for i, j := range u.jobs {
+		if j.end <= u.progress+1 {
+			u.remove(i)
+			return j.request, true
+		}
+	}
+	return 0, false
+}
+
+// abort removes a request that its caller gave up.
+func (u *server) abort(now int64, request int) bool {
+	for i, j := range u.jobs {
+		if j.request == request {
+			u.advance(now)
+			u.remove(i)
+			return true
+		}
+	}
+	return false
+}
+
+func (u *server) remove(i int) {
+	last := len(u.jobs) - 1
+	u.jobs[i] = u.jobs[last]
+	u.jobs = u.jobs[:last]
+}
--- a/pkg/selection/estimate.go
+++ b/pkg/selection/estimate.go
@@ -29,19 +29,19 @@
 // upstream is the state of one upstream at this daemon.
 type upstream struct {
 	Candidate
-	model   float64 // open flows expected from own picks
-	modelAt time.Time
-	flows   float64 // reported open flows
-	queued  float64 // reported queued requests
-	at      time.Time
-	heard   bool
-	healthy bool
-	trust   float64 // weight of the report against the model, 0 to 1
-	picks   [pickSeconds]float64
-	second  int64   // second of the newest bucket
-	total   float64 // own picks
-	fit     fit
-	health  health
+	model    float64 // open flows expected from own picks
+	modelAt  time.Time
+	flows    float64 // reported open flows
+	requests float64 // reported running and queued requests
+	at       time.Time
+	heard    bool
+	healthy  bool
+	trust    float64 // weight of the report against the model, 0 to 1
+	picks    [pickSeconds]float64
+	second   int64   // second of the newest bucket
+	total    float64 // own picks
+	fit      fit
+	health   health
 }
 
 // fit holds decayed sums over report intervals, from which the pool derives gain and
@@ -159,7 +159,7 @@
 		u.fit = fit{flows: reported, picked: u.total - u.picksSince(r.At)}
 	}
 	u.flows = current
-	u.queued = float64(max(0, r.Queued))
+	u.requests = float64(max(0, r.Running) + max(0, r.Queued))
 	u.healthy = r.Healthy
 	u.at = r.At
 	u.heard = true
--- a/pkg/selection/health.go
+++ b/pkg/selection/health.go
@@ -6,8 +6,13 @@
 )
 
 const (
-	// sampleWeight is the weight of one observation in an upstream's means.
-	sampleWeight = 1.0 / 16
+	// successWeight is the weight of one observation in an upstream's success rate.
+	successWeight = 1.0 / 16
+	// latencySamples is the memory of an upstream's mean latency. Requests of all classes
+	// are mixed, so that the mean needs many samples.
+	latencySamples = 128
+	// groupSamples is the memory of a data centre's mean latency.
+	groupSamples = 1024
 	// failuresInRow ejects an upstream.
 	failuresInRow = 5
 	// minSamples is the number of observations before means are compared.
@@ -54,7 +59,7 @@
 	probes   int       // successes while probing
 	n        int       // observations since the last change of state
 	success  float64   // mean of successes
-	latency  float64   // mean latency of successes, nanoseconds
+	latency  average   // of successes, nanoseconds
 	failures int       // in a row
 	opened   int       // own picks since the last observation
 	seen     time.Time // last observation
@@ -64,7 +69,7 @@
 func (h *health) restart(s healthState) {
 	h.state = s
 	h.n, h.failures, h.opened, h.probes = 0, 0, 0, 0
-	h.success, h.latency = 1, 0
+	h.success, h.latency = 1, average{}
 }
 
 func (p *pool) observe(u *upstream, now time.Time, ok bool, latency time.Duration) {
@@ -83,9 +88,9 @@
 	h.count(1)
 	h.failures = 0
 	h.good = now
-	h.latency = mean(h.latency, float64(latency))
+	h.latency.add(float64(latency), latencySamples)
 	if g := p.groupOf(u); g != nil {
-		g.latency = mean(g.latency, float64(latency))
+		g.latency.add(float64(latency), groupSamples)
 	}
 	if h.state != probing {
 		return
@@ -101,24 +106,31 @@
 		h.success = 1
 	}
 	h.n++
-	h.success += sampleWeight * (success - h.success)
+	h.success += successWeight * (success - h.success)
 }
 
-func mean(old, sample float64) float64 {
-	if old == 0 {
-		return sample
-	}
-	return old + sampleWeight*(sample-old)
+// average is a mean that weighs all samples alike at first and forgets old ones later.
+type average struct {
+	mean float64
+	n    int
+}
+
+func (a *average) add(x float64, memory int) {
+	a.n = min(a.n+1, memory)
+	a.mean += (x - a.mean) / float64(a.n)
 }
 
+// known reports whether the mean is good enough to compare.
+func (a *average) known(memory int) bool { return a.n >= memory/2 }
+
 // penalty raises the score of slow or failing upstreams.
 func (h *health) penalty(median float64) float64 {
 	if h.n < minSamples {
 		return 1
 	}
 	factor := 1 / math.Max(h.success, 1.0/maxPenalty)
-	if median > 0 && h.latency > toleratedLatency*median {
-		factor *= h.latency / (toleratedLatency * median)
+	if median > 0 && h.latency.known(latencySamples) && h.latency.mean > toleratedLatency*median {
+		factor *= h.latency.mean / (toleratedLatency * median)
 	}
 	return math.Min(factor, maxPenalty)
 }
@@ -184,7 +196,9 @@
 // moves those whose ejection has ended to probing.
 func (p *pool) checkOutliers(now time.Time) {
 	success := p.medianOf(func(u *upstream) (float64, bool) { return u.health.success, u.health.n >= minSamples })
-	p.latency = p.medianOf(func(u *upstream) (float64, bool) { return u.health.latency, u.health.n >= minSamples })
+	p.latency = p.medianOf(func(u *upstream) (float64, bool) {
+		return u.health.latency.mean, u.health.latency.known(latencySamples)
+	})
 	for i := range p.upstreams {
 		u := &p.upstreams[i]
 		h := &u.health
@@ -212,5 +226,5 @@
 	if h.success < failingSuccess && success > healthySuccess {
 		return true
 	}
-	return p.latency > 0 && h.latency > slowFactor*p.latency
+	return p.latency > 0 && h.latency.known(latencySamples) && h.latency.mean > slowFactor*p.latency
 }
--- a/pkg/selection/selection.go
+++ b/pkg/selection/selection.go
@@ -127,6 +127,29 @@
 	return u.Candidate, nil
 }
 
+// PickRetry selects an upstream for one more attempt of a request, except those already
+// tried. It counts no flow. It returns an *Error when there is none.
+func (t *Table) PickRetry(now time.Time, s ident.ServiceID, tried []ident.UpstreamID) (Candidate, error) {
+	p := t.services[s]
+	if p == nil {
+		return Candidate{}, errNoUpstream
+	}
+	p.refreshIfDue(now)
+	u := p.choose(now, tried)
+	if u == nil {
+		return Candidate{}, p.whyNone(tried)
+	}
+	return u.Candidate, nil
+}
+
+// Spill returns the part of the new flows of a service that goes to other data centres.
+func (t *Table) Spill(s ident.ServiceID) float64 {
+	if p := t.services[s]; p != nil {
+		return p.spill
+	}
+	return 0
+}
+
 // pool is the state of one service.
 type pool struct {
 	table     *Table
@@ -160,9 +183,9 @@
 	p.gain = old.gain
 	p.closeRate = old.closeRate
 	p.spill = old.spill
-	p.local.latency, p.local.floor = old.local.latency, old.local.floor
+	p.local.latency, p.local.pressure = old.local.latency, old.local.pressure
 	for dc, g := range old.remotes {
-		p.remotes[dc] = &group{latency: g.latency, floor: g.floor}
+		p.remotes[dc] = &group{latency: g.latency, pressure: g.pressure}
 	}
 }
 
@@ -194,12 +217,13 @@
 	members   []int32
 	total     []float64 // running sums of the weights
 	uniform   bool
-	latency   float64 // mean observed latency, nanoseconds; 0 when unknown
-	floor     float64 // smallest mean latency seen, creeping up slowly
+	latency   average // observed, nanoseconds
 	flows     float64 // estimated open flows
 	limit     float64 // sum of the flow limits
 	unlimited bool    // a member has no flow limit
-	queued    float64 // median of the reported queue lengths per slot
+	requests  float64 // sum of the running and queued requests per slot
+	reports   int     // members with a report
+	pressure  float64 // smoothed running and queued requests per slot
 }
 
 func (g *group) reset() {
--- a/pkg/selection/spill.go
+++ b/pkg/selection/spill.go
@@ -8,20 +8,23 @@
 )
 
 const (
-	// pressureLoad, pressureQueue and pressureLatency tell when the local data centre
-	// lacks capacity: part of its flow limits in use, queued requests per slot, latency
-	// over its smallest mean.
-	pressureLoad    = 0.9
-	pressureQueue   = 1.0
-	pressureLatency = 2.0
-	// spillBenefit is the ratio of local to remote latency from which spilling pays.
-	spillBenefit = 1.2
+	// pressureLoad is the used part of the flow limits above which a data centre is full.
+	pressureLoad = 0.9
+	// pressureQueue is the number of running and queued requests per slot from which the
+	// local data centre lacks slots.
+	pressureQueue = 1.0
+	// pressureMemory is the weight of one refresh in that number.
+	pressureMemory = 0.04
+	// maxQueued bounds the queued requests per slot taken from one report, so that a
+	// single wrong report has little influence.
+	maxQueued = 8
+	// spillBenefit is the ratio of local to remote queues and latencies from which
+	// spilling pays. Mean latencies differ by up to 1.2 between equally loaded data centres.
+	spillBenefit = 1.5
 	// spillStep bounds the change of the spilled part of new flows in one refresh.
 	spillStep = 0.02
 	// spillTrial is the part of new flows that measures the latency of a data centre.
 	spillTrial = 0.02
-	// floorGrowth lets the smallest mean latency follow a lasting change within minutes.
-	floorGrowth = 1.0005
 )
 
 // refresh recomputes what depends on all upstreams of the service.
@@ -71,15 +74,28 @@
 		g.add(int32(i), u.weight())
 		g.measure(u)
 	}
-	p.local.queued = p.medianOf(func(u *upstream) (float64, bool) {
-		return u.queued / float64(max(1, u.Slots)), u.heard && u.DataCentre == p.table.local
-	})
+	p.local.smooth()
+	for _, g := range p.remotes {
+		g.smooth()
+	}
+}
+
+// smooth updates the group's requests per slot.
+func (g *group) smooth() {
+	if g.reports > 0 {
+		g.pressure += pressureMemory * (g.requests/float64(g.reports) - g.pressure)
+	}
 }
 
 // measure adds an upstream's flows and limit to its group.
 func (g *group) measure(u *upstream) {
 	if len(g.members) == 1 {
 		g.flows, g.limit, g.unlimited = 0, 0, false
+		g.requests, g.reports = 0, 0
+	}
+	if u.heard {
+		g.requests += math.Min(maxQueued, u.requests/float64(max(1, u.Slots)))
+		g.reports++
 	}
 	g.flows += u.estimate()
 	g.limit += float64(u.FlowLimit)
@@ -97,6 +113,14 @@
 	return g.flows / g.limit
 }
 
+// trial returns the latency by which data centres are compared, 0 until it is known.
+func (g *group) trial() float64 {
+	if !g.latency.known(groupSamples) {
+		return 0
+	}
+	return g.latency.mean
+}
+
 // chooseRemote selects the data centre for spill-over: the one with the smallest observed
 // latency that has room. A data centre without observations counts as fastest, so that
 // it gets measured.
@@ -107,7 +131,7 @@
 		if g.load() >= maxUtilization {
 			continue
 		}
-		if p.remote == nil || g.latency < p.remote.latency || (g.latency == p.remote.latency && dc < id) {
+		if p.remote == nil || g.trial() < p.remote.trial() || (g.trial() == p.remote.trial() && dc < id) {
 			p.remote, id = g, dc
 		}
 	}
@@ -117,22 +141,18 @@
 // so that it is the measured benefit that decides and not a fixed threshold.
 func (p *pool) adjustSpill() {
 	l, r := &p.local, p.remote
-	if l.floor == 0 || l.latency < l.floor {
-		l.floor = l.latency
-	}
-	l.floor *= floorGrowth
 	if r == nil {
 		p.spill = 0
 		return
 	}
 	full := l.load() > pressureLoad && r.load() < l.load()
-	pressed := l.queued > pressureQueue || l.latency > pressureLatency*l.floor
+	pressed := l.pressure > pressureQueue && l.pressure > spillBenefit*r.pressure
 	switch {
 	case full:
 		p.spill += spillStep
-	case pressed && r.latency == 0:
+	case pressed && r.trial() == 0:
 		p.spill = math.Max(p.spill, spillTrial)
-	case pressed && l.latency > spillBenefit*r.latency:
+	case pressed && l.trial() > spillBenefit*r.trial():
 		p.spill += spillStep
 	default:
 		p.spill -= spillStep
