Pace only the fraction of the allowance of long requests

Cause: pacing every long request by credit let them overlap, which left urgent requests one slot for a third of the time. Change: whole slots of the allowance run without pause, the rest waits for credit.

--- a/pkg/dispatch/class.go
+++ b/pkg/dispatch/class.go
@@ -23,7 +23,7 @@
 	// is about 1.5 times that of an idle one.
 	reservedLoad = 0.35
 	// usualHeadroom is the allowance for long requests relative to their usual slot use.
-	usualHeadroom = 1.2
+	usualHeadroom = 1.4
 	// firstUsual is the part of the slots assumed as usual before any observation.
 	firstUsual = 0.8
 	// usualFall and usualRise are the time constants of the usual slot use of long
@@ -82,17 +82,28 @@
 
 // accrue adds the guarantee for an interval during which the class had requests waiting
 // or running. The bounds keep an unused guarantee from piling up, and use of spare
-// capacity from counting against the class later.
+// capacity from counting against the class later. What is owed outlives a short gap in
+// the queue: a class with short requests would otherwise start its wait anew after each.
 func (c *class) accrue(dt, slots, longest float64) {
 	c.busy += float64(c.running) * dt
+	rate := c.Share * slots
 	if c.queue.n == 0 && c.running == 0 {
-		c.credit = math.Min(c.credit, 0)
+		c.rest(dt, rate, longest)
+		return
 	}
-	rate := c.Share * slots
 	top := c.service + 3*rate*longest
 	c.credit = math.Max(-c.service, math.Min(top, c.credit+rate*dt))
 }
 
+// rest repays or forgets credit while the class has no requests.
+func (c *class) rest(dt, rate, longest float64) {
+	if c.credit < 0 {
+		c.credit = math.Min(0, c.credit+rate*dt)
+		return
+	}
+	c.credit -= c.credit * math.Min(1, dt/math.Max(longest, 1))
+}
+
 // overdue returns for how long (nanoseconds) the class has been owed the service time of
 // one request. It is negative when nothing is owed, and until the class has waited for
 // the longest mean service time: the guarantee holds over time, and within that time
@@ -136,23 +147,24 @@
 // they are owed: their usual use, or what leaves enough for the other classes.
 func (s *Scheduler) setAllowance(dt, urgent, long, share float64) {
 	limit := float64(s.limit.slots())
-	fall := 1 - math.Exp(-dt/float64(usualFall))
+	// The first minute is averaged as it comes, so that the assumption at the start does
+	// not last.
+	known := min(float64(usualFall), float64(s.now)/2)
+	fall := 1 - math.Exp(-dt/max(known, float64(classifyEvery)))
 	rise := 1 - math.Exp(-dt/float64(usualRise))
-	switch {
-	case long < s.usual && s.maxTier > 0:
-		s.usual += fall * (long - s.usual)
-	case !s.throttled:
-		s.usual += fall * (long - s.usual)
-	default:
-		s.usual += rise * (long - s.usual)
+	if long > s.usual && s.throttled {
+		fall = rise
 	}
+	s.usual += fall * (long - s.usual)
 	s.throttled = false
 	s.allowance = max(share*limit, limit-urgent/reservedLoad, usualHeadroom*s.usual)
 }
 
-// accrueAllowance adds the allowance of an interval, up to a few long requests.
+// accrueAllowance adds the allowance of an interval. Credit and debt are bounded by a few
+// long requests.
 func (s *Scheduler) accrueAllowance(dt float64) {
-	s.longCredit = min(allowanceBurst*s.longest, s.longCredit+s.allowance*dt)
+	credit := s.longCredit + s.allowance*dt
+	s.longCredit = max(-allowanceBurst*s.longest, min(allowanceBurst*s.longest, credit))
 }
 
 func (s *Scheduler) tierOf(at int) int {
@@ -202,11 +214,23 @@
 			return false
 		}
 	}
-	if c.tier > 0 && !owed && s.longCredit < 0 {
-		s.throttled = true
-		return false
+	return c.tier == 0 || owed || s.allowed(c)
+}
+
+// allowed reports whether the allowance permits one more long request. The whole slots of
+// the allowance are used without pause; only the request that would use its fraction
+// has to wait for credit. Pacing all of them let long requests overlap so often that
+// urgent ones were left with one slot for a third of the time.
+func (s *Scheduler) allowed(c *class) bool {
+	running, _ := s.tierUse(1)
+	if float64(running+1) <= s.allowance {
+		return true
+	}
+	if s.longCredit >= c.service {
+		return true
 	}
-	return true
+	s.throttled = true
+	return false
 }
 
 func (s *Scheduler) tierUse(tier int) (running int, share float64) {
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -13,7 +13,7 @@
 	// the whole slack a flood keeps the queue at the edge of the deadline: 8% of the work
 	// ended too late, and the queue outlasted the flood. A request refused early can still
 	// be retried on another upstream.
-	maxWaitShare = 1.0 / 3
+	maxWaitShare = 0.25
 )
 
 // Scheduler admits and dispatches the requests of one upstream. The slices that its
@@ -200,7 +200,7 @@
 		}
 	}
 	if c.tier > 0 {
-		spare = min(spare, float64(s.caps[c.tier]))
+		spare = min(spare, float64(s.caps[c.tier]), s.allowance)
 	}
 	byPriority := (own + ahead) / max(spare, 1e-9)
 	return min(byGuarantee, byPriority)
