--- a/pkg/load/model/upstream.go
+++ b/pkg/load/model/upstream.go
@@ -17,7 +17,6 @@
 	stalled  bool
 	absent   bool // has not joined yet
 	flows    int
-	opened   int
 	busy     float64 // slot-nanoseconds in use
 	flowTime float64
 }
