Keep the running counts of tiers; check the adaptive limit in the model

Cause: admission cost grew with the square of the classes; nothing showed that a right declaration is never lowered. Change: counts per tier are kept up to date, idle classes are skipped; every flood scenario checks the lowest effective slots.

--- a/pkg/dispatch/class.go
+++ b/pkg/dispatch/class.go
@@ -50,6 +50,12 @@
 
 const noDeadline = math.MaxInt64
 
+// tierUse is the use of the slots by the classes of a tier and those above it.
+type tierUse struct {
+	running int
+	share   float64
+}
+
 // class is the state of one request class. Times are scheduler times in nanoseconds.
 type class struct {
 	Class
@@ -129,12 +135,18 @@
 	return (c.credit-c.service)/rate - guaranteeDelay*longest
 }
 
+// idle reports whether time changes nothing about the class.
+func (c *class) idle() bool {
+	return c.credit == 0 && c.queue.n == 0 && c.running == 0
+}
+
 // classify recomputes how many reservations apply to each class: a class is one tier
 // above every more urgent active class whose requests are much shorter than its own.
 func (s *Scheduler) classify() {
 	dt := float64(s.now - s.classifiedAt)
 	s.classifiedAt = s.now
 	s.maxTier = 0
+	s.longest = 0
 	urgent, long, share := 0.0, 0.0, 0.0
 	for at, ci := range s.order {
 		c := &s.classes[ci]
@@ -143,6 +155,7 @@
 			c.use += weight * (c.busy/dt - c.use)
 			c.busy = 0
 		}
+		s.longest = max(s.longest, c.service)
 		c.tier = s.tierOf(at)
 		s.maxTier = max(s.maxTier, c.tier)
 		if c.tier == 0 {
@@ -152,6 +165,7 @@
 		long += c.use
 		share += c.Share
 	}
+	s.countTiers()
 	s.setCaps()
 	s.setAllowance(dt, urgent, long, share)
 }
@@ -219,11 +233,11 @@
 func (s *Scheduler) mayRun(c *class, owed bool) bool {
 	for tier := c.tier; tier >= 1; tier-- {
 		limit := s.caps[tier]
-		running, share := s.tierUse(tier)
+		use := &s.tiers[tier]
 		if owed {
-			limit = max(limit, int(math.Ceil(share*float64(s.limit.slots()))))
+			limit = max(limit, int(math.Ceil(use.share*float64(s.limit.slots()))))
 		}
-		if running >= limit {
+		if use.running >= limit {
 			return false
 		}
 	}
@@ -235,8 +249,7 @@
 // has to wait for credit. Pacing all of them let long requests overlap so often that
 // urgent ones were left with one slot for a third of the time.
 func (s *Scheduler) allowed(c *class) bool {
-	running, _ := s.tierUse(1)
-	if float64(running+1) <= s.allowance {
+	if float64(s.tiers[1].running+1) <= s.allowance {
 		return true
 	}
 	if s.longCredit >= c.service {
@@ -246,12 +259,25 @@
 	return false
 }
 
-func (s *Scheduler) tierUse(tier int) (running int, share float64) {
+// countTiers recomputes the running requests and shares of each tier and those above it.
+func (s *Scheduler) countTiers() {
+	n := s.maxTier + 1
+	s.tiers = slices.Grow(s.tiers[:0], n)[:n]
+	clear(s.tiers)
 	for i := range s.classes {
-		if s.classes[i].tier >= tier {
-			running += s.classes[i].running
-			share += s.classes[i].Share
+		c := &s.classes[i]
+		for tier := range c.tier + 1 {
+			s.tiers[tier].running += c.running
+			s.tiers[tier].share += c.Share
 		}
 	}
-	return running, share
+}
+
+// count adds to the running requests of a class and its tiers.
+func (s *Scheduler) count(c *class, n int) {
+	c.running += n
+	s.running += n
+	for tier := range c.tier + 1 {
+		s.tiers[tier].running += n
+	}
 }
--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -24,6 +24,7 @@
 	slab         slab
 	limit        limiter
 	caps         []int // by tier
+	tiers        []tierUse
 	maxTier      int
 	running      int
 	queued       int
@@ -95,7 +96,9 @@
 	s.limit.spend(s.running, dt)
 	slots := float64(s.limit.slots())
 	for i := range s.classes {
-		s.classes[i].accrue(dt, slots, s.longest)
+		if c := &s.classes[i]; !c.idle() {
+			c.accrue(dt, slots, s.longest)
+		}
 	}
 	s.accrueAllowance(dt)
 	if t-s.classifiedAt >= int64(classifyEvery) {
@@ -284,8 +287,7 @@
 	if it.long = c.tier > 0; it.long {
 		s.longCredit -= c.service
 	}
-	c.running++
-	s.running++
+	s.count(c, 1)
 	s.run = append(s.run, it.req)
 }
 
@@ -305,11 +307,10 @@
 func (s *Scheduler) finish(i int32, o Outcome) {
 	it := &s.slab.items[i]
 	atOnce := s.running
-	s.running--
 	took := float64(s.now - it.started)
 	if it.class >= 0 {
 		c := &s.classes[it.class]
-		c.running--
+		s.count(c, -1)
 		c.credit -= took - it.charged
 		if it.long {
 			s.longCredit -= took - it.charged
@@ -317,6 +318,8 @@
 		if o == Answered && !it.cancelled {
 			s.learn(c, atOnce, took)
 		}
+	} else {
+		s.running--
 	}
 	switch o {
 	case Shed:
@@ -330,10 +333,6 @@
 func (s *Scheduler) learn(c *class, atOnce int, took float64) {
 	c.observe(s.now, took)
 	s.limit.completed(atOnce, c.weight)
-	s.longest = 0
-	for i := range s.classes {
-		s.longest = max(s.longest, s.classes[i].service)
-	}
 }
 
 // Cancel removes a queued request, which then has certainly not run and is not reported
--- a/pkg/load/model/measure.go
+++ b/pkg/load/model/measure.go
@@ -64,13 +64,15 @@
 
 // Result is the measurement of one run.
 type Result struct {
-	Deployment string
-	Policy     Policy
-	Seed       uint64
-	Events     int
-	Overruns   int // samples at which an upstream ran more requests than it has slots
-	Phases     []*PhaseResult
-	shares     []float64 // guaranteed share by class
+	Deployment  string
+	Policy      Policy
+	Seed        uint64
+	Events      int
+	Overruns    int // samples at which an upstream ran more requests than it has slots
+	LowestSlots int // lowest effective slots of an upstream, sampled with the reports
+	Phases      []*PhaseResult
+	slots       int       // declared by each upstream
+	shares      []float64 // guaranteed share by class
 }
 
 // Phase returns the measurement of a phase by name, nil when there is none.
--- a/pkg/load/model/policy.go
+++ b/pkg/load/model/policy.go
@@ -197,6 +197,7 @@
 
 func (p *ourPolicy) load(i int) (running, queued int) {
 	l := p.schedulers[i].Load()
+	p.result.LowestSlots = min(p.result.LowestSlots, l.Slots)
 	return l.Running, l.Queued
 }
 
--- a/pkg/load/model/scenario.go
+++ b/pkg/load/model/scenario.go
@@ -112,6 +112,7 @@
 		out = append(out, atLeast("goodput "+p.Classes[i].Class, p.Classes[i].Goodput(), steadyGoodput))
 	}
 	return append(out,
+		atLeast("lowest effective slots", float64(r.LowestSlots), float64(r.slots)),
 		atMost("flow imbalance", p.FlowImbalance, imbalance),
 		atMost("slot overruns", float64(r.Overruns), 0))
 }
@@ -150,7 +151,9 @@
 			atLeast("goodput at onset "+f.Class, o.Goodput()/b.Goodput(), urgentGoodput),
 			atMost("p99 ratio "+f.Class, ratio(f.Quantile(99), b.Quantile(99)), urgentLatency))
 	}
-	return append(out, atMost("slot overruns", float64(r.Overruns), 0))
+	return append(out,
+		atLeast("lowest effective slots", float64(r.LowestSlots), float64(r.slots)),
+		atMost("slot overruns", float64(r.Overruns), 0))
 }
 
 func ratio(a, b time.Duration) float64 {
@@ -177,6 +180,7 @@
 func mostUrgentChecks(r *Result) []Check {
 	flood := r.Phase("flood")
 	out := []Check{
+		atLeast("lowest effective slots", float64(r.LowestSlots), float64(r.slots)),
 		atLeast("total goodput", flood.Work(), totalGoodput),
 		atMost("slot overruns", float64(r.Overruns), 0),
 	}
--- a/pkg/load/model/sim.go
+++ b/pkg/load/model/sim.go
@@ -100,7 +100,7 @@
 func Run(c Config) *Result {
 	s := &simulation{Config: c, rng: rand.New(rand.NewPCG(c.Seed, 0))}
 	s.clock.start = time.Unix(1_000_000, 0)
-	s.result = &Result{Deployment: c.Deployment.Name, Policy: c.Policy, Seed: c.Seed}
+	s.result = &Result{Deployment: c.Deployment.Name, Policy: c.Policy, Seed: c.Seed, LowestSlots: c.Deployment.Slots, slots: c.Deployment.Slots}
 	for _, cl := range c.Deployment.Classes {
 		s.result.shares = append(s.result.shares, cl.Share)
 	}
