--- a/pkg/dispatch/reason.go
+++ b/pkg/dispatch/reason.go
@@ -17,7 +17,8 @@
 	ReasonDraining
 	// ReasonUnknownClass: the request's class does not exist.
 	ReasonUnknownClass
-	// ReasonDuplicate: a request with the same identifier is queued or running.
+	// ReasonDuplicate: a request with the same identifier is queued or running. Only this
+	// submission is refused; it tells nothing about the first one, which may run.
 	ReasonDuplicate
 	// ReasonClassRemoved: new limits removed the class of a queued request.
 	ReasonClassRemoved
--- a/pkg/selection/estimate.go
+++ b/pkg/selection/estimate.go
@@ -153,6 +153,9 @@
 }
 
 func (p *pool) report(u *upstream, now time.Time, r Report) {
+	if r.At.After(now) {
+		r.At = now // the owner's clock is ahead; a later report must not count as older
+	}
 	if u.heard && !r.At.After(u.at) {
 		return
 	}
