Detect declared slots that do not exist within minutes

Cause: with one slot too many declared the limit was 0.48 (karri) and 0.78 (guild) slots above the real number after 180 s: the sample size ignored how far apart the throughputs are, and failed trials were repeated too soon. Change: sample size from the ratio of the concurrencies, trials of one more slot four times rarer after each failure; scenario wrong-slots.

--- a/pkg/dispatch/limit.go
+++ b/pkg/dispatch/limit.go
@@ -1,13 +1,19 @@
 package dispatch
 
+import "math"
+
 const (
 	// firstProbe is the number of successes at the limit before one more slot is tried.
-	firstProbe = 64
-	// maxProbe bounds the number of successes between trials of one more slot.
-	maxProbe = 4096
-	// levelSamples is the number of completions needed at both compared concurrencies. The
-	// ratio of two rates from 400 completions each has an error of 7%.
-	levelSamples = 400
+	firstProbe = 512
+	// probeGrowth multiplies that number after a trial that failed, up to maxProbe. Useless
+	// slots take over 1000 completions to notice, so trials have to become rare.
+	probeGrowth = 4
+	maxProbe    = 1 << 16
+	// provenAfter is the number of successes after which a raised limit counts as right.
+	provenAfter = 4096
+	// significance is the distance, in standard errors, of two throughputs from the ratio
+	// that a useful slot gives. The comparison repeats with every completion.
+	significance = 4.2
 	// levelMemory is the number of completions after which older ones lose weight.
 	levelMemory = 1600
 	// usefulGain is the throughput ratio of two concurrencies, the larger at least 1.5
@@ -85,7 +91,7 @@
 
 func (l *limiter) lower(to int) {
 	if l.raised {
-		l.probe = min(2*l.probe, maxProbe)
+		l.probe = min(probeGrowth*l.probe, maxProbe)
 	}
 	l.raised = false
 	l.successes = 0
@@ -94,11 +100,15 @@
 
 // success counts an answer. Only answers at the limit show that the upstream bears it.
 func (l *limiter) success(running int) {
-	if running < l.effective || l.effective >= l.declared {
+	if running < l.effective {
 		return
 	}
 	l.successes++
-	if l.successes < l.probe {
+	if l.raised && l.successes >= provenAfter {
+		l.raised = false
+		l.probe = firstProbe
+	}
+	if l.successes < l.probe || l.effective >= l.declared {
 		return
 	}
 	l.successes = 0
@@ -109,6 +119,13 @@
 	}
 }
 
+// samplesNeeded returns the completions at each of two concurrencies from which their
+// throughputs tell a useful slot from a useless one.
+func samplesNeeded(top, base int) float64 {
+	useful := math.Log(float64(top) / float64(base) / usefulGain)
+	return 2 * math.Pow(significance/useful, 2)
+}
+
 // spend counts time at a concurrency.
 func (l *limiter) spend(running int, dt float64) {
 	if running > 0 && running < len(l.levels) {
@@ -130,8 +147,9 @@
 	if running != top || top < 2 {
 		return
 	}
-	base := &l.levels[(top+1)/2]
-	if v.samples() < levelSamples || base.samples() < levelSamples {
+	half := (top + 1) / 2
+	base := &l.levels[half]
+	if min(v.samples(), base.samples()) < samplesNeeded(top, half) {
 		return
 	}
 	if v.rate() < usefulGain*base.rate() {
--- a/pkg/load/model/measure.go
+++ b/pkg/load/model/measure.go
@@ -68,8 +68,9 @@
 	Policy      Policy
 	Seed        uint64
 	Events      int
-	Overruns    int // samples at which an upstream ran more requests than it has slots
-	LowestSlots int // lowest effective slots of an upstream, sampled with the reports
+	Overruns    int     // samples at which an upstream ran more requests than it has slots
+	LowestSlots int     // lowest effective slots of an upstream, sampled with the reports
+	MeanSlots   float64 // effective slots of an upstream, mean over the upstreams at the end
 	Phases      []*PhaseResult
 	slots       int       // declared by each upstream
 	shares      []float64 // guaranteed share by class
--- a/pkg/load/model/policy.go
+++ b/pkg/load/model/policy.go
@@ -23,6 +23,7 @@
 	load(i int) (running, queued int)
 	candidates()
 	tick()
+	meanSlots() float64
 }
 
 func newPolicy(s *simulation) policy {
@@ -201,6 +202,14 @@
 	return l.Running, l.Queued
 }
 
+func (p *ourPolicy) meanSlots() float64 {
+	sum := 0
+	for _, s := range p.schedulers {
+		sum += s.Load().Slots
+	}
+	return float64(sum) / float64(len(p.schedulers))
+}
+
 func (p *ourPolicy) tick() {
 	for _, s := range p.schedulers {
 		run, refused := s.Tick(p.time())
@@ -285,3 +294,5 @@
 func (p *naivePolicy) candidates() {}
 
 func (p *naivePolicy) tick() {}
+
+func (p *naivePolicy) meanSlots() float64 { return float64(p.Deployment.Slots) }
--- a/pkg/load/model/scenario.go
+++ b/pkg/load/model/scenario.go
@@ -31,6 +31,7 @@
 	recoveredFactor = 1.5  // times the 99th percentile before the flood
 	imbalance       = 1.10 // busiest over mean
 	steadyGoodput   = 0.99
+	slotError       = 0.5 // mean effective slots above the real ones; one more is tried at times
 )
 
 // Offered loads of the scenarios, as parts of all slots.
@@ -74,6 +75,7 @@
 		{Name: "flood-most-urgent", Config: mostUrgentConfig, Checks: mostUrgentChecks},
 		{Name: "recovery", Config: recoveryConfig, Checks: recoveryChecks},
 		{Name: "misleading-load", Config: misleadingConfig, Checks: misleadingChecks},
+		{Name: "wrong-slots", Config: wrongSlotsConfig, Checks: wrongSlotsChecks},
 		{Name: "spill-over", Config: spillConfig, Checks: spillChecks},
 	}
 }
@@ -244,6 +246,23 @@
 	}
 }
 
+// wrongSlotsConfig lets every upstream declare one slot more than it has. The offered load
+// is 80% of the real slots.
+func wrongSlotsConfig(d Deployment) Config {
+	real := d.Slots - 1
+	loads := make([]float64, len(d.Classes))
+	for i, c := range d.Classes {
+		loads[i] = c.Load * float64(real) / float64(d.Slots)
+	}
+	return Config{Deployment: d, RealSlots: real, Phases: []Phase{
+		{Name: "measured", Length: balanced, Loads: loads},
+	}}
+}
+
+func wrongSlotsChecks(r *Result) []Check {
+	return []Check{atMost("mean slots above the real ones", r.MeanSlots-float64(r.slots-1), slotError)}
+}
+
 // spillConfig overloads the first data centre: its callers need 1.3 times its slots while
 // the other data centres have room.
 func spillConfig(d Deployment) Config {
--- a/pkg/load/model/sim.go
+++ b/pkg/load/model/sim.go
@@ -38,6 +38,7 @@
 	DCWeights  []float64     // part of the callers in each data centre; nil for even by capacity
 	Misleading bool          // a third of the reports is wrong or old
 	ColdAt     time.Duration // the last upstream joins then; 0 for at the start
+	RealSlots  int           // slots that the upstreams really have; 0 for the declared number
 	StallAt    time.Duration // the first upstream stalls then; 0 for never
 }
 
@@ -116,13 +117,21 @@
 		s.result.Events++
 		s.handle(e)
 	}
+	s.result.MeanSlots = s.policy.meanSlots()
 	return s.result
 }
 
+func (s *simulation) realSlots() int {
+	if s.RealSlots > 0 {
+		return s.RealSlots
+	}
+	return s.Deployment.Slots
+}
+
 func (s *simulation) build() {
 	d := s.Deployment
 	for i := range d.Upstreams {
-		s.servers = append(s.servers, &server{slots: d.Slots, dc: i % d.DataCentres})
+		s.servers = append(s.servers, &server{slots: s.realSlots(), dc: i % d.DataCentres})
 	}
 	for i := range d.Daemons {
 		s.daemons = append(s.daemons, i%d.DataCentres)
