Check goodput after a flood

Cause: the recovery checks compared latencies of answers only, so a policy that answered nothing passed them.

--- a/pkg/load/model/scenario.go
+++ b/pkg/load/model/scenario.go
@@ -205,6 +205,7 @@
 			Phase{Name: "settling " + name, Length: settling},
 			Phase{Name: "after " + name, Length: afterFlood})
 	}
+	phases = append(phases, Phase{Name: "cool-down", Length: coolDown})
 	return Config{Deployment: d, Phases: phases}
 }
 
@@ -215,8 +216,10 @@
 		after := r.Phase("after " + before.Classes[flood].Class)
 		for i := range after.Classes {
 			b, a := &before.Classes[i], &after.Classes[i]
-			name := fmt.Sprintf("p99 ratio %s after %s", a.Class, before.Classes[flood].Class)
-			out = append(out, atMost(name, ratio(a.Quantile(99), b.Quantile(99)), recoveredFactor))
+			name := fmt.Sprintf(" %s after %s", a.Class, before.Classes[flood].Class)
+			out = append(out,
+				atLeast("goodput"+name, a.Goodput()/b.Goodput(), urgentGoodput),
+				atMost("p99 ratio"+name, ratio(a.Quantile(99), b.Quantile(99)), recoveredFactor))
 		}
 	}
 	return out
