--- a/pkg/dispatch/admit.go
+++ b/pkg/dispatch/admit.go
@@ -6,8 +6,8 @@
 	// marginSpreads is the margin of deadline estimates in mean absolute deviations.
 	marginSpreads = 2
 	// maxWaitShare is the part of its slack that a request may be expected to wait. With
-	// the whole slack a flood keeps the queue at the edge of the deadline: 8% of the work
-	// ended too late, and the queue outlasted the flood. A request refused early can still
+	// the whole slack a flood keeps the queue at the edge of the deadline, where long
+	// service times end too late, and the queue outlasts the flood by seconds. A request refused early can still
 	// be retried on another upstream.
 	maxWaitShare = 0.25
 )
--- a/pkg/dispatch/class.go
+++ b/pkg/dispatch/class.go
@@ -246,8 +246,8 @@
 
 // allowed reports whether the allowance permits one more long request. The whole slots of
 // the allowance are used without pause; only the request that would use its fraction
-// has to wait for credit. Pacing all of them let long requests overlap so often that
-// urgent ones were left with one slot for a third of the time.
+// has to wait for credit. Pacing all of them lets long requests overlap more often, which
+// leaves fewer slots to urgent ones at a time.
 func (s *Scheduler) allowed(c *class) bool {
 	if float64(s.tiers[1].running+1) <= s.allowance {
 		return true
--- a/pkg/load/model/scenario.go
+++ b/pkg/load/model/scenario.go
@@ -39,7 +39,7 @@
 	floodLoad = 10.0
 	// pressingLoad is the demand of the other classes relative to their guaranteed shares
 	// during a flood of the most urgent class: so far above 1 that no upstream lacks demand
-	// by chance. At 1.2 the bounded queues were empty for 5% of the time.
+	// by chance. At 1.2 a bounded M/M/1 queue of 8 is empty for 5% of the time.
 	pressingLoad = 2.0
 )
 
