Keep the feeds of an upstream whose lease lapsed while it is connected

Cause: the end of a lease broke every flow of the upstream, also when only its announcements were lost, although a lapsed lease has to end new work only. Change: a lapsed upstream that is still connected is treated as draining; its flows end 3 s after the connection is lost. Handovers that fail are tried again after 150 ms, not 500 ms.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -151,6 +151,7 @@
 	d.cluster = newCluster(d.clock, d.log, d.path.peerConn, key, self, d.settings.Seeds)
 	d.cluster.assign = newAssignment(self, nil)
 	d.cluster.assign.connect = d.connectUpstream
+	d.cluster.assign.connected = d.sessions.connected
 	d.cluster.assign.handOver = d.handOver
 	d.cluster.assign.drop = d.dropUpstream
 	d.cluster.hooks = clusterHooks{
--- a/pkg/daemon/ownership.go
+++ b/pkg/daemon/ownership.go
@@ -32,13 +32,23 @@
 	held     map[ident.UpstreamID]bool      // sessions of this daemon
 	waiting  map[ident.UpstreamID]time.Time // until the predecessor's handover is overdue
 	leaving  map[ident.UpstreamID]time.Time // handovers in progress, with the time of the next try
-
-	connect  func(registration.Registration)
-	handOver func(ident.UpstreamID, membership.Member)
-	drop     func(registration.Registration)
-}
-
-const handoverRetry = 500 * time.Millisecond
+	// retired are upstreams whose lease ended while their connection lives, with the time
+	// at which the connection was last seen. They get no new work; open feeds stay.
+	retired map[ident.UpstreamID]time.Time
+
+	connected func(ident.UpstreamID) bool
+	connect   func(registration.Registration)
+	handOver  func(ident.UpstreamID, membership.Member)
+	drop      func(registration.Registration)
+}
+
+const (
+	// handoverRetry is short because the members' views agree within a few probe periods.
+	handoverRetry = 150 * time.Millisecond
+	// retireGrace is how long the connection to a retired upstream may be lost before its
+	// flows end.
+	retireGrace = 3 * time.Second
+)
 
 func newAssignment(self membership.Member, order ownership.Order) *assignment {
 	return &assignment{
@@ -47,6 +57,7 @@
 		held:    map[ident.UpstreamID]bool{},
 		waiting: map[ident.UpstreamID]time.Time{},
 		leaving: map[ident.UpstreamID]time.Time{},
+		retired: map[ident.UpstreamID]time.Time{},
 	}
 }
 
@@ -86,16 +97,32 @@
 	for _, reg := range set {
 		old, seen := a.known[reg.Upstream]
 		a.known[reg.Upstream] = reg
+		delete(a.retired, reg.Upstream)
 		a.reconcile(now, reg, announced && (!seen || old.Incarnation != reg.Incarnation))
 	}
 	for _, u := range removed {
 		if reg, ok := a.known[u]; ok {
-			a.remove(reg)
+			a.retire(now, reg)
 		}
 	}
 }
 
-func (a *assignment) remove(reg registration.Registration) {
+// retire ends new work at an upstream whose lease ended. A lease can end because the
+// upstream's announcements are lost, so its flows end only when the connection does.
+func (a *assignment) retire(now time.Time, reg registration.Registration) {
+	u := reg.Upstream
+	if !a.held[u] || !a.connected(u) {
+		a.forget(reg)
+		return
+	}
+	reg.Draining = true
+	a.known[u] = reg
+	a.retired[u] = now
+	a.connect(reg)
+}
+
+func (a *assignment) forget(reg registration.Registration) {
+	delete(a.retired, reg.Upstream)
 	delete(a.known, reg.Upstream)
 	delete(a.waiting, reg.Upstream)
 	delete(a.leaving, reg.Upstream)
@@ -177,6 +204,10 @@
 func (a *assignment) released(u ident.UpstreamID) {
 	delete(a.held, u)
 	delete(a.leaving, u)
+	if _, ok := a.retired[u]; ok {
+		delete(a.retired, u)
+		delete(a.known, u)
+	}
 }
 
 // tick handles overdue handovers in both directions.
@@ -186,11 +217,23 @@
 			a.hold(a.known[u])
 		}
 	}
+	a.tickRetired(now)
 	for u := range a.leaving {
 		a.reconcile(now, a.known[u], false)
 	}
 }
 
+func (a *assignment) tickRetired(now time.Time) {
+	for u, seen := range a.retired {
+		switch {
+		case a.connected(u):
+			a.retired[u] = now
+		case now.Sub(seen) > retireGrace:
+			a.forget(a.known[u])
+		}
+	}
+}
+
 // logHandover writes the end of a handover to the log.
 func logHandover(log logrus.FieldLogger, ev owner.HandoverEnded, flows int, err error) {
 	fields := logrus.Fields{"upstream": ev.Upstream, "to": ev.To, "flows": flows}
--- /dev/null
+++ b/pkg/daemon/ownership_test.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/membership"
+	"rosemarygate/pkg/ownership"
+	"rosemarygate/pkg/registration"
+)
+
+// assignBench records what an assignment asks for.
+type assignBench struct {
+	*assignment
+	connects, drops []ident.UpstreamID
+	handovers       []ident.DaemonID
+	alive           bool
+	now             time.Time
+}
+
+const otherDaemon = ident.DaemonID(2)
+
+func newAssignBench() *assignBench {
+	b := &assignBench{alive: true, now: time.Unix(1000, 0)}
+	b.assignment = newAssignment(membership.Member{ID: 1, DataCentre: "dc", Incarnation: 1}, nil)
+	b.connect = func(r registration.Registration) { b.connects = append(b.connects, r.Upstream) }
+	b.drop = func(r registration.Registration) { b.drops = append(b.drops, r.Upstream) }
+	b.handOver = func(_ ident.UpstreamID, m membership.Member) { b.handovers = append(b.handovers, m.ID) }
+	b.connected = func(ident.UpstreamID) bool { return b.alive }
+	return b
+}
+
+func (b *assignBench) view(states ...membership.State) {
+	v := &membership.View{}
+	for i, s := range states {
+		v.Members = append(v.Members, membership.Member{ID: ident.DaemonID(i + 1), DataCentre: "dc", Incarnation: 1, State: s})
+	}
+	b.viewChanged(b.now, v)
+}
+
+// ownedBy returns a registration that the given daemon owns when both serve.
+func ownedBy(id ident.DaemonID) registration.Registration {
+	v := &membership.View{Members: []membership.Member{
+		{ID: 1, DataCentre: "dc", State: membership.Serving}, {ID: 2, DataCentre: "dc", State: membership.Serving},
+	}}
+	for u := ident.UpstreamID(1); ; u++ {
+		if m, _ := ownership.Owner(v, "dc", u); m.ID == id {
+			return registration.Registration{Upstream: u, DataCentre: "dc", Incarnation: 1}
+		}
+	}
+}
+
+func (b *assignBench) learn(r registration.Registration, announced bool) {
+	b.changed(b.now, []registration.Registration{r}, nil, announced)
+}
+
+// Guards against two owners: a joining daemon waits for the flows of the live owner, but
+// not for those of a dead one, and not for ever.
+func TestJoiningOwnerWaitsForLivePredecessor(t *testing.T) {
+	b := newAssignBench()
+	b.view(membership.Serving, membership.Serving)
+	b.learn(ownedBy(1), false)
+	assert.Equal(t, len(b.connects), 0)
+	b.now = b.now.Add(handoverWait + time.Second)
+	b.tick(b.now)
+	assert.Equal(t, len(b.connects), 1)
+}
+
+// Guards against an upstream that is served by nobody after its owner crashed.
+func TestCrashedOwnersUpstreamIsTakenAtOnce(t *testing.T) {
+	b := newAssignBench()
+	b.view(membership.Serving, membership.Serving)
+	b.learn(ownedBy(otherDaemon), false)
+	assert.Equal(t, len(b.connects), 0)
+	b.view(membership.Serving, membership.Dead)
+	assert.Equal(t, len(b.connects), 1)
+}
+
+// Guards against flows that stay at a daemon that is leaving.
+func TestLeavingDaemonHandsOver(t *testing.T) {
+	b := newAssignBench()
+	b.view(membership.Serving, membership.Serving)
+	b.learn(ownedBy(1), true)
+	assert.Equal(t, len(b.connects), 1)
+	b.view(membership.Leaving, membership.Serving)
+	assert.DeepEqual(t, b.handovers, []ident.DaemonID{otherDaemon})
+	b.now = b.now.Add(handoverRetry)
+	b.tick(b.now)
+	assert.Equal(t, len(b.handovers), 2, "a handover that failed is tried again")
+}
+
+// Guards against feeds that are cut because only the upstream's announcements were lost.
+func TestLapsedLeaseKeepsConnectedUpstream(t *testing.T) {
+	b := newAssignBench()
+	b.view(membership.Serving, membership.Serving)
+	reg := ownedBy(1)
+	b.learn(reg, true)
+	b.changed(b.now, nil, []ident.UpstreamID{reg.Upstream}, false)
+	assert.Equal(t, len(b.drops), 0)
+	assert.Assert(t, b.known[reg.Upstream].Draining)
+
+	b.alive = false
+	b.now = b.now.Add(retireGrace + time.Second)
+	b.tick(b.now)
+	assert.Equal(t, len(b.drops), 1)
+}
--- a/pkg/daemon/sessions.go
+++ b/pkg/daemon/sessions.go
@@ -67,6 +67,12 @@
 	return s.all[u]
 }
 
+// connected reports whether the feed stream of an upstream is open.
+func (s *sessions) connected(u ident.UpstreamID) bool {
+	c := s.find(u)
+	return c != nil && c.connected.Load()
+}
+
 // owned returns the upstreams that have a session.
 func (s *sessions) owned() []ident.UpstreamID {
 	s.mu.RLock()
