registration: test that withdrawn prevails over larger versions

Change: a test that gives every daemon a live copy with a larger version. Conclusion: the rule is covered.

--- a/pkg/registration/registration_test.go
+++ b/pkg/registration/registration_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"rosemarygate/api/peer/v1"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/ownership"
 	"rosemarygate/pkg/registration"
@@ -252,3 +254,24 @@
 		w.r.Fatalf("%s lists incarnation %d, withdrawn %d", d.member.Name, u.Incarnation, w.withdrawn[d])
 	}
 }
+
+// Guards against a copy with a larger version, made by a daemon that did not hear of the
+// withdrawal, that brings a withdrawn registration back.
+func TestWithdrawnPrevailsOverLargerVersion(t *testing.T) {
+	n := cluster(t, 1, 3, 1)
+	u := upstream(1, "dc-0", 1)
+	n.renewing(2*time.Second, u)
+	assert.Equal(t, registration.Reason(0), n.withdraw(u).Refused)
+	n.run(time.Second)
+	address, err := u.Addr.MarshalBinary()
+	assert.NilError(t, err)
+	data, err := proto.Marshal(&peerpb.RegistrationUpdate{Records: []*peerpb.RegistrationRecord{{
+		Upstream: uint64(u.Upstream), Incarnation: 1, Version: 99, State: peerpb.RegistrationRecord_STATE_LIVE,
+		Author: 1, Service: uint64(u.Service), Name: u.Name, DataCentre: u.DataCentre, Address: address, Slots: 3,
+	}}})
+	assert.NilError(t, err)
+	for _, d := range n.nodes {
+		n.register(d, registration.Attached{From: n.nodes[0].member.ID, Data: data})
+	}
+	assert.Equal(t, 0, n.listed(u))
+}
