Remember the incarnations of forgotten registrations

Cause: TestWithdrawnRegistrationStaysWithdrawn failed twice. First, after a partition with views not yet healed, the test booked a withdrawal on the daemon that owns the upstream in the complete view, although another one, still alone in its view, had accepted it. Second, a daemon that gives up an ended lease removed the entry and with it the incarnation, and then accepted a late announcement of a smaller one (incarnation 2 after 3).

--- a/pkg/registration/core.go
+++ b/pkg/registration/core.go
@@ -30,6 +30,11 @@
 	SyncEvery  time.Duration // digests within the data centre; default 10 s
 }
 
+type floor struct {
+	incarnation ident.Incarnation
+	since       time.Time
+}
+
 type state uint8
 
 const (
@@ -66,6 +71,9 @@
 	queue   []queued
 	peers   []membership.Member // serving members of the own data centre
 
+	// floors are the incarnations of entries that were removed while other daemons may
+	// still list them; smaller incarnations are refused.
+	floors    map[ident.UpstreamID]floor
 	orphaned  time.Time // since when no daemon serves; zero while one does
 	nextSync  time.Time
 	nextClean time.Time
@@ -90,6 +98,7 @@
 		owned:   make(map[ident.UpstreamID]*entry),
 		ended:   make(map[ident.UpstreamID]*entry),
 		loads:   newLoads(),
+		floors:  make(map[ident.UpstreamID]floor),
 		changed: make(map[ident.UpstreamID]bool),
 	}
 }
@@ -183,6 +192,8 @@
 func (c *Core) accept(now time.Time, r Registration) Reason {
 	e := c.entries[r.Upstream]
 	switch {
+	case r.Incarnation < c.floors[r.Upstream].incarnation:
+		return Superseded
 	case e == nil || r.Incarnation > e.Incarnation:
 		r.Since = now
 		e = c.replace(e, entry{Registration: r, state: live, version: 1, author: c.cfg.Self})
@@ -281,6 +292,12 @@
 	return e
 }
 
+// forget removes an entry but remembers its incarnation.
+func (c *Core) forget(now time.Time, e *entry) {
+	c.floors[e.Upstream] = floor{incarnation: e.Incarnation, since: now}
+	c.remove(e)
+}
+
 func (c *Core) remove(e *entry) {
 	e.centre.account(e)
 	delete(e.centre.buckets[e.Upstream>>bucketShift].entries, e.Upstream)
@@ -300,6 +317,11 @@
 	}
 	c.nextClean = now.Add(cleanEvery)
 	c.loads.clean(now)
+	for u, f := range c.floors {
+		if now.Sub(f.since) > tombstoneAge {
+			delete(c.floors, u)
+		}
+	}
 	for _, e := range c.ended {
 		if now.Sub(e.endedAt) > tombstoneAge {
 			c.remove(e)
@@ -322,7 +344,7 @@
 	}
 	for _, e := range c.entries {
 		if e.state == live {
-			c.remove(e)
+			c.forget(now, e)
 		}
 	}
 }
--- a/pkg/registration/merge.go
+++ b/pkg/registration/merge.go
@@ -79,6 +79,9 @@
 	if e != nil && e.DataCentre != next.DataCentre {
 		return nil
 	}
+	if next.Incarnation < c.floors[next.Upstream].incarnation {
+		return nil
+	}
 	e = c.replace(e, next)
 	if owner, ok := c.table.Owner(e.DataCentre, e.Upstream); ok && owner.ID == c.cfg.Self {
 		c.take(now, e)
--- a/pkg/registration/registration_test.go
+++ b/pkg/registration/registration_test.go
@@ -211,7 +211,7 @@
 			case 1:
 				answer := n.ask(d, registration.Withdraw{Upstream: u.Upstream, DataCentre: "dc-0", Incarnation: u.Incarnation})
 				if answer.Refused == 0 {
-					watch.withdrawn[n.owner(u)] = u.Incarnation
+					watch.withdrawn[n.byID[answer.Owner.ID]] = u.Incarnation
 				}
 			case 2:
 				incarnation++
--- a/pkg/registration/view.go
+++ b/pkg/registration/view.go
@@ -101,7 +101,7 @@
 		// The end of a lease counts only while its author is the owner; a daemon that was
 		// cut off and owned everything must not end the leases of the others.
 		if e.state == expired && e.author == c.cfg.Self {
-			c.remove(e)
+			c.forget(now, e)
 		}
 	}
 }
