Batch what the data path sends; read a socket with four goroutines

Cause: each relayed or answered packet cost a write of its own, and one goroutine read and relayed all packets of a socket. Change: an outbox per receiver and shard collects datagrams in reused buffers and sends up to 64 with one system call; four goroutines take turns at each socket; an idle socket holds room for one datagram a reader, and receivers come from a pool.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/net/ipv4"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -110,7 +111,7 @@
 		return errors.Wrap(err, "peer port cannot be bound: free it or change ports.peer")
 	}
 	_ = conn.SetReadBuffer(socketBuffer)
-	d.path = &datapath{clock: d.clock, key: key, peerConn: conn, counters: newPacketCounters(d.metrics)}
+	d.path = &datapath{clock: d.clock, key: key, peerConn: conn, peers: ipv4.NewPacketConn(conn), counters: newPacketCounters(d.metrics)}
 	if d.grpcLis, err = net.Listen("tcp", s.Address(s.Ports.GRPC).String()); err != nil {
 		return errors.Wrap(err, "gRPC port cannot be bound: free it or change ports.grpc")
 	}
@@ -136,10 +137,11 @@
 // assemble connects the parts with each other.
 func (d *Daemon) assemble(key []byte) {
 	d.peers = newPeers(d.identity.Client())
+	d.path.receivers.New = func() any { return d.path.newReceiver() }
 	d.path.keys.Store(&keyRing{d.services.Load().keys})
 	d.path.sockets = &sockets{
 		host: d.settings.Host, byService: map[ident.ServiceID]*serviceSocket{},
-		receive: d.path.fromCaller, newRecv: d.path.newReceiver,
+		receive: d.path.fromCaller, receivers: &d.path.receivers,
 	}
 	self := membership.Member{
 		ID: ident.Daemon(d.settings.Name), Name: d.settings.Name, DataCentre: d.settings.DataCentre,
@@ -270,7 +272,7 @@
 		core := owner.NewCore(owner.Config{Self: self.ID, Incarnation: self.Incarnation, Keys: d.services.Load().keys})
 		s := &shard{
 			core: core, events: make(chan envelope, shardQueue), clock: d.clock,
-			do: d.do, release: d.path.released,
+			recv: d.path.newReceiver(), do: d.do, release: d.path.released,
 		}
 		sh.all = append(sh.all, s)
 		go s.run(d.ctx)
--- a/pkg/daemon/datapath.go
+++ b/pkg/daemon/datapath.go
@@ -3,9 +3,11 @@
 import (
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/ipv4"
 	"google.golang.org/protobuf/proto"
 
 	wirepb "rosemarygate/api/wire/v1"
@@ -30,6 +32,9 @@
 	opener   *opener
 	counters *packetCounters
 	peerConn *net.UDPConn
+	peers    *ipv4.PacketConn // peerConn for batches
+	// receivers holds idle receivers.
+	receivers sync.Pool
 	// membership takes encoded membership messages; it must not block.
 	membership func(from netip.AddrPort, message []byte)
 }
@@ -37,17 +42,18 @@
 // keyRing is one generation of token keys. A receiver builds its own codec from it.
 type keyRing struct{ keys []token.Key }
 
-// receiver is the state of one goroutine that receives packets.
+// receiver is the state of one goroutine that handles packets.
 type receiver struct {
-	ring   *keyRing
-	codec  *token.Codec
-	sealer *relay.Sealer
-	packet relay.Packet
-	out    []byte
+	messages []ipv4.Message
+	ring     *keyRing
+	codec    *token.Codec
+	sealer   *relay.Sealer
+	packet   relay.Packet
+	out      outbox
 }
 
 func (d *datapath) newReceiver() *receiver {
-	return &receiver{sealer: relay.NewSealer(d.key), out: make([]byte, 0, relay.MaxDatagram)}
+	return &receiver{sealer: relay.NewSealer(d.key), messages: newMessages(receiveBatch)}
 }
 
 // verify checks a token with the current keys.
@@ -66,7 +72,7 @@
 		return
 	}
 	if len(h.Token) == 0 {
-		d.open(sock.service, b, from)
+		d.open(r, sock.service, b, from)
 		return
 	}
 	claims, err := d.verify(r, h.FlowID, h.Token)
@@ -90,7 +96,7 @@
 	case relay.Forward:
 		d.forward(r, decision.Peer, &relay.Packet{Caller: caller, Service: claims.Service, Frame: b, Hops: hops + 1})
 	default:
-		d.noRoute(claims.Service, b, caller)
+		d.noRoute(r, claims.Service, b, caller)
 	}
 }
 
@@ -129,14 +135,16 @@
 		d.counters.hops.Inc()
 		return
 	}
-	r.out = r.sealer.Seal(relay.AppendPacket(r.out[:0], p))
-	// A datagram that cannot be sent counts as lost; the caller repeats it.
-	_, _ = d.peerConn.WriteToUDPAddrPort(r.out, to)
+	b, ok := r.out.next(d.peers, to)
+	if !ok {
+		return
+	}
+	r.out.put(r.sealer.Seal(relay.AppendPacket(b, p)))
 	d.counters.relayed.Inc()
 }
 
 // noRoute tells the caller of a request to try again; other frames are repeated anyway.
-func (d *datapath) noRoute(service ident.ServiceID, b []byte, caller netip.AddrPort) {
+func (d *datapath) noRoute(r *receiver, service ident.ServiceID, b []byte, caller netip.AddrPort) {
 	d.counters.noRoute.Inc()
 	fr, err := frame.Decode(b)
 	if err != nil {
@@ -146,7 +154,7 @@
 	if !ok {
 		return
 	}
-	d.sendFrame(service, caller, &wirepb.Frame{
+	d.sendFrame(r, service, caller, &wirepb.Frame{
 		FlowId: fr.FlowId,
 		Body: &wirepb.Frame_Outcome{Outcome: &wirepb.RequestOutcome{
 			RequestId: q.Request.RequestId,
@@ -156,18 +164,28 @@
 	})
 }
 
-func (d *datapath) sendFrame(service ident.ServiceID, to netip.AddrPort, fr *wirepb.Frame) {
-	b, err := proto.Marshal(fr)
-	if err != nil {
+// sendFrame sends a frame from the service's address with the receiver's next batch.
+func (d *datapath) sendFrame(r *receiver, service ident.ServiceID, to netip.AddrPort, fr *wirepb.Frame) {
+	sock := d.sockets.find(service)
+	if sock == nil {
 		return
 	}
-	d.sockets.send(service, to, b)
+	b, ok := r.out.next(sock.batch, to)
+	if !ok {
+		return
+	}
+	if b, err := (proto.MarshalOptions{}).MarshalAppend(b, fr); err == nil {
+		r.out.put(b)
+	}
 }
 
 // fromPeers handles the datagrams of other daemons until the socket is closed.
 func (d *datapath) fromPeers() {
-	r := d.newReceiver()
-	readBatches(d.peerConn, func(b []byte, from netip.AddrPort) { d.fromPeer(r, b, from) })
+	var wg sync.WaitGroup
+	for range socketReaders {
+		wg.Go(func() { readBatches(d.peers, &d.receivers, d.fromPeer) })
+	}
+	wg.Wait()
 }
 
 func (d *datapath) fromPeer(r *receiver, b []byte, from netip.AddrPort) {
@@ -219,7 +237,7 @@
 }
 
 // open handles a caller's datagram without a token.
-func (d *datapath) open(service ident.ServiceID, b []byte, caller netip.AddrPort) {
+func (d *datapath) open(r *receiver, service ident.ServiceID, b []byte, caller netip.AddrPort) {
 	fr, err := frame.Decode(b)
 	if err != nil {
 		d.counters.frameRefused(err)
@@ -229,5 +247,5 @@
 		d.counters.missingToken.Inc()
 		return
 	}
-	d.opener.open(caller, service, ident.FlowID(fr.FlowId), nil, wirepb.Reason_REASON_NO_UPSTREAM)
+	d.opener.open(r, caller, service, ident.FlowID(fr.FlowId), nil, wirepb.Reason_REASON_NO_UPSTREAM)
 }
--- a/pkg/daemon/glue.go
+++ b/pkg/daemon/glue.go
@@ -23,10 +23,10 @@
 
 // do carries out one action of an owner core. It runs in the shard's goroutine and does
 // not block.
-func (d *Daemon) do(a owner.Action) {
+func (d *Daemon) do(r *receiver, a owner.Action) {
 	switch a := a.(type) {
 	case owner.SendFrame:
-		d.path.sendFrame(a.Service, a.Caller, a.Frame)
+		d.path.sendFrame(r, a.Service, a.Caller, a.Frame)
 	case owner.Execute:
 		d.sessions.execute(a)
 	case owner.CancelExecute:
@@ -38,9 +38,9 @@
 			s.subscribe(a)
 		}
 	case owner.PassOpen:
-		d.path.opener.open(a.Caller, a.Service, a.Flow, a.Tried, a.Reason)
+		d.path.opener.open(r, a.Caller, a.Service, a.Flow, a.Tried, a.Reason)
 	case owner.ForwardFrame:
-		d.forwardFrame(a)
+		d.forwardFrame(r, a)
 	case owner.SendHandover:
 		go d.sendHandover(a)
 	case owner.SendCompleted:
@@ -57,7 +57,7 @@
 }
 
 // forwardFrame passes a frame on to the upstream's new owner.
-func (d *Daemon) forwardFrame(a owner.ForwardFrame) {
+func (d *Daemon) forwardFrame(r *receiver, a owner.ForwardFrame) {
 	ev := a.Event
 	b, err := frame.Encode(nil, ev.Frame)
 	if err != nil {
@@ -67,12 +67,12 @@
 	if !ok {
 		decision := d.path.table.Load().Owner(ev.Claims.DataCentre, ev.Claims.Upstream)
 		if decision.Verdict != relay.Forward {
-			d.path.noRoute(ev.Claims.Service, b, ev.Caller)
+			d.path.noRoute(r, ev.Claims.Service, b, ev.Caller)
 			return
 		}
 		to = decision.Peer
 	}
-	d.path.forward(d.path.newReceiver(), to, &relay.Packet{
+	d.path.forward(r, to, &relay.Packet{
 		Caller: ev.Caller, Service: ev.Claims.Service, Frame: b, Hops: ev.Hops + 1,
 	})
 }
--- a/pkg/daemon/opener.go
+++ b/pkg/daemon/opener.go
@@ -21,7 +21,6 @@
 
 	mu    sync.Mutex
 	table *selection.Table
-	recv  *receiver
 }
 
 // withTable runs f on the selection table.
@@ -33,16 +32,16 @@
 
 // open picks an upstream that has not refused the open yet and passes the open to its owner.
 // reason is why the last one refused.
-func (o *opener) open(caller netip.AddrPort, service ident.ServiceID, flow ident.FlowID, tried []ident.UpstreamID, reason wirepb.Reason) {
+func (o *opener) open(r *receiver, caller netip.AddrPort, service ident.ServiceID, flow ident.FlowID, tried []ident.UpstreamID, reason wirepb.Reason) {
 	if len(tried) > relay.MaxTried {
-		o.refuse(caller, service, flow, reason)
+		o.refuse(r, caller, service, flow, reason)
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	picked, err := o.table.Pick(o.path.clock(), service, tried)
 	if err != nil {
-		o.refuse(caller, service, flow, reason)
+		o.refuse(r, caller, service, flow, reason)
 		return
 	}
 	decision := o.path.table.Load().Owner(picked.DataCentre, picked.Upstream)
@@ -52,28 +51,25 @@
 			Caller: caller, Service: service, Flow: flow, Upstream: picked.Upstream, Tried: tried,
 		})
 	case relay.Forward:
-		o.forward(decision.Peer, caller, service, flow, picked.Upstream, tried)
+		o.forward(r, decision.Peer, caller, service, flow, picked.Upstream, tried)
 	default:
-		o.refuse(caller, service, flow, reason)
+		o.refuse(r, caller, service, flow, reason)
 	}
 }
 
-func (o *opener) forward(to, caller netip.AddrPort, service ident.ServiceID, flow ident.FlowID, u ident.UpstreamID, tried []ident.UpstreamID) {
+func (o *opener) forward(r *receiver, to, caller netip.AddrPort, service ident.ServiceID, flow ident.FlowID, u ident.UpstreamID, tried []ident.UpstreamID) {
 	b, err := frame.Encode(nil, &wirepb.Frame{FlowId: uint64(flow), Body: &wirepb.Frame_Open{Open: &wirepb.Open{}}})
 	if err != nil {
 		return
 	}
 	p := &relay.Packet{Caller: caller, Service: service, Frame: b, Hops: 1, Upstream: u}
 	p.NumTried = copy(p.Tried[:], tried)
-	if o.recv == nil {
-		o.recv = o.path.newReceiver()
-	}
-	o.path.forward(o.recv, to, p)
+	o.path.forward(r, to, p)
 }
 
-func (o *opener) refuse(caller netip.AddrPort, service ident.ServiceID, flow ident.FlowID, reason wirepb.Reason) {
+func (o *opener) refuse(r *receiver, caller netip.AddrPort, service ident.ServiceID, flow ident.FlowID, reason wirepb.Reason) {
 	o.refused(service, reason)
-	o.path.sendFrame(service, caller, &wirepb.Frame{
+	o.path.sendFrame(r, service, caller, &wirepb.Frame{
 		FlowId: uint64(flow),
 		Body:   &wirepb.Frame_FlowStatus{FlowStatus: &wirepb.FlowStatus{Reason: reason, Gone: true}},
 	})
--- a/pkg/daemon/shard.go
+++ b/pkg/daemon/shard.go
@@ -26,7 +26,8 @@
 	core   *owner.Core
 	events chan envelope
 	clock  func() time.Time
-	do     func(owner.Action)
+	recv   *receiver // collects what the core sends
+	do     func(*receiver, owner.Action)
 	// release gives back the packet's place in its service's share of the queues.
 	release func(ident.ServiceID)
 }
@@ -41,11 +42,26 @@
 		case <-ticker.C:
 			s.step(owner.Tick{})
 		case e := <-s.events:
-			s.handle(e)
+			s.handleQueued(e)
 		}
+		s.recv.out.flush()
 	}
 }
 
+// handleQueued handles an event and those queued behind it, up to a batch, so that their
+// replies share system calls.
+func (s *shard) handleQueued(e envelope) {
+	for range sendBatch {
+		s.handle(e)
+		select {
+		case e = <-s.events:
+		default:
+			return
+		}
+	}
+	s.handle(e)
+}
+
 func (s *shard) handle(e envelope) {
 	if e.service != 0 {
 		s.release(e.service)
@@ -56,13 +72,14 @@
 		s.step(e.event)
 	}
 	if e.done != nil {
+		s.recv.out.flush()
 		close(e.done)
 	}
 }
 
 func (s *shard) step(ev owner.Event) {
 	for _, a := range s.core.Step(s.clock(), ev) {
-		s.do(a)
+		s.do(s.recv, a)
 	}
 }
 
--- a/pkg/daemon/sockets.go
+++ b/pkg/daemon/sockets.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/ipv4"
+	"golang.org/x/sys/unix"
 
 	"rosemarygate/pkg/ident"
 )
@@ -16,7 +17,12 @@
 const (
 	receiveBatch  = 64 // datagrams read by one system call
 	receiveBuffer = 2048
-	socketBuffer  = 8 << 20 // bytes
+	// maxDrain bounds the batches read in a row, so that a receiver returns to its pool.
+	maxDrain     = 16
+	socketBuffer = 8 << 20 // bytes
+	// socketReaders goroutines take turns at reading one socket; while one reads, the others
+	// check and pass on what they have read.
+	socketReaders = 4
 )
 
 // serviceSocket is the UDP socket of one service's address on this host.
@@ -24,6 +30,7 @@
 	service ident.ServiceID
 	port    uint16
 	conn    *net.UDPConn
+	batch   *ipv4.PacketConn
 	// queued counts the service's packets between socket and owner cores, so that a
 	// flood of one service leaves room for the others.
 	queued atomic.Int64
@@ -31,9 +38,9 @@
 
 // sockets holds the service sockets by service.
 type sockets struct {
-	host    netip.Addr
-	receive func(*serviceSocket, *receiver, []byte, netip.AddrPort)
-	newRecv func() *receiver
+	host      netip.Addr
+	receivers *sync.Pool // of *receiver
+	receive   func(*serviceSocket, *receiver, []byte, netip.AddrPort)
 
 	mu        sync.RWMutex
 	byService map[ident.ServiceID]*serviceSocket
@@ -70,51 +77,71 @@
 	}
 	// The system may allow less; packets are then dropped sooner in a burst.
 	_ = conn.SetReadBuffer(socketBuffer)
-	sock := &serviceSocket{service: id, port: port, conn: conn}
+	sock := &serviceSocket{service: id, port: port, conn: conn, batch: ipv4.NewPacketConn(conn)}
 	s.byService[id] = sock
-	s.wg.Add(1)
-	go s.read(sock)
+	s.wg.Add(socketReaders)
+	for range socketReaders {
+		go s.read(sock)
+	}
 	return nil
 }
 
 func (s *sockets) read(sock *serviceSocket) {
 	defer s.wg.Done()
-	recv := s.newRecv()
-	readBatches(sock.conn, func(b []byte, from netip.AddrPort) { s.receive(sock, recv, b, from) })
+	readBatches(sock.batch, s.receivers, func(r *receiver, b []byte, from netip.AddrPort) { s.receive(sock, r, b, from) })
 }
 
-// readBatches calls f for each datagram until the connection is closed.
-func readBatches(conn *net.UDPConn, f func(b []byte, from netip.AddrPort)) {
-	batch := ipv4.NewPacketConn(conn)
-	messages := make([]ipv4.Message, receiveBatch)
-	for i := range messages {
-		messages[i].Buffers = [][]byte{make([]byte, receiveBuffer)}
-	}
+// readBatches calls f for each datagram until the connection is closed, and sends what f
+// collected in the receiver's outbox after each batch. It waits with room for one datagram
+// and takes a receiver only while there is work, because a host may have hundreds of idle
+// sockets.
+func readBatches(conn *ipv4.PacketConn, receivers *sync.Pool, f func(r *receiver, b []byte, from netip.AddrPort)) {
+	first := newMessages(1)
 	for {
-		n, err := batch.ReadBatch(messages, 0)
+		n, err := conn.ReadBatch(first, 0)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
 			continue
 		}
-		for _, m := range messages[:n] {
-			if from, ok := m.Addr.(*net.UDPAddr); ok {
-				f(m.Buffers[0][:m.N], from.AddrPort())
-			}
+		r := receivers.Get().(*receiver)
+		r.handle(first[:n], f)
+		r.drain(conn, f)
+		receivers.Put(r)
+	}
+}
+
+// drain handles what else has arrived, without waiting.
+func (r *receiver) drain(conn *ipv4.PacketConn, f func(r *receiver, b []byte, from netip.AddrPort)) {
+	for range maxDrain {
+		n, err := conn.ReadBatch(r.messages, unix.MSG_DONTWAIT)
+		if err != nil {
+			return
+		}
+		r.handle(r.messages[:n], f)
+		if n < len(r.messages) {
+			return
 		}
 	}
 }
 
-// send sends a datagram from the service's address.
-func (s *sockets) send(service ident.ServiceID, to netip.AddrPort, b []byte) {
-	s.mu.RLock()
-	sock := s.byService[service]
-	s.mu.RUnlock()
-	if sock != nil {
-		// A datagram that cannot be sent counts as lost; the protocol repeats it.
-		_, _ = sock.conn.WriteToUDPAddrPort(b, to)
+// handle calls f for each datagram and sends what f collected.
+func (r *receiver) handle(messages []ipv4.Message, f func(r *receiver, b []byte, from netip.AddrPort)) {
+	for _, m := range messages {
+		if from, ok := m.Addr.(*net.UDPAddr); ok {
+			f(r, m.Buffers[0][:m.N], from.AddrPort())
+		}
+	}
+	r.out.flush()
+}
+
+func newMessages(n int) []ipv4.Message {
+	messages := make([]ipv4.Message, n)
+	for i := range messages {
+		messages[i].Buffers = [][]byte{make([]byte, receiveBuffer)}
 	}
+	return messages
 }
 
 func (s *sockets) find(service ident.ServiceID) *serviceSocket {
