--- a/pkg/owner/request.go
+++ b/pkg/owner/request.go
@@ -39,11 +39,16 @@
 	reason     wirepb.Reason
 	call       uint64
 	started    time.Time
+	attempts   int       // calls to the upstream so far
+	retryAt    time.Time // with stateQueued: not to be submitted before
+	// mayHaveRun says that an earlier attempt may have run; the request is idempotent.
+	mayHaveRun bool
 }
 
 // request handles one part of a request.
 func (c *Core) request(f *flow, cl *token.Claims, q *wirepb.Request) {
 	id := ident.RequestID(q.RequestId)
+	c.dropEnded(f, ident.RequestID(q.EndedBelow))
 	if r := f.records[id]; r != nil {
 		c.repeatedRequest(r, q)
 		return
@@ -69,6 +74,25 @@
 	c.addPart(r, q)
 }
 
+// dropEnded drops the records of requests that have ended at the caller. Late copies of
+// them are answered as unknown and never run.
+func (c *Core) dropEnded(f *flow, below ident.RequestID) {
+	if below <= f.droppedBelow+1 {
+		return
+	}
+	f.droppedBelow = below - 1
+	for id, r := range f.records {
+		if id < below && r.ended() {
+			delete(f.records, id)
+		}
+	}
+}
+
+// ended reports whether nothing happens any more for the record's request.
+func (r *record) ended() bool {
+	return r.state == stateAnswered || r.state == stateNotRun || r.state == stateUnknown
+}
+
 func (c *Core) newRecord(f *flow, q *wirepb.Request) *record {
 	r := &record{
 		id: ident.RequestID(q.RequestId), flow: f, state: stateAssembling,
@@ -150,6 +174,7 @@
 
 func (c *Core) execute(r *record) {
 	r.state, r.started = stateRunning, c.now
+	r.attempts++
 	r.flow.up.running++
 	c.count(RequestsRun, r.flow.up.service, 0)
 	c.emit(Execute{
@@ -173,7 +198,7 @@
 			OK: ev.Result == Answered, Duration: c.now.Sub(r.started),
 		})
 	}
-	if r.state == stateRunning {
+	if r.state == stateRunning && !c.retry(r, ev) {
 		c.finishCall(r, ev)
 	}
 	if u.movedTo != 0 {
@@ -204,6 +229,7 @@
 	switch ev.Result {
 	case Answered:
 		r.state, r.answer, r.payload = stateAnswered, ev.Payload, nil
+		c.budget(r.flow.up.service).Success()
 		c.count(RequestsOK, r.flow.up.service, 0)
 		c.sendAnswer(r, nil)
 	case NotBegun:
@@ -223,7 +249,12 @@
 	}
 }
 
+// finishNotRun refuses a request, unless an earlier attempt of it may have run.
 func (c *Core) finishNotRun(r *record, reason wirepb.Reason) {
+	if r.mayHaveRun {
+		c.finishUnknown(r, reason)
+		return
+	}
 	r.state, r.reason, r.payload, r.assembly = stateNotRun, reason, nil, nil
 	c.count(RequestsNotRun, r.flow.up.service, reason)
 	c.replyOutcome(r.flow, r.id, wirepb.Outcome_OUTCOME_NOT_RUN, reason)
@@ -319,7 +350,9 @@
 			continue
 		}
 		f := r.flow
-		delete(f.records, r.id)
+		if f.records[r.id] == r {
+			delete(f.records, r.id)
+		}
 		f.droppedBelow = max(f.droppedBelow, r.id)
 	}
 }
