Measure the memory and opening rate of flows at one daemon

Cause: the targets of 1 KB a flow and 5,000 new flows a second had no measurement. Change: pkg/load/flowbench and 'rosemarygate load flows'.

--- a/pkg/cli/load.go
+++ b/pkg/cli/load.go
@@ -11,6 +11,6 @@
 changes absolute figures, so compare the figures of one run with each other.`,
 		Args: cobra.NoArgs,
 	}
-	cmd.AddCommand(newLoadRelay())
+	cmd.AddCommand(newLoadRelay(), newLoadFlows())
 	return cmd
 }
--- /dev/null
+++ b/pkg/cli/loadflows.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"rosemarygate/pkg/load/flowbench"
+)
+
+func newLoadFlows() *cobra.Command {
+	var o flowbench.Options
+	var format string
+	cmd := &cobra.Command{
+		Use:   "flows",
+		Short: "Measure the memory of open flows and the rate of new ones at one daemon",
+		Long: `flows opens flows on one daemon at a steady rate, holds them open with keep-alives and
+reports the growth of heap and resident memory for each flow. Caller and daemon share the
+process; the caller's memory is allocated before the first measurement.`,
+		Example: `  rosemarygate load flows --flows 200000 --rate 5000
+  rosemarygate load flows --flows 20000 --hold 5s --format json`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := checkFormat(format, "text", "json"); err != nil {
+				return err
+			}
+			r, err := flowbench.Run(cmd.Context(), o)
+			if err != nil {
+				return err
+			}
+			w := cmd.OutOrStdout()
+			if format == "json" {
+				enc := json.NewEncoder(w)
+				enc.SetIndent("", "  ")
+				return enc.Encode(r)
+			}
+			fmt.Fprintf(w, "opened %d flows in %.1f s: %.0f a second, slowest second %d\n", r.Flows, r.OpenSeconds, r.FlowsPerSec, r.SlowestRate)
+			fmt.Fprintf(w, "held %d flows with %.0f keep-alives a second\n", r.HeldFlows, r.KeepAlives)
+			fmt.Fprintf(w, "memory of one flow: heap %.0f bytes, resident %.0f bytes\n", r.HeapPerFlow, r.RSSPerFlow)
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&o.Flows, "flows", 200_000, "flows to open")
+	f.IntVar(&o.Rate, "rate", 5_000, "new flows a second")
+	f.DurationVar(&o.Hold, "hold", 10*time.Second, "how long all flows are held open")
+	f.DurationVar(&o.KeepAlive, "keep-alive", 20*time.Second, "time between two keep-alives of a flow")
+	addFormat(cmd, &format, "text", "json")
+	return cmd
+}
--- /dev/null
+++ b/pkg/load/flowbench/flowbench.go
@@ -0,0 +1,207 @@
+// Package flowbench measures the memory of open flows at one daemon and the rate at which
+// it opens them.
+//
+// Daemon, stand-in upstreams and caller share the process. The caller's memory is allocated
+// and touched before the first flow opens, and the stand-ins keep nothing for a flow
+// without a feed, so the growth from then on is the daemon's.
+package flowbench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"rosemarygate/pkg/config"
+	"rosemarygate/pkg/fleet"
+	"rosemarygate/pkg/standin"
+)
+
+const (
+	port       = 4201
+	service    = "bench/flows"
+	credential = "bench-credential"
+	dataCentre = "bench"
+	upstreams  = 8
+	startLimit = 15 * time.Second
+)
+
+// Options of a run.
+type Options struct {
+	Flows     int
+	Rate      int           // new flows a second
+	Hold      time.Duration // how long all flows are held open
+	KeepAlive time.Duration // time between two keep-alives of a flow
+}
+
+// Memory is the process's memory.
+type Memory struct {
+	Heap int `json:"heap_bytes"` // live objects after a collection
+	RSS  int `json:"rss_bytes"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Flows        int     `json:"flows"`
+	OpenSeconds  float64 `json:"open_seconds"`
+	FlowsPerSec  float64 `json:"flows_per_second"`
+	SlowestRate  int     `json:"slowest_second"` // flows confirmed in the slowest whole second
+	Before       Memory  `json:"before"`
+	After        Memory  `json:"after"`
+	HeapPerFlow  float64 `json:"heap_bytes_per_flow"`
+	RSSPerFlow   float64 `json:"rss_bytes_per_flow"`
+	HeldFlows    int     `json:"held_flows"` // open at the daemon after the hold
+	OpensRefused int64   `json:"opens_refused"`
+	KeepAlives   float64 `json:"keep_alives_per_second"` // answered during the hold
+}
+
+// Run opens the flows, holds them and measures.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if o.Flows < 1 || o.Rate < 1 {
+		return nil, errors.New("flows and rate must be at least 1")
+	}
+	cfg, err := loadConfig(o)
+	if err != nil {
+		return nil, err
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := fleet.New(cfg, []string{dataCentre}, log)
+	defer f.Close()
+	if err := startFleet(f, o); err != nil {
+		return nil, err
+	}
+	entry := net.UDPAddrFromAddrPort(netip.AddrPortFrom(f.Hosts()[0].Addr, port))
+	c, err := newCaller(entry, o.Flows)
+	if err != nil {
+		return nil, err
+	}
+	defer c.conn.Close()
+	go c.receive()
+	return measure(ctx, f, c, o)
+}
+
+func measure(ctx context.Context, f *fleet.Fleet, c *caller, o Options) (*Report, error) {
+	r := &Report{Flows: o.Flows}
+	var err error
+	if r.Before, err = memory(); err != nil {
+		return nil, err
+	}
+	perSecond, stop := watch(c)
+	began := time.Now()
+	err = c.open(ctx, o.Rate, o.KeepAlive)
+	r.OpenSeconds = time.Since(began).Seconds()
+	rates := stop(perSecond)
+	if err != nil {
+		return nil, err
+	}
+	r.FlowsPerSec = float64(o.Flows) / r.OpenSeconds
+	if len(rates) > 0 {
+		r.SlowestRate = slices.Min(rates)
+	}
+	acks, held := c.acks.Load(), time.Now()
+	c.hold(ctx, o.Hold, o.KeepAlive)
+	r.KeepAlives = float64(c.acks.Load()-acks) / time.Since(held).Seconds()
+	if r.After, err = memory(); err != nil {
+		return nil, err
+	}
+	for _, u := range f.Daemon(0).Status().Upstreams {
+		r.HeldFlows += u.Flows
+	}
+	r.OpensRefused = c.refused.Load()
+	r.HeapPerFlow = float64(r.After.Heap-r.Before.Heap) / float64(o.Flows)
+	r.RSSPerFlow = float64(r.After.RSS-r.Before.RSS) / float64(o.Flows)
+	return r, ctx.Err()
+}
+
+// watch counts the flows confirmed in each whole second until it is stopped.
+func watch(c *caller) (chan struct{}, func(chan struct{}) []int) {
+	quit, done := make(chan struct{}), make(chan struct{})
+	var rates []int
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(time.Second)
+		defer ticker.Stop()
+		last := int64(0)
+		for {
+			select {
+			case <-quit:
+				return
+			case <-ticker.C:
+				now := c.confirmed.Load()
+				rates = append(rates, int(now-last))
+				last = now
+			}
+		}
+	}()
+	return quit, func(quit chan struct{}) []int {
+		close(quit)
+		<-done
+		return rates
+	}
+}
+
+// memory collects garbage, returns it to the system and reads the process's memory.
+func memory() (Memory, error) {
+	debug.FreeOSMemory()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	b, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return Memory{}, errors.Wrap(err, "resident memory cannot be read: run on Linux")
+	}
+	fields := strings.Fields(string(b))
+	if len(fields) < 2 {
+		return Memory{}, errors.New("resident memory cannot be read: /proc/self/statm has no second field")
+	}
+	pages, err := strconv.Atoi(fields[1])
+	return Memory{Heap: int(m.HeapAlloc), RSS: pages * os.Getpagesize()}, err
+}
+
+func loadConfig(o Options) (*config.Config, error) {
+	folder, err := config.FromFiles([]config.File{{Name: "10-bench.yaml", Data: fmt.Appendf(nil, `users:
+  bench:
+    services:
+      flows:
+        port: %d
+        credential: %s
+        flow_limit: %d
+        flow_idle: 60s
+        classes:
+          any: {priority: 0, share: 0.5, queue_limit: 64, deadline: 10s}
+`, port, credential, flowLimit(o))}})
+	if err != nil {
+		return nil, err
+	}
+	return folder.Merge()
+}
+
+// flowLimit leaves room for an uneven choice of upstreams.
+func flowLimit(o Options) int { return 2*o.Flows/upstreams + 100 }
+
+func startFleet(f *fleet.Fleet, o Options) error {
+	if err := f.Start(); err != nil {
+		return err
+	}
+	for i := range upstreams {
+		err := f.StartUpstream(standin.Config{
+			Service: service, Name: fmt.Sprintf("up-%d", i), DataCentre: dataCentre, Slots: 1,
+			FlowLimit: flowLimit(o), Credential: credential, FeedPeriod: time.Second,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return f.WaitUpstreams(upstreams, startLimit)
+}
--- /dev/null
+++ b/pkg/load/flowbench/flowbench_test.go
@@ -0,0 +1,17 @@
+package flowbench
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against flows that the daemon loses while it opens others, and against a
+// measurement that counts flows it did not open.
+func TestFlowsAreHeld(t *testing.T) {
+	r, err := Run(t.Context(), Options{Flows: 2000, Rate: 2000, Hold: time.Second, KeepAlive: time.Second})
+	assert.NilError(t, err)
+	assert.Equal(t, r.HeldFlows, 2000)
+	assert.Assert(t, r.KeepAlives > 0)
+}
