Pace payloads of many parts and bound the memory of requests

Cause: all parts of an answer or a request were sent in one burst, which overruns socket buffers; a bitmap of held parts could make a resend too large to encode; answers and unfinished requests were bounded by number only; every client flow had a timer; a request id at the end of its range moved the mark of dropped records back. Change: frame.Transfer keeps at most 32 parts in flight; AnswerAck and the new RequestAck say which parts are held. A flow may hold 8 MB and an upstream 64 MB of payloads and answers; beyond that requests are refused with REASON_LIMIT and their records stay. One wheel per client sends the keep-alives. Tests with a lossy in-memory transport and an example.

--- a/client/client.go
+++ b/client/client.go
@@ -41,6 +41,7 @@
 	transport Transport
 	closed    atomic.Bool
 	done      chan struct{}
+	wheel     wheel
 
 	mu    sync.Mutex
 	flows map[uint64]*Flow
@@ -56,6 +57,7 @@
 	}
 	c := &Client{cfg: cfg, transport: t, flows: map[uint64]*Flow{}, done: make(chan struct{})}
 	go c.receive()
+	go c.wheel.run(c.done)
 	return c
 }
 
--- a/client/flow.go
+++ b/client/flow.go
@@ -29,7 +29,6 @@
 	nextID     uint64
 	requests   map[uint64]*pending
 	feed       *Feed
-	timer      *time.Timer
 	lastReply  time.Time
 	awaitReply bool // a keep-alive has not been answered
 }
@@ -59,14 +58,16 @@
 	return f.token
 }
 
-// send encodes and sends a frame; a frame that cannot be sent counts as lost.
-func (f *Flow) send(fr *wirepb.Frame) {
+// send encodes and sends a frame; a frame that cannot be sent counts as lost. It returns
+// false for a frame that is too large.
+func (f *Flow) send(fr *wirepb.Frame) bool {
 	fr.FlowId = f.id
 	b, err := frame.Encode(nil, fr)
 	if err != nil {
-		return
+		return false
 	}
 	_ = f.client.transport.Send(b)
+	return true
 }
 
 // fail ends the flow, its feed and its requests.
@@ -78,9 +79,6 @@
 		return
 	}
 	f.err = err
-	if f.timer != nil {
-		f.timer.Stop()
-	}
 	close(f.gone)
 }
 
@@ -97,7 +95,6 @@
 		wait = min(wait, unconfirmedResend)
 	}
 	f.awaitReply = true
-	f.timer = time.AfterFunc(jitter(wait), f.keepAlive)
 	token := f.token
 	f.mu.Unlock()
 	if silent > f.client.cfg.FlowTimeout {
@@ -105,6 +102,7 @@
 		return
 	}
 	f.send(&wirepb.Frame{Token: token, Body: &wirepb.Frame_KeepAlive{KeepAlive: &wirepb.KeepAlive{}}})
+	f.client.wheel.add(f, jitter(wait))
 }
 
 func (f *Flow) handle(fr *wirepb.Frame) {
@@ -117,6 +115,8 @@
 		f.handleFeedItem(body.FeedItem)
 	case *wirepb.Frame_Answer:
 		f.handleAnswer(body.Answer)
+	case *wirepb.Frame_RequestAck:
+		f.handleRequestAck(body.RequestAck)
 	case *wirepb.Frame_Outcome:
 		f.handleOutcome(body.Outcome)
 	case *wirepb.Frame_FlowStatus:
--- a/client/request.go
+++ b/client/request.go
@@ -68,10 +68,13 @@
 	token    []byte // bound at the first send; only its owner may run the request
 	deadline time.Time
 	attempt  uint32
-	changed  chan struct{} // capacity 1
+	changed  chan struct{}   // capacity 1
+	transfer *frame.Transfer // of a request of several parts
 	assembly *frame.Assembly
-	answer   []byte
-	outcome  *wirepb.RequestOutcome
+	// progressed says that parts arrived, here or at the owner, since the last resend.
+	progressed bool
+	answer     []byte
+	outcome    *wirepb.RequestOutcome
 }
 
 // Do runs one request. ctx must have a deadline; it bounds the request at the upstream as
@@ -119,7 +122,11 @@
 	for {
 		select {
 		case <-resend.C:
-			f.sendRequest(p)
+			if period, moving := f.resend(p); moving {
+				wait = firstResend
+				resend.Reset(period)
+				continue
+			}
 			resend.Reset(jitter(wait))
 			wait = min(wait*3/2, maxResend)
 		case <-p.changed:
@@ -178,30 +185,6 @@
 	return r
 }
 
-func (f *Flow) sendRequest(p *pending) {
-	left := time.Until(p.deadline)
-	if left <= 0 {
-		return
-	}
-	f.mu.Lock()
-	p.attempt++
-	var held []byte
-	if p.assembly != nil {
-		held = p.assembly.Held()
-	}
-	ended := f.endedBelow()
-	f.mu.Unlock()
-	parts := frame.PartCount(len(p.request.Payload))
-	for i := range parts {
-		f.send(&wirepb.Frame{Token: p.token, Body: &wirepb.Frame_Request{Request: &wirepb.Request{
-			RequestId: p.id, Class: p.request.Class, Idempotent: p.request.Idempotent,
-			DeadlineMs: uint32(left.Milliseconds()) + 1, Attempt: p.attempt,
-			Part: uint32(i), Parts: uint32(parts), Payload: frame.Part(p.request.Payload, i),
-			AnswerPartsHeld: held, EndedBelow: ended,
-		}}})
-	}
-}
-
 // endedBelow returns the smallest id of the requests in progress; f.mu is held.
 func (f *Flow) endedBelow() uint64 {
 	lowest := f.nextID + 1
@@ -211,26 +194,6 @@
 	return lowest
 }
 
-func (f *Flow) handleAnswer(a *wirepb.Answer) {
-	f.mu.Lock()
-	p := f.requests[a.RequestId]
-	complete := false
-	if p != nil && p.answer == nil {
-		if p.assembly == nil {
-			p.assembly = frame.NewAssembly(int(a.Parts))
-		}
-		p.assembly.Add(int(a.Part), int(a.Parts), a.Payload)
-		if complete = p.assembly.Complete(); complete {
-			p.answer = p.assembly.Payload()
-		}
-	}
-	f.mu.Unlock()
-	if complete {
-		f.send(&wirepb.Frame{Token: p.token, Body: &wirepb.Frame_AnswerAck{AnswerAck: &wirepb.AnswerAck{RequestId: p.id}}})
-		p.notify()
-	}
-}
-
 func (f *Flow) handleOutcome(o *wirepb.RequestOutcome) {
 	f.mu.Lock()
 	p := f.requests[o.RequestId]
--- a/pkg/cli/loadflows.go
+++ b/pkg/cli/loadflows.go
@@ -38,7 +38,7 @@
 			}
 			fmt.Fprintf(w, "opened %d flows in %.1f s: %.0f a second, slowest second %d\n", r.Flows, r.OpenSeconds, r.FlowsPerSec, r.SlowestRate)
 			fmt.Fprintf(w, "held %d flows with %.0f keep-alives a second\n", r.HeldFlows, r.KeepAlives)
-			fmt.Fprintf(w, "memory of one flow: heap %.0f bytes, resident %.0f bytes\n", r.HeapPerFlow, r.RSSPerFlow)
+			fmt.Fprintf(w, "memory of one flow: heap %.0f bytes, resident %.0f bytes (%.0f before garbage collection)\n", r.HeapPerFlow, r.RSSPerFlow, r.RSSUncollected)
 			return nil
 		},
 	}
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -189,6 +189,7 @@
 type Assembly struct {
 	parts   [][]byte
 	missing int
+	size    int // bytes of the parts present
 }
 
 // NewAssembly returns an empty assembly of the given number of parts.
@@ -204,19 +205,25 @@
 	}
 	a.parts[i] = append([]byte{}, payload...)
 	a.missing--
+	a.size += len(payload)
 	return true
 }
 
 // Complete reports whether every part is present.
 func (a *Assembly) Complete() bool { return a.missing == 0 }
 
+// Present returns the number of parts that are present.
+func (a *Assembly) Present() int { return len(a.parts) - a.missing }
+
+// partOverhead is the size of a slice header in bytes.
+const partOverhead = 24
+
+// Size returns the memory of the assembly in bytes.
+func (a *Assembly) Size() int { return a.size + partOverhead*len(a.parts) }
+
 // Payload joins the parts of a complete assembly.
 func (a *Assembly) Payload() []byte {
-	size := 0
-	for _, p := range a.parts {
-		size += len(p)
-	}
-	out := make([]byte, 0, size)
+	out := make([]byte, 0, a.size)
 	for _, p := range a.parts {
 		out = append(out, p...)
 	}
@@ -234,6 +241,15 @@
 	return held
 }
 
+// AllHeld returns the bitmap of a payload whose parts are all present.
+func AllHeld(parts int) []byte {
+	held := make([]byte, (parts+7)/8)
+	for i := range parts {
+		held[i/8] |= 1 << (i % 8)
+	}
+	return held
+}
+
 // Holds reports whether the bitmap made by Held contains part i.
 func Holds(held []byte, i int) bool {
 	return i/8 < len(held) && held[i/8]&(1<<(i%8)) != 0
--- a/pkg/load/flowbench/flowbench.go
+++ b/pkg/load/flowbench/flowbench.go
@@ -53,17 +53,19 @@
 
 // Report is the result of a run.
 type Report struct {
-	Flows        int     `json:"flows"`
-	OpenSeconds  float64 `json:"open_seconds"`
-	FlowsPerSec  float64 `json:"flows_per_second"`
-	SlowestRate  int     `json:"slowest_second"` // flows confirmed in the slowest whole second
-	Before       Memory  `json:"before"`
-	After        Memory  `json:"after"`
-	HeapPerFlow  float64 `json:"heap_bytes_per_flow"`
-	RSSPerFlow   float64 `json:"rss_bytes_per_flow"`
-	HeldFlows    int     `json:"held_flows"` // open at the daemon after the hold
-	OpensRefused int64   `json:"opens_refused"`
-	KeepAlives   float64 `json:"keep_alives_per_second"` // answered during the hold
+	Flows       int     `json:"flows"`
+	OpenSeconds float64 `json:"open_seconds"`
+	FlowsPerSec float64 `json:"flows_per_second"`
+	SlowestRate int     `json:"slowest_second"` // flows confirmed in the slowest whole second
+	Before      Memory  `json:"before"`
+	After       Memory  `json:"after"`
+	HeapPerFlow float64 `json:"heap_bytes_per_flow"`
+	RSSPerFlow  float64 `json:"rss_bytes_per_flow"`
+	// RSSUncollected is the resident memory for each flow before garbage is collected.
+	RSSUncollected float64 `json:"rss_uncollected_bytes_per_flow"`
+	HeldFlows      int     `json:"held_flows"` // open at the daemon after the hold
+	OpensRefused   int64   `json:"opens_refused"`
+	KeepAlives     float64 `json:"keep_alives_per_second"` // answered during the hold
 }
 
 // Run opens the flows, holds them and measures.
@@ -113,6 +115,11 @@
 	acks, held := c.acks.Load(), time.Now()
 	c.hold(ctx, o.Hold, o.KeepAlive)
 	r.KeepAlives = float64(c.acks.Load()-acks) / time.Since(held).Seconds()
+	raw, err := residentBytes()
+	if err != nil {
+		return nil, err
+	}
+	r.RSSUncollected = float64(raw-r.Before.RSS) / float64(o.Flows)
 	if r.After, err = memory(); err != nil {
 		return nil, err
 	}
@@ -157,16 +164,21 @@
 	debug.FreeOSMemory()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
+	rss, err := residentBytes()
+	return Memory{Heap: int(m.HeapAlloc), RSS: rss}, err
+}
+
+func residentBytes() (int, error) {
 	b, err := os.ReadFile("/proc/self/statm")
 	if err != nil {
-		return Memory{}, errors.Wrap(err, "resident memory cannot be read: run on Linux")
+		return 0, errors.Wrap(err, "resident memory cannot be read: run on Linux")
 	}
 	fields := strings.Fields(string(b))
 	if len(fields) < 2 {
-		return Memory{}, errors.New("resident memory cannot be read: /proc/self/statm has no second field")
+		return 0, errors.New("resident memory cannot be read: /proc/self/statm has no second field")
 	}
 	pages, err := strconv.Atoi(fields[1])
-	return Memory{Heap: int(m.HeapAlloc), RSS: pages * os.Getpagesize()}, err
+	return pages * os.Getpagesize(), err
 }
 
 func loadConfig(o Options) (*config.Config, error) {
--- a/pkg/owner/flow.go
+++ b/pkg/owner/flow.go
@@ -25,6 +25,7 @@
 	// droppedBelow is the highest request id whose record was dropped; requests at or
 	// below it may have run.
 	droppedBelow ident.RequestID
+	bytes        int // held by the flow's records
 }
 
 func (c *Core) open(ev OpenReceived) {
@@ -179,7 +180,7 @@
 	case *wirepb.Frame_Request:
 		c.request(f, &ev.Claims, body.Request)
 	case *wirepb.Frame_AnswerAck:
-		c.answerAck(f, ident.RequestID(body.AnswerAck.RequestId))
+		c.answerAck(f, body.AnswerAck)
 	case *wirepb.Frame_Cancel:
 		c.cancel(f, ident.RequestID(body.Cancel.RequestId))
 	case *wirepb.Frame_Close:
--- a/pkg/owner/handover.go
+++ b/pkg/owner/handover.go
@@ -277,6 +277,7 @@
 		return
 	}
 	r.answer, r.reason = q.Record.Answer, wirepb.Reason(q.Record.Reason)
+	r.account()
 	switch q.Record.State {
 	case peerpb.RequestRecord_STATE_ANSWERED:
 		r.state = stateAnswered
--- a/pkg/owner/request.go
+++ b/pkg/owner/request.go
@@ -36,6 +36,8 @@
 	assembly   *frame.Assembly
 	payload    []byte
 	answer     []byte
+	transfer   *frame.Transfer // of an answer of several parts
+	accounted  int             // bytes counted by account
 	reason     wirepb.Reason
 	call       uint64
 	started    time.Time
@@ -62,7 +64,7 @@
 		c.replyOutcome(f, id, wirepb.Outcome_OUTCOME_UNKNOWN, wirepb.Reason_REASON_OWNER_GONE)
 		return
 	}
-	if len(f.records) >= maxRecordsPerFlow {
+	if len(f.records) >= maxRecordsPerFlow || f.up.kept >= maxRecordsPerUpstream {
 		// Without a record the request cannot be refused for good: a later copy may run.
 		c.replyOutcome(f, id, wirepb.Outcome_OUTCOME_NO_ROUTE, wirepb.Reason_REASON_LIMIT)
 		return
@@ -77,13 +79,13 @@
 // dropEnded drops the records of requests that have ended at the caller. Late copies of
 // them are answered as unknown and never run.
 func (c *Core) dropEnded(f *flow, below ident.RequestID) {
-	if below <= f.droppedBelow+1 {
+	if below == 0 || below-1 <= f.droppedBelow {
 		return
 	}
 	f.droppedBelow = below - 1
 	for id, r := range f.records {
 		if id < below && r.ended() {
-			delete(f.records, id)
+			c.dropRecord(r)
 		}
 	}
 }
@@ -115,6 +117,8 @@
 		r.deadline = c.now.Add(limit)
 	}
 	r.assembly = frame.NewAssembly(int(q.Parts))
+	r.account()
+	c.refuseOverBudget(r)
 	return r
 }
 
@@ -125,17 +129,27 @@
 		f.records = map[ident.RequestID]*record{}
 	}
 	f.records[r.id] = r
+	f.up.kept++
+	r.account()
 	r.expires = r.deadline.Add(packetLifetime)
 	at := bucket(r.expires)
 	f.up.records[at] = append(f.up.records[at], r)
 }
 
 func (c *Core) addPart(r *record, q *wirepb.Request) {
-	r.assembly.Add(int(q.Part), int(q.Parts), q.Payload)
+	added := r.assembly.Add(int(q.Part), int(q.Parts), q.Payload)
+	r.account()
+	if c.refuseOverBudget(r) {
+		return
+	}
+	if q.Parts > 1 && (!added || r.assembly.Present()%frame.TransferAckEvery == 0) {
+		c.ackRequest(r, r.assembly.Held())
+	}
 	if !r.assembly.Complete() {
 		return
 	}
 	r.payload, r.assembly = r.assembly.Payload(), nil
+	r.account()
 	c.queue(r)
 }
 
@@ -229,6 +243,7 @@
 	switch ev.Result {
 	case Answered:
 		r.state, r.answer, r.payload = stateAnswered, ev.Payload, nil
+		r.account()
 		c.budget(r.flow.up.service).Success()
 		c.count(RequestsOK, r.flow.up.service, 0)
 		c.sendAnswer(r, nil)
@@ -255,13 +270,15 @@
 		c.finishUnknown(r, reason)
 		return
 	}
-	r.state, r.reason, r.payload, r.assembly = stateNotRun, reason, nil, nil
+	r.state, r.reason = stateNotRun, reason
+	r.release()
 	c.count(RequestsNotRun, r.flow.up.service, reason)
 	c.replyOutcome(r.flow, r.id, wirepb.Outcome_OUTCOME_NOT_RUN, reason)
 }
 
 func (c *Core) finishUnknown(r *record, reason wirepb.Reason) {
-	r.state, r.reason, r.payload = stateUnknown, reason, nil
+	r.state, r.reason = stateUnknown, reason
+	r.release()
 	c.count(RequestsUnknown, r.flow.up.service, reason)
 	c.replyOutcome(r.flow, r.id, wirepb.Outcome_OUTCOME_UNKNOWN, reason)
 }
@@ -281,6 +298,10 @@
 	switch r.state {
 	case stateAssembling:
 		c.addPart(r, q)
+	case stateQueued, stateRunning:
+		if q.Parts > 1 {
+			c.ackRequest(r, frame.AllHeld(int(q.Parts)))
+		}
 	case stateAnswered:
 		c.sendAnswer(r, q.AnswerPartsHeld)
 	case stateNotRun:
@@ -290,26 +311,6 @@
 	}
 }
 
-// sendAnswer sends the parts that the caller does not hold.
-func (c *Core) sendAnswer(r *record, held []byte) {
-	parts := frame.PartCount(len(r.answer))
-	for i := range parts {
-		if frame.Holds(held, i) {
-			continue
-		}
-		c.send(r.flow, &wirepb.Frame{Body: &wirepb.Frame_Answer{Answer: &wirepb.Answer{
-			RequestId: uint64(r.id), Part: uint32(i), Parts: uint32(parts), Payload: frame.Part(r.answer, i),
-		}}})
-	}
-}
-
-// answerAck drops the answer; the record stays so that no late copy runs.
-func (c *Core) answerAck(f *flow, id ident.RequestID) {
-	if r := f.records[id]; r != nil && r.state == stateAnswered {
-		r.state, r.answer, r.reason = stateUnknown, nil, wirepb.Reason_REASON_RECORD_EXPIRED
-	}
-}
-
 func (c *Core) cancel(f *flow, id ident.RequestID) {
 	r := f.records[id]
 	if r == nil {
@@ -350,9 +351,7 @@
 			continue
 		}
 		f := r.flow
-		if f.records[r.id] == r {
-			delete(f.records, r.id)
-		}
+		c.dropRecord(r)
 		f.droppedBelow = max(f.droppedBelow, r.id)
 	}
 }
--- a/pkg/owner/upstream.go
+++ b/pkg/owner/upstream.go
@@ -38,6 +38,9 @@
 	// records holds request records by the second in which they have to be looked at.
 	records map[int64][]*record
 
+	bytes int // held by the records of all flows
+	kept  int // records of all flows
+
 	frozen bool // a handover is in progress
 	// finished are requests that ended during the handover.
 	finished []*record
