--- a/pkg/dispatch/scheduler.go
+++ b/pkg/dispatch/scheduler.go
@@ -14,15 +14,19 @@
 	slab         slab
 	limit        limiter
 	caps         []int // by tier
+	tiers        []tierUse
 	maxTier      int
 	running      int
 	queued       int
 	draining     bool
 	base         time.Time
 	now          int64   // nanoseconds since base; never decreases
-	busy         float64 // slot-nanoseconds of all classes since base
 	longest      float64 // largest mean service time of a class
 	classifiedAt int64
+	usual        float64 // usual slot use of long requests
+	allowance    float64 // slots that long requests may occupy on average
+	longCredit   float64 // slot-nanoseconds left of the allowance
+	throttled    bool    // the allowance held a long request back since the last classify
 	run          []Request
 	refused      []Refusal
 }
@@ -30,6 +34,7 @@
 // NewScheduler returns an idle scheduler for one upstream.
 func NewScheduler(l Limits) *Scheduler {
 	s := &Scheduler{slab: newSlab(), limit: newLimiter(l.Slots)}
+	s.usual = firstUsual * float64(s.limit.slots())
 	s.setClasses(l.Classes)
 	return s
 }
@@ -78,116 +83,19 @@
 	}
 	dt := float64(t - s.now)
 	s.now = t
-	s.busy += float64(s.running) * dt
+	s.limit.spend(s.running, dt)
 	slots := float64(s.limit.slots())
 	for i := range s.classes {
-		s.classes[i].accrue(dt, slots, s.longest)
+		if c := &s.classes[i]; !c.idle() {
+			c.accrue(dt, slots, s.longest)
+		}
 	}
+	s.accrueAllowance(dt)
 	if t-s.classifiedAt >= int64(classifyEvery) {
 		s.classify()
 	}
 }
 
-// Submit admits, queues or refuses a request. It returns the requests to run now and the
-// requests refused, which may include earlier queued ones.
-func (s *Scheduler) Submit(now time.Time, r Request) (run []Request, refused []Refusal) {
-	s.begin(now)
-	deadline := s.relative(r.Deadline)
-	if reason := s.admit(r, deadline); reason != 0 {
-		s.refuse(r.ID, reason)
-		return s.run, s.refused
-	}
-	c := &s.classes[r.Class]
-	i := s.slab.add(item{req: r, class: int32(r.Class), deadline: deadline})
-	c.queue.push(&s.slab, i)
-	c.minDeadline = min(c.minDeadline, deadline)
-	s.queued++
-	s.fill()
-	return s.run, s.refused
-}
-
-func (s *Scheduler) relative(deadline time.Time) int64 {
-	if deadline.IsZero() {
-		return noDeadline
-	}
-	return int64(deadline.Sub(s.base))
-}
-
-// admit returns the reason to refuse a new request, or 0.
-func (s *Scheduler) admit(r Request, deadline int64) Reason {
-	if s.draining {
-		return ReasonDraining
-	}
-	if r.Class < 0 || r.Class >= len(s.classes) {
-		return ReasonUnknownClass
-	}
-	if _, ok := s.slab.index[r.ID]; ok {
-		return ReasonDuplicate
-	}
-	c := &s.classes[r.Class]
-	wasActive := c.active(s.now)
-	c.arrived, c.arrivedAt = true, s.now
-	if !wasActive {
-		s.classify()
-	}
-	if c.queue.n >= c.QueueLimit && !s.canStart(c) {
-		s.expire(r.Class)
-		if c.queue.n >= c.QueueLimit {
-			return ReasonQueueFull
-		}
-	}
-	if deadline <= s.now {
-		return ReasonDeadline
-	}
-	wait := s.waitOf(r.Class)
-	if s.misses(c, deadline, wait) && (wait > 0 || !c.stale(s.now)) {
-		return ReasonDeadline
-	}
-	return 0
-}
-
-// canStart reports whether a request of the class would run at once.
-func (s *Scheduler) canStart(c *class) bool {
-	return c.queue.n == 0 && s.running < s.limit.slots() && s.mayRun(c, c.overdue(float64(s.limit.slots())) >= 0)
-}
-
-// misses reports whether a request that starts after wait would end after its deadline.
-func (s *Scheduler) misses(c *class, deadline int64, wait float64) bool {
-	if deadline == noDeadline {
-		return false
-	}
-	return float64(s.now)+wait+c.service > float64(deadline)
-}
-
-// waitOf estimates how long (nanoseconds) a new request of a class waits: the queued
-// work that goes first, over the slots that its guarantee or its priority give it.
-func (s *Scheduler) waitOf(ci int) float64 {
-	c := &s.classes[ci]
-	if s.canStart(c) {
-		return 0
-	}
-	own := float64(c.queue.n) * c.service
-	slots := float64(s.limit.slots())
-	byGuarantee := own / max(c.Share*slots, 1e-9)
-	ahead, spare := 0.0, slots
-	for i := range s.classes {
-		d := &s.classes[i]
-		if d.Priority < c.Priority {
-			ahead += float64(d.queue.n) * d.service
-			spare -= min(d.use, spare)
-		}
-	}
-	if c.tier > 0 {
-		spare = min(spare, float64(s.caps[c.tier]))
-	}
-	byPriority := (own + ahead) / max(spare, 1e-9)
-	return min(byGuarantee, byPriority)
-}
-
-func (s *Scheduler) refuse(id uint64, reason Reason) {
-	s.refused = append(s.refused, Refusal{ID: id, Reason: reason})
-}
-
 // fill dispatches queued requests while a slot is free.
 func (s *Scheduler) fill() {
 	for s.queued > 0 && s.running < s.limit.slots() {
@@ -203,7 +111,7 @@
 			s.drop(i, ReasonExpired)
 			continue
 		}
-		if s.misses(c, it.deadline, 0) {
+		if s.misses(c, it.arrived, it.deadline) {
 			if !c.stale(s.now) {
 				s.drop(i, ReasonDeadline)
 				continue
@@ -224,7 +132,7 @@
 		if c.queue.n == 0 {
 			continue
 		}
-		late := c.overdue(slots)
+		late := c.overdue(slots, s.longest)
 		if late >= longest && s.mayRun(c, true) && (owed < 0 || late > longest) {
 			owed, longest = ci, late
 		}
@@ -258,11 +166,12 @@
 	c := &s.classes[it.class]
 	it.running = true
 	it.started = s.now
-	it.busyAt = s.busy
 	it.charged = c.service
 	c.credit -= c.service
-	c.running++
-	s.running++
+	if it.long = c.tier > 0; it.long {
+		s.longCredit -= c.service
+	}
+	s.count(c, 1)
 	s.run = append(s.run, it.req)
 }
 
@@ -282,15 +191,19 @@
 func (s *Scheduler) finish(i int32, o Outcome) {
 	it := &s.slab.items[i]
 	atOnce := s.running
-	s.running--
 	took := float64(s.now - it.started)
 	if it.class >= 0 {
 		c := &s.classes[it.class]
-		c.running--
+		s.count(c, -1)
 		c.credit -= took - it.charged
+		if it.long {
+			s.longCredit -= took - it.charged
+		}
 		if o == Answered && !it.cancelled {
-			s.learn(c, it, took)
+			s.learn(c, atOnce, took)
 		}
+	} else {
+		s.running--
 	}
 	switch o {
 	case Shed:
@@ -301,15 +214,9 @@
 	s.slab.remove(i)
 }
 
-func (s *Scheduler) learn(c *class, it *item, took float64) {
-	if c.service > 0 && took > 0 {
-		s.limit.observe((s.busy-it.busyAt)/took, took/c.service)
-	}
+func (s *Scheduler) learn(c *class, atOnce int, took float64) {
 	c.observe(s.now, took)
-	s.longest = 0
-	for i := range s.classes {
-		s.longest = max(s.longest, s.classes[i].service)
-	}
+	s.limit.completed(atOnce, c.weight)
 }
 
 // Cancel removes a queued request, which then has certainly not run and is not reported
