Let experiments cut data centres off and kill upstreams

The daemon takes an option that makes addresses unreachable: datagrams from them are dropped and gRPC connections to them fail, also open ones. The fleet gives the upstreams of each data centre an address of their own, so that a cut also covers connections of owners in another data centre.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -36,6 +36,7 @@
 	metrics  *telemetry.Set
 	counters *counters
 	clock    func() time.Time
+	blocked  func(netip.Addr) bool // nil unless an experiment cuts connections
 
 	services atomic.Pointer[serviceIndex]
 	shards   atomic.Pointer[shards]
@@ -55,7 +56,7 @@
 
 // New prepares a daemon and binds its own ports, so that an address in use is reported
 // before anything starts.
-func New(s *settings.Daemon, cfg *config.Config, log logrus.FieldLogger) (*Daemon, error) {
+func New(s *settings.Daemon, cfg *config.Config, log logrus.FieldLogger, options ...Option) (*Daemon, error) {
 	key, err := clusterKey(s)
 	if err != nil {
 		return nil, err
@@ -73,6 +74,9 @@
 		clock: monotonicClock(), started: time.Now(),
 		ready: make(chan struct{}),
 	}
+	for _, o := range options {
+		o(d)
+	}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.counters = newCounters(d.metrics)
 	d.counters.setNames(index.names)
@@ -110,7 +114,7 @@
 		return errors.Wrap(err, "peer port cannot be bound: free it or change ports.peer")
 	}
 	_ = conn.SetReadBuffer(socketBuffer)
-	d.path = &datapath{clock: d.clock, key: key, peerConn: conn, counters: newPacketCounters(d.metrics)}
+	d.path = &datapath{clock: d.clock, blocked: d.blocked, key: key, peerConn: conn, counters: newPacketCounters(d.metrics)}
 	if d.grpcLis, err = net.Listen("tcp", s.Address(s.Ports.GRPC).String()); err != nil {
 		return errors.Wrap(err, "gRPC port cannot be bound: free it or change ports.grpc")
 	}
@@ -135,7 +139,7 @@
 
 // assemble connects the parts with each other.
 func (d *Daemon) assemble(key []byte) {
-	d.peers = newPeers(d.identity.Client())
+	d.peers = newPeers(append(blockable(d.blocked), d.identity.Client()))
 	d.path.keys.Store(&keyRing{d.services.Load().keys})
 	d.path.sockets = &sockets{
 		host: d.settings.Host, byService: map[ident.ServiceID]*serviceSocket{},
@@ -147,7 +151,7 @@
 		PeerAddr:    addrPort(d.path.peerConn.LocalAddr()), GRPCAddr: addrPort(d.grpcLis.Addr()),
 	}
 	d.path.opener = newOpener(d.path, self, d.openRefused)
-	d.sessions = &sessions{ctx: d.ctx, log: d.log, creds: grpc.WithTransportCredentials(insecure.NewCredentials()), all: map[ident.UpstreamID]*session{}}
+	d.sessions = &sessions{ctx: d.ctx, log: d.log, dial: append(blockable(d.blocked), grpc.WithTransportCredentials(insecure.NewCredentials())), all: map[ident.UpstreamID]*session{}}
 	d.cluster = newCluster(d.clock, d.log, d.path.peerConn, key, self, d.settings.Seeds)
 	d.cluster.assign = newAssignment(self, nil)
 	d.cluster.assign.connect = d.connectUpstream
--- a/pkg/daemon/datapath.go
+++ b/pkg/daemon/datapath.go
@@ -22,6 +22,7 @@
 // datapath moves packets between callers, peers and owner cores.
 type datapath struct {
 	clock    func() time.Time
+	blocked  func(netip.Addr) bool       // nil unless an experiment cuts connections
 	table    atomic.Pointer[relay.Table] // nil until the daemon has joined; set after shards
 	keys     atomic.Pointer[keyRing]
 	key      []byte // cluster key
@@ -171,6 +172,9 @@
 }
 
 func (d *datapath) fromPeer(r *receiver, b []byte, from netip.AddrPort) {
+	if d.blocked != nil && d.blocked(from.Addr()) {
+		return
+	}
 	body, err := r.sealer.Open(b)
 	if err != nil {
 		d.counters.forgedPeer.Inc()
--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -17,14 +17,14 @@
 
 // peers holds the gRPC connections to other daemons.
 type peers struct {
-	creds grpc.DialOption
+	dial []grpc.DialOption
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-func newPeers(creds grpc.DialOption) *peers {
-	return &peers{creds: creds, conns: map[string]*grpc.ClientConn{}}
+func newPeers(dial []grpc.DialOption) *peers {
+	return &peers{dial: dial, conns: map[string]*grpc.ClientConn{}}
 }
 
 func (p *peers) client(m membership.Member) (peerpb.PeerClient, error) {
@@ -34,9 +34,10 @@
 	conn := p.conns[target]
 	if conn == nil {
 		var err error
-		conn, err = grpc.NewClient(target, p.creds, grpc.WithDefaultCallOptions(
-			grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
-			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: fastBackoff()}))
+		conn, err = grpc.NewClient(target, append([]grpc.DialOption{
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: fastBackoff()}),
+		}, p.dial...)...)
 		if err != nil {
 			return nil, errors.Wrapf(err, "daemon %s", m.Name)
 		}
--- a/pkg/daemon/session.go
+++ b/pkg/daemon/session.go
@@ -49,10 +49,12 @@
 	calls    map[uint64]context.CancelFunc
 }
 
-func newSession(ctx context.Context, reg registration.Registration, name string, sh *shards, log logrus.FieldLogger, creds grpc.DialOption) (*session, error) {
-	conn, err := grpc.NewClient(reg.Addr.String(), creds, grpc.WithDisableRetry(),
+func newSession(ctx context.Context, reg registration.Registration, name string, sh *shards, log logrus.FieldLogger, dial []grpc.DialOption) (*session, error) {
+	conn, err := grpc.NewClient(reg.Addr.String(), append([]grpc.DialOption{
+		grpc.WithDisableRetry(),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
-		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: fastBackoff()}))
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: fastBackoff()}),
+	}, dial...)...)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/daemon/sessions.go
+++ b/pkg/daemon/sessions.go
@@ -24,7 +24,7 @@
 	ctx    context.Context
 	shards *shards
 	log    logrus.FieldLogger
-	creds  grpc.DialOption
+	dial   []grpc.DialOption
 
 	mu  sync.RWMutex
 	all map[ident.UpstreamID]*session
@@ -40,7 +40,7 @@
 		old.update(reg)
 		return nil
 	}
-	next, err := newSession(s.ctx, reg, service, s.shards, s.log, s.creds)
+	next, err := newSession(s.ctx, reg, service, s.shards, s.log, s.dial)
 	if err == nil {
 		s.all[reg.Upstream] = next
 	}
--- a/pkg/fleet/fabric.go
+++ b/pkg/fleet/fabric.go
@@ -22,6 +22,8 @@
 type fabric struct {
 	conn   *net.UDPConn
 	faults FabricFaults
+	// blocked reports whether datagrams from an address are lost; nil for none.
+	blocked func(netip.Addr) bool
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -30,6 +32,10 @@
 
 // NewFabric returns a transport to one service behind the given entry addresses.
 func NewFabric(entries []netip.AddrPort, f FabricFaults, seed uint64) (client.Transport, error) {
+	return newFabric(entries, f, seed)
+}
+
+func newFabric(entries []netip.AddrPort, f FabricFaults, seed uint64) (*fabric, error) {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, err
@@ -76,10 +82,13 @@
 // repeated requests, so replies are only dropped here.
 func (f *fabric) Receive(b []byte) (int, error) {
 	for {
-		n, _, err := f.conn.ReadFromUDPAddrPort(b)
+		n, from, err := f.conn.ReadFromUDPAddrPort(b)
 		if err != nil {
 			return 0, err
 		}
+		if f.blocked != nil && f.blocked(from.Addr()) {
+			continue
+		}
 		if copies, _, _ := f.fate(); copies > 0 {
 			return n, nil
 		}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -45,6 +45,7 @@
 	mu        sync.Mutex
 	daemons   map[string]*running
 	upstreams map[string]*upstream
+	cut       map[string]bool // data centres that are cut off from all others
 }
 
 type running struct {
@@ -64,7 +65,7 @@
 func New(cfg *config.Config, dataCentres []string, log logrus.FieldLogger) *Fleet {
 	f := &Fleet{
 		Records: standin.NewRecords(), cfg: cfg, log: log,
-		daemons: map[string]*running{}, upstreams: map[string]*upstream{},
+		daemons: map[string]*running{}, upstreams: map[string]*upstream{}, cut: map[string]bool{},
 	}
 	// A random network keeps fleets of parallel test processes apart.
 	a, b := byte(16+rand.IntN(200)), byte(rand.IntN(256))
@@ -107,7 +108,7 @@
 			s.Seeds = append(s.Seeds, netip.AddrPortFrom(other.Addr, peerPort))
 		}
 	}
-	d, err := daemon.New(s, f.cfg, f.log)
+	d, err := daemon.New(s, f.cfg, f.log, daemon.WithUnreachable(f.unreachableFrom(h.DataCentre)))
 	if err != nil {
 		return errors.Wrapf(err, "daemon %s", h.Name)
 	}
@@ -156,7 +157,7 @@
 
 // StartUpstream starts a stand-in that announces itself to the daemons of its data centre.
 func (f *Fleet) StartUpstream(cfg standin.Config) error {
-	cfg.Listen = "127.0.0.1:0"
+	cfg.Listen = netip.AddrPortFrom(f.upstreamAddr(cfg.DataCentre), 0).String()
 	cfg.Records = f.Records
 	for _, h := range f.hosts {
 		if h.DataCentre == cfg.DataCentre {
@@ -182,6 +183,17 @@
 	f.upstreams[name].Drain()
 }
 
+// KillUpstream stops a stand-in as a crash would: its connections break and it does not
+// announce that it leaves.
+func (f *Fleet) KillUpstream(name string) error {
+	f.mu.Lock()
+	u := f.upstreams[name]
+	delete(f.upstreams, name)
+	f.mu.Unlock()
+	u.cancel()
+	return <-u.done
+}
+
 // WaitUpstreams waits until every host knows the given number of upstreams and their
 // owners are connected.
 func (f *Fleet) WaitUpstreams(n int, limit time.Duration) error {
@@ -213,14 +225,25 @@
 
 // Client returns a client of a service behind a fabric over all hosts.
 func (f *Fleet) Client(port uint16, faults FabricFaults, seed uint64, cfg client.Config) (*client.Client, error) {
+	return f.ClientAt("", port, faults, seed, cfg)
+}
+
+// ClientAt returns a client in one data centre, behind a fabric over its hosts, which is
+// cut off with it; an empty name stands for a fabric over all hosts.
+func (f *Fleet) ClientAt(dataCentre string, port uint16, faults FabricFaults, seed uint64, cfg client.Config) (*client.Client, error) {
 	var entries []netip.AddrPort
 	for _, h := range f.hosts {
-		entries = append(entries, netip.AddrPortFrom(h.Addr, port))
+		if dataCentre == "" || h.DataCentre == dataCentre {
+			entries = append(entries, netip.AddrPortFrom(h.Addr, port))
+		}
 	}
-	t, err := NewFabric(entries, faults, seed)
+	t, err := newFabric(entries, faults, seed)
 	if err != nil {
 		return nil, err
 	}
+	if dataCentre != "" {
+		t.blocked = f.unreachableFrom(dataCentre)
+	}
 	return client.New(t, cfg), nil
 }
 
