--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -114,7 +114,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{daemon: d, cancel: cancel, done: make(chan error, 1)}
-	go func() { r.done <- d.Run(ctx) }()
+	go func() {
+		r.done <- d.Run(ctx)
+		close(r.done) // a daemon may be killed while it stops: both wait
+	}()
 	f.mu.Lock()
 	f.daemons[h.Name] = r
 	f.mu.Unlock()
--- /dev/null
+++ b/pkg/load/collector.go
@@ -0,0 +1,158 @@
+package load
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	wirepb "rosemarygate/api/wire/v1"
+	"rosemarygate/client"
+	"rosemarygate/pkg/standin"
+)
+
+const (
+	maxLatency    = 60 * 1000 * 1000 // microseconds
+	latencyDigits = 3
+)
+
+// interval is a part of a run.
+type interval struct{ from, until time.Time }
+
+func (i interval) overlaps(o interval) bool { return i.from.Before(o.until) && o.from.Before(i.until) }
+
+// collector counts what callers see.
+type collector struct {
+	mu      sync.Mutex
+	classes []Class
+	latency []*hdrhistogram.Histogram // microseconds, by class
+	retries map[string]int
+	notRun  []standin.RunKey // requests that were refused as not run
+	unknown []interval       // lifetimes of requests that ended as unknown or without an answer
+	reasons map[string]int   // of unknown outcomes and missed deadlines
+	wrong   int              // answers to another request
+	noFlow  int              // requests without any attempt
+}
+
+func newCollector(classes []class) *collector {
+	c := &collector{retries: map[string]int{}, reasons: map[string]int{}}
+	for _, k := range classes {
+		c.classes = append(c.classes, Class{Class: k.name, Reasons: map[string]int{}})
+		c.latency = append(c.latency, hdrhistogram.New(1, maxLatency, latencyDigits))
+	}
+	return c
+}
+
+func (c *collector) offered(class int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.classes[class].Offered++
+}
+
+// ended takes the attempts of one request that was offered at the given time.
+func (c *collector) ended(class int, offered time.Time, attempts []client.Attempt) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := &c.classes[class]
+	for i, a := range attempts {
+		if a.Result.Outcome != client.NotRun {
+			continue
+		}
+		c.notRun = append(c.notRun, standin.RunKey{Flow: a.Flow, Request: a.Result.ID})
+		k.Reasons[reasonName(a.Result.Reason)]++
+		if i < len(attempts)-1 {
+			c.retries[reasonName(a.Result.Reason)]++
+		}
+	}
+	if len(attempts) == 0 {
+		c.noFlow++
+		k.Refused++
+		k.Reasons["no_flow"]++
+		return
+	}
+	last := attempts[len(attempts)-1]
+	switch last.Result.Outcome {
+	case client.Answered:
+		k.Answered++
+		if !bytes.HasPrefix(last.Result.Answer, standin.AnswerHeader(last.Flow, last.Result.ID)) {
+			c.wrong++
+		}
+		// The value is clamped to the histogram's range, so it is always recorded.
+		_ = c.latency[class].RecordValue(min(max(now.Sub(offered).Microseconds(), 1), maxLatency))
+	case client.NotRun:
+		k.Refused++
+	case client.Deadline:
+		k.Deadline++
+		c.unanswered("deadline ", offered, now, last)
+	default:
+		k.Unknown++
+		c.unanswered("unknown ", offered, now, last)
+	}
+}
+
+func (c *collector) unanswered(kind string, offered, now time.Time, a client.Attempt) {
+	c.unknown = append(c.unknown, interval{offered, now})
+	c.reasons[kind+reasonName(a.Result.Reason)]++
+}
+
+// unknownOutside counts unanswered requests whose lifetime overlaps none of the intervals.
+func (c *collector) unknownOutside(expected []interval) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, u := range c.unknown {
+		if !slices.ContainsFunc(expected, u.overlaps) {
+			n++
+		}
+	}
+	return n
+}
+
+// falseNotRun counts requests reported as not run that ran.
+func (c *collector) falseNotRun(records *standin.Records) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, k := range c.notRun {
+		if records.Ran(k) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *collector) sum(f func(*Class) int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for i := range c.classes {
+		n += f(&c.classes[i])
+	}
+	return n
+}
+
+// result returns the classes with their latencies.
+func (c *collector) result() []Class {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]Class, len(c.classes))
+	for i, k := range c.classes {
+		h := c.latency[i]
+		at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		k.P50, k.P99, k.P999, k.Max = at(50), at(99), at(99.9), float64(h.Max())/1000
+		k.Goodput = 1
+		if k.Offered > 0 {
+			k.Goodput = float64(k.Answered) / float64(k.Offered)
+		}
+		out[i] = k
+	}
+	return out
+}
+
+func reasonName(r wirepb.Reason) string {
+	return strings.ToLower(strings.TrimPrefix(r.String(), "REASON_"))
+}
--- a/pkg/standin/records.go
+++ b/pkg/standin/records.go
@@ -20,7 +20,9 @@
 	wrong   int            // calls that named another service
 	byName  map[string]int
 	drains  map[string]time.Time
-	late    map[string]int // runs that began after a drain's grace period
+	late    map[string]int    // runs that began after a drain's grace period
+	feeds   map[uint64]string // stand-in of each flow that subscribed
+	lateFed int               // feeds that began after a drain's grace period
 }
 
 // DrainGrace is how long after a drain new work may still arrive.
@@ -31,6 +33,7 @@
 	return &Records{
 		runs: map[RunKey]int{}, work: map[string]int{}, byName: map[string]int{},
 		drains: map[string]time.Time{}, late: map[string]int{},
+		feeds: map[uint64]string{},
 	}
 }
 
@@ -50,6 +53,30 @@
 	}
 }
 
+// subscribed notes a subscription; an owner repeats it when it resumes a feed.
+func (r *Records) subscribed(flow uint64, name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at, ok := r.drains[name]; ok && r.feeds[flow] != name && time.Since(at) > DrainGrace {
+		r.lateFed++
+	}
+	r.feeds[flow] = name
+}
+
+// FeedAt returns the name of the stand-in that a flow subscribed to last.
+func (r *Records) FeedAt(flow uint64) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.feeds[flow]
+}
+
+// LateFeeds returns how many feeds began at drained stand-ins after DrainGrace.
+func (r *Records) LateFeeds() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lateFed
+}
+
 func (r *Records) wrongService() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/standin/upstream.go
+++ b/pkg/standin/upstream.go
@@ -273,6 +273,7 @@
 		return
 	}
 	s.feeds[c.FlowId] = c.LastSequence
+	s.up.cfg.Records.subscribed(c.FlowId, s.up.cfg.Name)
 }
 
 // publish sends every feed the items that are due: item n is due n periods after start.
