Wait for agreement of the member lists before a handover is refused

A leaving daemon sees its own change of state first. Its successor refused the handover because its own member list was some milliseconds older, and the next try came only after 500 ms in which the upstream was frozen.

--- a/pkg/daemon/server.go
+++ b/pkg/daemon/server.go
@@ -177,10 +177,7 @@
 	if err != nil {
 		return err
 	}
-	owned := false
-	if !d.cluster.call(ctx, func(time.Time) {
-		owned = d.cluster.ownsUpstream(reg)
-	}) || !owned {
+	if !d.awaitOwnership(ctx, reg) {
 		return status.Error(codes.FailedPrecondition, "daemon does not own the upstream: hand over again when the member lists agree")
 	}
 	sh.postWait(reg.Upstream, owner.HandoverReceived{Chunks: chunks})
@@ -190,6 +187,34 @@
 	return nil
 }
 
+const (
+	// ownershipWait is how long a handover waits for this daemon's member list to agree
+	// with that of the predecessor, which learns of its own change first.
+	ownershipWait = time.Second
+	ownershipPoll = 10 * time.Millisecond
+)
+
+// awaitOwnership waits until the member list makes this daemon the upstream's owner. The
+// predecessor's upstream is frozen meanwhile, so an immediate refusal would add the time
+// until its next try.
+func (d *Daemon) awaitOwnership(ctx context.Context, reg registration.Registration) bool {
+	deadline := time.Now().Add(ownershipWait)
+	for {
+		owned := false
+		if !d.cluster.call(ctx, func(time.Time) { owned = d.cluster.ownsUpstream(reg) }) {
+			return false
+		}
+		if owned || time.Now().After(deadline) {
+			return owned
+		}
+		select {
+		case <-time.After(ownershipPoll):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // ownsUpstream reports whether the present view makes this daemon the upstream's owner.
 func (c *cluster) ownsUpstream(reg registration.Registration) bool {
 	if c.assign.current == nil {
