Resend a lost feed item by its own age

A feed with an item every 100 ms put its resend off with each new item, so a lost item was sent again only when the window of 32 items was full: the feed stood still for 3.4 s.

--- a/pkg/owner/feed.go
+++ b/pkg/owner/feed.go
@@ -20,20 +20,20 @@
 	window []feedItem
 	// behind says that items were left out because the window was full; they are fetched
 	// from the upstream again once the caller has caught up.
-	behind   bool
-	lastSend time.Time
+	behind bool
 }
 
 type feedItem struct {
 	sequence uint64
 	payload  []byte
 	end      bool
+	sentAt   time.Time // last time
 }
 
 func (c *Core) subscribe(f *flow, s *wirepb.Subscribe) {
 	if f.feed != nil && f.feed.topic == s.Topic && s.LastSequence >= f.feed.acked && s.LastSequence <= f.feed.sent {
 		c.feedAck(f, s.LastSequence)
-		c.resendWindow(f)
+		c.resendWindow(f, c.now)
 		return
 	}
 	f.feed = &feed{topic: s.Topic, acked: s.LastSequence, sent: s.LastSequence}
@@ -74,16 +74,15 @@
 		fd.behind = true
 		return
 	}
-	item := feedItem{sequence: ev.Sequence, payload: ev.Payload, end: ev.End}
-	fd.window = append(fd.window, item)
+	fd.window = append(fd.window, feedItem{sequence: ev.Sequence, payload: ev.Payload, end: ev.End})
 	fd.sent = ev.Sequence
 	u.unacked[f.id] = f
 	c.count(FeedItems, u.service, 0)
-	c.sendItem(f, item)
+	c.sendItem(f, &fd.window[len(fd.window)-1])
 }
 
-func (c *Core) sendItem(f *flow, item feedItem) {
-	f.feed.lastSend = c.now
+func (c *Core) sendItem(f *flow, item *feedItem) {
+	item.sentAt = c.now
 	c.send(f, &wirepb.Frame{Body: &wirepb.Frame_FeedItem{
 		FeedItem: &wirepb.FeedItem{Sequence: item.sequence, Payload: item.payload, End: item.end},
 	}})
@@ -106,13 +105,15 @@
 	}
 }
 
-func (c *Core) resendWindow(f *flow) {
-	for i, item := range f.feed.window {
-		if i == feedResendBatch {
-			return
+// resendWindow sends the first items of the window again that were sent before a time.
+func (c *Core) resendWindow(f *flow, before time.Time) {
+	window := f.feed.window
+	for i := range window[:min(len(window), feedResendBatch)] {
+		if window[i].sentAt.After(before) {
+			continue
 		}
 		c.count(FeedResends, f.up.service, 0)
-		c.sendItem(f, item)
+		c.sendItem(f, &window[i])
 	}
 }
 
@@ -121,9 +122,7 @@
 		return
 	}
 	for _, f := range ordered(u.unacked) {
-		if c.now.Sub(f.feed.lastSend) >= feedResendAfter {
-			c.resendWindow(f)
-		}
+		c.resendWindow(f, c.now.Add(-feedResendAfter))
 	}
 }
 
