Run the control replicas and the configuration distribution in the daemon

Cause: the cores of agreement, state and distribution had no runner, so a daemon took its configuration from a folder only. Change: pkg/control/replica owns the cores in one goroutine, carries their messages over gRPC and serves operators and daemons; pkg/control/subscription is the daemon's side. A group is founded when all listed replicas answer that they have none; a replica with an empty folder joins as a learner otherwise. Refusals travel as gRPC error details.

--- a/pkg/cli/daemon.go
+++ b/pkg/cli/daemon.go
@@ -5,7 +5,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"rosemarygate/pkg/config"
@@ -27,10 +26,7 @@
 			if err != nil {
 				return usageError(err)
 			}
-			if s.ConfigDir == "" {
-				return usageError(errors.New("setting config_dir is empty: name the folder of configuration files"))
-			}
-			cfg, err := config.LoadConfig(s.ConfigDir)
+			cfg, err := startConfig(s)
 			if err != nil {
 				return usageError(err)
 			}
@@ -53,3 +49,11 @@
 	_ = cmd.MarkFlagRequired("settings")
 	return cmd
 }
+
+// startConfig returns the configuration of the folder, or nil when it comes from control replicas.
+func startConfig(s *settings.Daemon) (*config.Config, error) {
+	if s.ConfigDir == "" {
+		return nil, nil
+	}
+	return config.LoadConfig(s.ConfigDir)
+}
--- /dev/null
+++ b/pkg/control/replica/core.go
@@ -0,0 +1,313 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	controlpb "rosemarygate/api/control/v1"
+	"rosemarygate/pkg/agreement"
+	"rosemarygate/pkg/control/state"
+	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/storage"
+)
+
+// snapshotEvery bounds the entries that a restart has to apply: each is checked against the whole
+// folder, and 10,000 took longer than the second in which a restart has to be ready.
+const snapshotEvery = 200
+
+// maxEntryBytes holds the largest push (state.MaxPushBytes) with its envelope.
+const maxEntryBytes = 4 << 20
+
+// result is the outcome of a proposal.
+type result struct {
+	reply *controlpb.Reply
+	err   error
+}
+
+// waiter waits for the entry that it proposed.
+type waiter struct {
+	term uint64
+	done chan result
+}
+
+// core is what one goroutine owns.
+type core struct {
+	r           *Replica
+	store       *storage.Store
+	node        *agreement.Node
+	machine     *state.Machine
+	snapshotted uint64
+	group       uint64 // identifies the group of the replica, 0 before it joined
+	waiters     map[uint64]waiter
+	reads       map[uint64]chan struct{} // by context, not yet confirmed
+	confirmed   []confirmedRead
+	role        agreement.Role
+	superseded  bool
+}
+
+type confirmedRead struct {
+	index uint64
+	done  chan struct{}
+}
+
+// runOnce opens the data folder and runs until ctx ends or the folder cannot be used.
+func (r *Replica) runOnce(ctx context.Context) error {
+	dir := filepath.Join(r.cfg.Dir, walFolder)
+	self := agreement.Replica{ID: r.id, Incarnation: ident.Incarnation(time.Now().UnixNano())}
+	store, st, err := storage.Open(storage.OS{}, dir, storage.Options{Self: self})
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	if st, err = r.found(ctx, store, st); err != nil {
+		return err
+	}
+	c, err := r.newCore(store, st)
+	if err != nil {
+		return err
+	}
+	defer c.failWaiters()
+	if err := c.process(); err != nil {
+		return err
+	}
+	return c.loop(ctx)
+}
+
+func (r *Replica) newCore(store *storage.Store, st agreement.State) (*core, error) {
+	var peers []ident.DaemonID
+	for _, h := range r.cfg.Replicas {
+		peers = append(peers, ident.Daemon(h.GetName()))
+	}
+	cfg := agreement.Config{
+		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Peers: peers,
+		MaxMessageBytes: maxEntryBytes, MaxInflightBytes: 2 * maxEntryBytes, MaxUncommittedBytes: 4 * maxEntryBytes,
+	}
+	node, err := agreement.New(cfg, st, newRand())
+	if err != nil {
+		return nil, err
+	}
+	c := &core{
+		r: r, store: store, node: node, machine: state.New(r.rules), group: st.HardState.Group,
+		waiters: map[uint64]waiter{}, reads: map[uint64]chan struct{}{},
+	}
+	if st.Snapshot.Index > 0 {
+		if c.machine, err = state.Restore(r.rules, st.Snapshot.Data); err != nil {
+			return nil, err
+		}
+		c.snapshotted = st.Snapshot.Index
+	}
+	r.identity.Store(&controlpb.IdentifyReply{
+		Id: uint64(st.Self.ID), Incarnation: uint64(st.Self.Incarnation), Group: st.HardState.Group, Replicas: r.cfg.Replicas,
+	})
+	return c, nil
+}
+
+func (c *core) loop(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			c.node.Tick()
+			c.lead()
+		case m := <-c.r.incoming:
+			c.step(m)
+		case f := <-c.r.calls:
+			f(c)
+		}
+		if err := c.process(); err != nil {
+			return err
+		}
+	}
+}
+
+// step passes a message to the node. Other errors say only why a message was ignored.
+func (c *core) step(m agreement.Message) {
+	if err := c.node.Step(m); errors.Is(err, agreement.ErrOtherGroup) || errors.Is(err, agreement.ErrDiverged) {
+		events.MessageRefused.Log(c.r.log, logrus.Fields{"from": m.From, "error": err})
+	}
+}
+
+// process performs what the node asks for, in the order that its durability needs.
+func (c *core) process() error {
+	for c.node.HasReady() {
+		rd := c.node.Ready()
+		if rd.Snapshot != nil {
+			if err := c.store.SaveSnapshot(*rd.Snapshot, nil); err != nil {
+				return err
+			}
+		}
+		if err := c.store.Save(rd.HardState, rd.Entries); err != nil {
+			return err
+		}
+		if rd.HardState != nil {
+			c.group = rd.HardState.Group
+		}
+		for i := range rd.Messages {
+			c.r.transport.send(&rd.Messages[i])
+		}
+		if err := c.apply(&rd); err != nil {
+			return err
+		}
+		c.node.Advance(rd)
+	}
+	if err := c.compact(); err != nil {
+		return err
+	}
+	c.report()
+	return nil
+}
+
+func (c *core) apply(rd *agreement.Ready) error {
+	if rd.Snapshot != nil {
+		m, err := state.Restore(c.r.rules, rd.Snapshot.Data)
+		if err != nil {
+			return err
+		}
+		c.machine, c.snapshotted = m, rd.Snapshot.Index
+	}
+	for _, e := range rd.Committed {
+		reply, err := c.machine.Apply(e.Index, e.Data)
+		if err != nil {
+			return err
+		}
+		if w, ok := c.waiters[e.Index]; ok {
+			delete(c.waiters, e.Index)
+			if w.term == e.Term {
+				w.done <- result{reply: reply}
+			} else {
+				w.done <- result{err: errOutcomeUnknown}
+			}
+		}
+	}
+	for _, read := range rd.Reads {
+		if done, ok := c.reads[read.Context]; ok {
+			delete(c.reads, read.Context)
+			c.confirmed = append(c.confirmed, confirmedRead{read.Index, done})
+		}
+	}
+	c.releaseReads()
+	return nil
+}
+
+func (c *core) releaseReads() {
+	rest := c.confirmed[:0]
+	for _, read := range c.confirmed {
+		if read.index <= c.machine.Applied() {
+			close(read.done)
+			continue
+		}
+		rest = append(rest, read)
+	}
+	c.confirmed = rest
+}
+
+// compact takes a snapshot when enough entries were applied since the last one.
+func (c *core) compact() error {
+	applied := c.machine.Applied()
+	if applied < c.snapshotted+snapshotEvery {
+		return nil
+	}
+	data, err := c.machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	snap, err := c.node.Compact(applied, data)
+	if err != nil {
+		return err
+	}
+	c.snapshotted = applied
+	return c.store.SaveSnapshot(snap, c.node.EntriesAfter(snap.Index))
+}
+
+// report publishes what other goroutines need.
+func (c *core) report() {
+	st := c.node.Status()
+	c.r.status.Store(&Status{Status: st, Version: c.machine.View().Version, Loaded: true})
+	if st.Role != c.role && (st.Role == agreement.Leader || c.role == agreement.Leader) {
+		events.LeaderChanged.Log(c.r.log, logrus.Fields{"leader": st.Role == agreement.Leader, "term": st.Term})
+	}
+	if st.Role != agreement.Leader && c.role == agreement.Leader {
+		c.failWaiters()
+	}
+	c.role = st.Role
+	if st.Superseded && !c.superseded {
+		events.ReplicaSuperseded.Log(c.r.log, nil)
+	}
+	c.superseded = st.Superseded
+	if len(st.Membership) > 0 {
+		c.reportMembers(st)
+	}
+	c.r.know(c.machine.Replicas())
+	if x := c.machine.Replacement(); x != nil {
+		c.r.know([]*controlpb.ReplicaHost{x.GetJoining()})
+	}
+	c.r.publish.setView(c.machine.View())
+}
+
+func (c *core) reportMembers(st agreement.Status) {
+	old := c.r.identity.Load()
+	next := &controlpb.IdentifyReply{
+		Id: old.GetId(), Incarnation: old.GetIncarnation(), Group: c.group,
+		Replicas: c.r.cfg.Replicas, Members: agreement.MembershipProto(st.Membership),
+	}
+	if !proto.Equal(old, next) {
+		c.r.identity.Store(next)
+	}
+}
+
+// failWaiters ends the waiting of proposals whose fate this replica cannot tell any more.
+func (c *core) failWaiters() {
+	for index, w := range c.waiters {
+		delete(c.waiters, index)
+		w.done <- result{err: errOutcomeUnknown}
+	}
+}
+
+// startRead asks for a confirmation that the applied state will be current; done is closed then.
+func (c *core) startRead(done chan struct{}) (id uint64) {
+	id = rand.Uint64()
+	c.reads[id] = done
+	if c.node.ReadIndex(id) != nil {
+		delete(c.reads, id)
+	}
+	return id
+}
+
+// propose checks an entry and proposes it. A reply is final; otherwise the channel tells.
+func (c *core) propose(e *controlpb.Entry) (*controlpb.Reply, chan result, error) {
+	if reply := c.machine.Check(e); reply != nil {
+		return reply, nil, nil
+	}
+	data, err := proto.Marshal(e)
+	if err != nil {
+		return nil, nil, errors.WithStack(err)
+	}
+	index, err := c.node.Propose(data)
+	if err != nil {
+		return nil, nil, err
+	}
+	done := make(chan result, 1)
+	c.waiters[index] = waiter{term: c.node.Status().Term, done: done}
+	return nil, done, nil
+}
+
+// transfer asks the first other voter that is reachable to lead. The node gives a target up after
+// an election timeout, so the choice is random.
+func (c *core) transfer() {
+	members := c.node.Status().Membership
+	for _, i := range rand.Perm(len(members)) {
+		if c.node.TransferLeadership(members[i].Replica) == nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/control/replica/errors.go
@@ -0,0 +1,62 @@
+package replica
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	controlpb "rosemarygate/api/control/v1"
+	"rosemarygate/pkg/control/state"
+)
+
+var (
+	errOutcomeUnknown = errors.New("leadership ended before the change was confirmed")
+	errStopping       = status.Error(codes.Unavailable, "replica is stopping: connect to another replica")
+)
+
+// refusal returns a refusal as a gRPC error that carries it as a detail.
+func refusal(code codes.Code, r *controlpb.Refusal) error {
+	st := status.New(code, (&state.RefusedError{Refusal: r}).Error())
+	if detailed, err := st.WithDetails(r); err == nil {
+		st = detailed
+	}
+	return st.Err()
+}
+
+func noMajority() error {
+	return refusal(codes.Unavailable, &controlpb.Refusal{Kind: controlpb.Refusal_KIND_NO_MAJORITY})
+}
+
+func outcomeUnknown() error {
+	return refusal(codes.DeadlineExceeded, &controlpb.Refusal{Kind: controlpb.Refusal_KIND_OUTCOME_UNKNOWN})
+}
+
+// RefusalOf returns the refusal that a gRPC error carries, as a *state.RefusedError; other errors
+// are returned unchanged.
+func RefusalOf(err error) error {
+	if st, ok := status.FromError(err); ok {
+		for _, d := range st.Details() {
+			if r, ok := d.(*controlpb.Refusal); ok {
+				return &state.RefusedError{Refusal: r}
+			}
+		}
+	}
+	return err
+}
+
+// isRefusal reports whether an error is a decision, so that asking again does not help.
+func isRefusal(err error) bool {
+	var refused *state.RefusedError
+	return errors.As(RefusalOf(err), &refused) && refused.Refusal.GetKind() != controlpb.Refusal_KIND_NO_MAJORITY
+}
+
+// unreachable reports whether a replica did not answer.
+func unreachable(err error) bool {
+	switch status.Code(err) {
+	case codes.Unavailable, codes.DeadlineExceeded:
+		return true
+	}
+	return errors.Is(err, context.DeadlineExceeded)
+}
--- /dev/null
+++ b/pkg/control/replica/replica.go
@@ -0,0 +1,210 @@
+// Package replica runs a control replica: one goroutine owns the agreement core, its storage and
+// the replicated state. The gRPC services of operators and daemons work on what it applied.
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	controlpb "rosemarygate/api/control/v1"
+	"rosemarygate/pkg/agreement"
+	"rosemarygate/pkg/control/state"
+	"rosemarygate/pkg/control/totals"
+	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/ident"
+)
+
+const (
+	tick           = 100 * time.Millisecond
+	electionTicks  = 10
+	heartbeatTicks = 3
+	queueLength    = 1024
+	retryPeriod    = 2 * time.Second
+	walFolder      = "agreement"
+	totalsFile     = "totals"
+	retentionDays  = 400 // of totals: a year can be compared with the one before
+)
+
+// Config describes a replica.
+type Config struct {
+	Name       string
+	DataCentre string
+	// Replicas are all replicas by the settings, this one included.
+	Replicas []*controlpb.ReplicaHost
+	// Dir is the data folder of the daemon.
+	Dir string
+	// Dial holds the options of connections to other replicas.
+	Dial []grpc.DialOption
+	Log  logrus.FieldLogger
+}
+
+// Replica is one control replica. Run runs it; Register makes its services available.
+type Replica struct {
+	cfg       Config
+	id        ident.DaemonID
+	log       logrus.FieldLogger
+	rules     state.Rules
+	calls     chan func(*core)
+	incoming  chan agreement.Message
+	transport *transport
+	publish   *distributor
+	book      *ledger
+	status    atomic.Pointer[Status]
+	identity  atomic.Pointer[controlpb.IdentifyReply]
+	driving   atomic.Bool // a replacement or the first entries are being worked on
+
+	addrMu    sync.Mutex
+	addresses map[ident.DaemonID]*controlpb.ReplicaHost
+
+	ctx  context.Context // of the run; ends the streams
+	stop context.CancelFunc
+}
+
+// Status is the state of a replica for display and for routing.
+type Status struct {
+	agreement.Status
+	Version uint64
+	Loaded  bool // the log on disk is applied
+}
+
+// New prepares a replica.
+func New(cfg Config) (*Replica, error) {
+	r := &Replica{
+		cfg: cfg, id: ident.Daemon(cfg.Name), log: cfg.Log, rules: Rules(),
+		calls: make(chan func(*core), queueLength), incoming: make(chan agreement.Message, queueLength),
+		addresses: map[ident.DaemonID]*controlpb.ReplicaHost{},
+	}
+	r.ctx, r.stop = context.WithCancel(context.Background())
+	r.publish = newDistributor(cfg.Name, state.New(r.rules).View())
+	r.status.Store(&Status{})
+	r.identity.Store(&controlpb.IdentifyReply{})
+	r.know(cfg.Replicas)
+	book, err := newLedger(filepath.Join(cfg.Dir, totalsFile), totals.NewBook(retentionDays))
+	if err != nil {
+		return nil, err
+	}
+	r.book = book
+	r.transport = newTransport(r.ctx, r.address, cfg.Dial)
+	return r, nil
+}
+
+// Register adds the replica's services to a server.
+func (r *Replica) Register(s grpc.ServiceRegistrar) {
+	controlpb.RegisterAgreementServer(s, &agreementServer{r: r})
+	controlpb.RegisterReplicationServer(s, &replicationServer{r: r})
+	controlpb.RegisterOperatorServer(s, &operator{r: r})
+	controlpb.RegisterDistributionServer(s, &distributionServer{r: r})
+}
+
+// Status returns the replica's state.
+func (r *Replica) Status() Status { return *r.status.Load() }
+
+// Run runs the replica until ctx ends. Faults of the disk are logged and the folder is opened
+// again, so that the daemon serves callers all the same.
+func (r *Replica) Run(ctx context.Context) error {
+	defer r.stop()
+	var g run.Group
+	add := func(f func(context.Context) error) {
+		actor, cancel := context.WithCancel(ctx)
+		g.Add(func() error { return f(actor) }, func(error) { cancel() })
+	}
+	add(r.runCore)
+	add(r.share)
+	add(r.keepBook)
+	add(r.tickDistribution)
+	return g.Run()
+}
+
+func (r *Replica) runCore(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := r.runOnce(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		events.ReplicaFailed.Log(r.log, logrus.Fields{"error": err})
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPeriod):
+		}
+	}
+	return nil
+}
+
+// Close ends the streams of daemons and replicas, so that a server that waits for them can stop.
+func (r *Replica) Close() { r.stop() }
+
+// know remembers the addresses of replicas.
+func (r *Replica) know(hosts []*controlpb.ReplicaHost) {
+	r.addrMu.Lock()
+	defer r.addrMu.Unlock()
+	for _, h := range hosts {
+		r.addresses[ident.Daemon(h.GetName())] = h
+	}
+}
+
+func (r *Replica) address(id ident.DaemonID) (string, bool) {
+	r.addrMu.Lock()
+	defer r.addrMu.Unlock()
+	h, ok := r.addresses[id]
+	return h.GetAddress(), ok
+}
+
+// others returns the known replicas besides this one.
+func (r *Replica) others() []*controlpb.ReplicaHost {
+	r.addrMu.Lock()
+	defer r.addrMu.Unlock()
+	var out []*controlpb.ReplicaHost
+	for id, h := range r.addresses {
+		if id != r.id {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// do runs a function in the goroutine that owns the cores and waits for it.
+func (r *Replica) do(ctx context.Context, f func(*core)) error {
+	done := make(chan struct{})
+	call := func(c *core) {
+		defer close(done)
+		f(c)
+	}
+	select {
+	case r.calls <- call:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Transfer hands the leadership to another replica, for a planned stop. It returns when this
+// replica does not lead any more, or when ctx ends.
+func (r *Replica) Transfer(ctx context.Context) error {
+	for r.Status().Role == agreement.Leader {
+		err := r.do(ctx, (*core).transfer)
+		if err != nil {
+			return errors.Wrap(err, "leadership was not handed over: another replica takes over after an election")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(tick):
+		}
+	}
+	return nil
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- /dev/null
+++ b/pkg/control/replica/transport.go
@@ -0,0 +1,208 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+
+	controlpb "rosemarygate/api/control/v1"
+	"rosemarygate/pkg/agreement"
+	"rosemarygate/pkg/ident"
+)
+
+const (
+	peerQueue   = 256
+	maxMessage  = 16 << 20 // bytes of one gRPC message
+	sendTimeout = 5 * time.Second
+	dialTimeout = time.Second
+	redialPause = 200 * time.Millisecond
+	// silence is how long a peer may be silent while messages go to it before the connection is
+	// made anew. After a partition TCP would repeat its segments only after minutes.
+	silence = 1500 * time.Millisecond
+)
+
+// transport sends messages to the other replicas, each over one stream, and drops what a
+// replica does not take in time: the protocol repeats it.
+type transport struct {
+	ctx     context.Context
+	resolve func(ident.DaemonID) (string, bool)
+	options []grpc.DialOption
+
+	mu    sync.Mutex
+	peers map[ident.DaemonID]*peer
+	conns map[string]*grpc.ClientConn // of unary calls, by address
+}
+
+type peer struct {
+	queue chan *controlpb.AgreementMessage
+	heard atomic.Int64 // Unix nanoseconds of the last message from the peer
+}
+
+func newTransport(ctx context.Context, resolve func(ident.DaemonID) (string, bool), options []grpc.DialOption) *transport {
+	t := &transport{
+		ctx: ctx, resolve: resolve, options: DialOptions(options),
+		peers: map[ident.DaemonID]*peer{}, conns: map[string]*grpc.ClientConn{},
+	}
+	context.AfterFunc(ctx, t.close)
+	return t
+}
+
+// DialOptions returns the options of connections to replicas, with quick reconnects.
+func DialOptions(options []grpc.DialOption) []grpc.DialOption {
+	quick := backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond}
+	return append([]grpc.DialOption{
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: dialTimeout, Backoff: quick}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+	}, options...)
+}
+
+func (t *transport) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.conns {
+		c.Close()
+	}
+}
+
+// conn returns the connection for unary calls to an address.
+func (t *transport) conn(address string) (*grpc.ClientConn, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.conns[address]; c != nil {
+		return c, nil
+	}
+	c, err := grpc.NewClient(address, t.options...)
+	if err != nil {
+		return nil, errors.Wrapf(err, "address %s of a replica", address)
+	}
+	t.conns[address] = c
+	return c, nil
+}
+
+// drop closes the connection for unary calls to an address after one of them timed out.
+func (t *transport) drop(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.conns[address]; c != nil {
+		c.Close()
+		delete(t.conns, address)
+	}
+}
+
+func (t *transport) peer(id ident.DaemonID) *peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[id]
+	if p == nil {
+		p = &peer{queue: make(chan *controlpb.AgreementMessage, peerQueue)}
+		t.peers[id] = p
+		go t.run(id, p)
+	}
+	return p
+}
+
+// send queues a message, or drops it when the queue is full.
+func (t *transport) send(m *agreement.Message) {
+	select {
+	case t.peer(m.To.ID).queue <- agreement.MessageProto(m):
+	default:
+	}
+}
+
+// received notes that a replica is heard.
+func (t *transport) received(id ident.DaemonID) {
+	if _, known := t.resolve(id); known {
+		t.peer(id).heard.Store(time.Now().UnixNano())
+	}
+}
+
+func (t *transport) run(id ident.DaemonID, p *peer) {
+	for t.ctx.Err() == nil {
+		select {
+		case <-t.ctx.Done():
+			return
+		case m := <-p.queue:
+			if address, ok := t.resolve(id); ok {
+				t.stream(address, p, m)
+			}
+		}
+		select {
+		case <-t.ctx.Done():
+		case <-time.After(redialPause):
+		}
+	}
+}
+
+// stream sends messages over one stream until it fails or the peer stays silent.
+func (t *transport) stream(address string, p *peer, m *controlpb.AgreementMessage) {
+	conn, err := grpc.NewClient(address, t.options...)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(t.ctx)
+	defer cancel()
+	limit := time.AfterFunc(dialTimeout, cancel)
+	stream, err := controlpb.NewAgreementClient(conn).Exchange(ctx, grpc.WaitForReady(true))
+	if !limit.Stop() || err != nil {
+		return
+	}
+	opened := time.Now()
+	for {
+		limit := time.AfterFunc(sendTimeout, cancel)
+		err := stream.Send(m)
+		limit.Stop()
+		if err != nil {
+			return
+		}
+		select {
+		case <-stream.Context().Done():
+			return
+		case m = <-p.queue:
+		}
+		heard := time.Unix(0, p.heard.Load())
+		if time.Since(opened) > silence && time.Since(heard) > silence {
+			return
+		}
+	}
+}
+
+// agreementServer receives the messages of other replicas.
+type agreementServer struct {
+	controlpb.UnimplementedAgreementServer
+	r *Replica
+}
+
+// Exchange takes messages until the stream or the replica ends.
+func (s *agreementServer) Exchange(stream grpc.ClientStreamingServer[controlpb.AgreementMessage, controlpb.ExchangeReply]) error {
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			m, err := stream.Recv()
+			if err != nil {
+				ended <- err
+				return
+			}
+			s.r.receive(agreement.MessageFromProto(m))
+		}
+	}()
+	select {
+	case err := <-ended:
+		return err
+	case <-s.r.ctx.Done():
+		return errStopping
+	}
+}
+
+func (r *Replica) receive(m agreement.Message) {
+	r.transport.received(m.From.ID)
+	select {
+	case r.incoming <- m:
+	default:
+	}
+}
--- a/pkg/control/state/refused.go
+++ b/pkg/control/state/refused.go
@@ -43,6 +43,12 @@
 		return fmt.Sprintf("last key rotation is too recent for all flows to have a new token: rotate again after %s", time.UnixMilli(r.GetNotBeforeUnixMs()).UTC().Format(time.RFC3339))
 	case controlpb.Refusal_KIND_REPLACEMENT_CONFLICT:
 		return "replica cannot be replaced: " + r.GetDetail()
+	case controlpb.Refusal_KIND_NO_MAJORITY:
+		return "no majority of the control replicas can be reached; nothing was changed and daemons serve on: " +
+			"repair the connection to the other replicas, or send the request to a replica on the side that has the majority"
+	case controlpb.Refusal_KIND_OUTCOME_UNKNOWN:
+		return "connection to the majority was lost before the change was confirmed, so it may have been accepted: " +
+			"send it again with the same change id to learn the outcome"
 	default:
 		return "change was refused for a reason that this release does not know: upgrade the command"
 	}
--- /dev/null
+++ b/pkg/daemon/control.go
@@ -0,0 +1,207 @@
+package daemon
+
+import (
+	"context"
+	"encoding/hex"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	controlpb "rosemarygate/api/control/v1"
+	"rosemarygate/pkg/config"
+	"rosemarygate/pkg/control/distribution"
+	"rosemarygate/pkg/control/replica"
+	"rosemarygate/pkg/control/state"
+	"rosemarygate/pkg/control/subscription"
+	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/settings"
+)
+
+const (
+	copyFile       = "accepted.copy"
+	dataPermission = 0o700
+	transferLimit  = 3 * time.Second
+)
+
+// control takes the configuration from the control replicas, and runs a replica on hosts that
+// are one.
+type control struct {
+	d            *Daemon
+	subscription *subscription.Subscription
+	replica      *replica.Replica // nil on other hosts
+	applied      *config.Config   // nil before the first version is put in force
+
+	mu          sync.Mutex
+	dataCentres map[string]string // by daemon
+	asked       time.Time
+}
+
+// DialControl connects to a control replica.
+type DialControl func(ctx context.Context, address string) (net.Conn, error)
+
+// initialConfig returns the configuration before the first accepted version is put in force.
+func initialConfig(s *settings.Daemon, cfg *config.Config) *config.Config {
+	if cfg == nil || len(s.Control.Replicas) > 0 {
+		return &config.Config{Users: map[string]*config.User{}}
+	}
+	return cfg
+}
+
+// newControl prepares the control plane of a daemon whose settings name control replicas.
+func newControl(d *Daemon, dial DialControl) (*control, error) {
+	s := d.settings
+	if len(s.Control.Replicas) == 0 {
+		return nil, nil
+	}
+	c := &control{d: d, dataCentres: map[string]string{}}
+	options := []grpc.DialOption{d.identity.Client()}
+	if dial != nil {
+		options = append(options, grpc.WithContextDialer(dial))
+	}
+	var hosts []*controlpb.ReplicaHost
+	for _, r := range s.Control.Replicas {
+		hosts = append(hosts, &controlpb.ReplicaHost{Name: r.Name, Address: r.Address.String()})
+	}
+	store, err := openStore(s.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	log := d.log
+	if s.Control.Replica {
+		c.replica, err = replica.New(replica.Config{
+			Name: s.Name, DataCentre: s.DataCentre, Replicas: hosts, Dir: s.DataDir, Dial: options, Log: log,
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	c.subscription = subscription.New(subscription.Config{
+		Daemon: s.Name, Incarnation: uint64(time.Now().UnixMilli()), DataCentre: s.DataCentre,
+		Replicas: hosts, DataCentreOf: c.dataCentreOf, Store: store, Dial: options, Apply: c.apply, Log: log,
+	})
+	if c.applied != nil {
+		c.setLocations(c.applied)
+	}
+	d.counters.daily = c.count
+	return c, nil
+}
+
+// openStore returns the store of the accepted configuration, nil on hosts without a disk.
+func openStore(dir string) (distribution.Store, error) {
+	if dir == "" {
+		return nil, nil
+	}
+	if err := os.MkdirAll(dir, dataPermission); err != nil {
+		return nil, errors.Wrap(err, "data folder cannot be created: check data_dir")
+	}
+	return distribution.NewFileStore(filepath.Join(dir, copyFile))
+}
+
+// apply puts an accepted configuration in force. Before the first push it has no files.
+func (c *control) apply(held *distribution.Held) error {
+	cfg := &config.Config{Users: map[string]*config.User{}}
+	if files := held.Folder.Files(); len(files) > 0 {
+		merged, err := replica.Merged(files)
+		if err != nil {
+			return err
+		}
+		cfg = merged
+	}
+	cfg.Version = held.Version
+	if keys := state.TokenKeys(held.Keys, time.Now()); len(keys) > 0 {
+		cfg.TokenKeys = nil
+		for _, k := range keys {
+			cfg.TokenKeys = append(cfg.TokenKeys, config.TokenKey{ID: k.ID, Secret: hex.EncodeToString(k.Secret)})
+		}
+	}
+	if err := c.d.Configure(cfg); err != nil {
+		return err
+	}
+	c.setLocations(cfg)
+	return nil
+}
+
+// setLocations sets where the days of the users end. The stored copy is put in force before the
+// subscription exists; newControl then calls it again.
+func (c *control) setLocations(cfg *config.Config) {
+	c.applied = cfg
+	if c.subscription == nil {
+		return
+	}
+	for name, u := range cfg.Users {
+		if loc, err := time.LoadLocation(u.TimeZone); err == nil {
+			c.subscription.SetLocation(name, loc)
+		}
+	}
+}
+
+// dataCentreOf returns the data centre of a daemon by the member list.
+func (c *control) dataCentreOf(name string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.asked) > time.Second {
+		c.asked = time.Now()
+		c.d.cluster.call(c.d.ctx, func(time.Time) {
+			if c.d.cluster.view == nil {
+				return
+			}
+			for _, m := range c.d.cluster.view.Members {
+				c.dataCentres[m.Name] = m.DataCentre
+			}
+		})
+	}
+	return c.dataCentres[name]
+}
+
+// controlServices are the gRPC services that need a verified peer.
+func controlServices() []string {
+	return []string{
+		controlpb.Agreement_ServiceDesc.ServiceName, controlpb.Replication_ServiceDesc.ServiceName,
+		controlpb.Operator_ServiceDesc.ServiceName, controlpb.Distribution_ServiceDesc.ServiceName,
+	}
+}
+
+// register adds the services of a replica.
+func (c *control) register(s *grpc.Server) {
+	if c != nil && c.replica != nil {
+		c.replica.Register(s)
+	}
+}
+
+// add adds the actors of the control plane.
+func (c *control) add(g *run.Group) {
+	if c == nil {
+		return
+	}
+	addActor(g, c.d.ctx, c.subscription.Run)
+	if c.replica != nil {
+		addActor(g, c.d.ctx, c.replica.Run)
+	}
+}
+
+// leave hands the leadership of the replicas over before a planned stop.
+func (c *control) leave() {
+	if c == nil || c.replica == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.d.ctx, transferLimit)
+	defer cancel()
+	if err := c.replica.Transfer(ctx); err != nil {
+		events.LeadershipKept.Log(c.d.log, logrus.Fields{"error": err})
+	}
+}
+
+// Control returns the daemon's control replica, nil if it is none.
+func (d *Daemon) Control() *replica.Replica {
+	if d.control == nil {
+		return nil
+	}
+	return d.control.replica
+}
--- /dev/null
+++ b/pkg/daemon/control_test.go
@@ -0,0 +1,41 @@
+package daemon_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var sevenHosts = []string{"a", "a", "a", "b", "b", "c", "c"}
+
+// Guards against a daemon that does not get a pushed configuration, and measures the time from a
+// push to its being in force on all daemons.
+func TestPushReachesEveryDaemon(t *testing.T) {
+	f := newControlFleet(t, sevenHosts...)
+	f.startAll()
+	replicas := []int{0, 3, 5}
+	version := uint64(0)
+	var took []time.Duration
+	for i := range 60 {
+		begin := time.Now()
+		q := change(fmt.Sprint("push ", i), version, "10-acme.yaml", serviceFile(i), 5*time.Second)
+		reply, err := f.operator(replicas[i%3]).Push(f.context(), q)
+		assert.NilError(t, err)
+		if i > 0 { // not every daemon watches yet at the first push
+			took = append(took, time.Since(begin))
+			assert.Equal(t, reply.GetDaemons(), uint32(7))
+			assert.Equal(t, reply.GetDaemonsInForce(), uint32(7))
+		}
+		version = reply.GetReply().GetVersion()
+	}
+	for i, d := range f.daemons {
+		assert.Equal(t, d.Status().Version, version, "host %d", i)
+	}
+	slices.Sort(took)
+	p99 := took[len(took)*99/100]
+	t.Logf("push to in force: p50 %s, p99 %s of %d pushes", took[len(took)/2], p99, len(took))
+	assert.Assert(t, p99 < 2*time.Second)
+}
--- a/pkg/daemon/counters.go
+++ b/pkg/daemon/counters.go
@@ -32,7 +32,8 @@
 
 // counters caches the counters of the owner cores by service and reason.
 type counters struct {
-	set *telemetry.Set
+	set   *telemetry.Set
+	daily func(n owner.Count, service string) // nil without control replicas
 
 	mu    sync.RWMutex
 	names map[ident.ServiceID]string
@@ -53,7 +54,11 @@
 func (c *counters) add(n owner.Count) {
 	c.mu.RLock()
 	counter := c.cache[n]
+	service := c.names[n.Service]
 	c.mu.RUnlock()
+	if c.daily != nil {
+		c.daily(n, service)
+	}
 	if counter == nil {
 		counter = c.create(n)
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -43,6 +43,7 @@
 	sessions *sessions
 	cluster  *cluster
 	peers    *peers
+	control  *control // nil when the configuration comes from a folder
 	grpcLis  net.Listener
 	httpLis  net.Listener
 
@@ -55,12 +56,21 @@
 
 // New prepares a daemon and binds its own ports, so that an address in use is reported
 // before anything starts.
+//
+// The configuration is nil when the settings name control replicas: the daemon then starts with
+// the stored copy, or without services, and takes versions from the replicas.
 func New(s *settings.Daemon, cfg *config.Config, log logrus.FieldLogger) (*Daemon, error) {
+	return NewWithDialer(s, cfg, log, nil)
+}
+
+// NewWithDialer is New with own connections to the control replicas, for tests that count or cut
+// them.
+func NewWithDialer(s *settings.Daemon, cfg *config.Config, log logrus.FieldLogger, dial DialControl) (*Daemon, error) {
 	key, err := clusterKey(s)
 	if err != nil {
 		return nil, err
 	}
-	index, err := indexServices(cfg, key)
+	index, err := indexServices(initialConfig(s, cfg), key)
 	if err != nil {
 		return nil, err
 	}
@@ -81,6 +91,10 @@
 		d.closeListeners()
 		return nil, err
 	}
+	if d.control, err = newControl(d, dial); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -210,6 +224,7 @@
 	g.Add(func() error {
 		select {
 		case <-ctx.Done():
+			d.control.leave()
 			d.drain()
 			return nil
 		case <-d.ctx.Done():
@@ -240,6 +255,7 @@
 func (d *Daemon) addControlPlane(g *run.Group) {
 	var control run.Group
 	addActor(&control, d.ctx, d.cluster.run)
+	d.control.add(&control)
 	g.Add(control.Run, func(error) {
 		d.stop()
 		d.peers.close()
@@ -247,11 +263,12 @@
 }
 
 func (d *Daemon) addServers(g *run.Group) {
-	options := append(d.identity.RequirePeer(peerpb.Peer_ServiceDesc.ServiceName),
+	options := append(d.identity.RequirePeer(append(controlServices(), peerpb.Peer_ServiceDesc.ServiceName)...),
 		d.identity.Server(), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
 	server := grpc.NewServer(options...)
 	upstreampb.RegisterRegistryServer(server, &registry{d: d})
 	peerpb.RegisterPeerServer(server, &peerServer{d: d})
+	d.control.register(server)
 	g.Add(func() error { return server.Serve(d.grpcLis) }, func(error) { server.Stop() })
 	web := newWebServer(d)
 	g.Add(func() error { return web.serve(d.httpLis) }, func(error) { web.stop() })
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -46,4 +46,21 @@
 	LeaseExpired         = Event{3004, logrus.WarnLevel, "upstream lease expired", "check that the upstream still runs and reaches a daemon"}
 	ConfigInForce        = Event{4001, logrus.InfoLevel, "configuration in force", ""}
 	ConfigRefused        = Event{4002, logrus.WarnLevel, "configuration refused", "read the error field and correct the folder"}
+	ReplicaWaits         = Event{4003, logrus.InfoLevel, "replica has no state and asks the other replicas for the group", "start all replicas of control.replicas if this is the first start"}
+	GroupFounded         = Event{4004, logrus.InfoLevel, "replica group founded", ""}
+	ReplicaJoins         = Event{4005, logrus.WarnLevel, "replica joins the group as a learner without state", "check the disk if the replica had a data folder before"}
+	ReplicaListsDiffer   = Event{4006, logrus.WarnLevel, "replica lists of two hosts differ", "make control.replicas equal on all replicas"}
+	ReplicaFailed        = Event{4007, logrus.ErrorLevel, "replica failed; it opens its data folder again", "read the error field, which names the remedy"}
+	ReplicaSuperseded    = Event{4008, logrus.ErrorLevel, "the group has a later incarnation of this replica", "remove the folder agreement in the data folder and start the daemon again"}
+	LeaderChanged        = Event{4009, logrus.InfoLevel, "replica began or ceased to lead", ""}
+	MessageRefused       = Event{4010, logrus.WarnLevel, "message of a replica refused", "read the error field, which names the remedy"}
+	OwnChangeFailed      = Event{4011, logrus.WarnLevel, "change of the replicas failed; it is tried again", "check the connections between the replicas if it repeats"}
+	TotalsNotSaved       = Event{4012, logrus.WarnLevel, "totals cannot be written to the disk", "check the disk of the data folder"}
+	WatchStarted         = Event{4013, logrus.InfoLevel, "daemon watches a replica", ""}
+	WatchEnded           = Event{4014, logrus.WarnLevel, "watch of a replica ended; another one is tried", "check the replica if no watch starts again"}
+	UpdateRefused        = Event{4015, logrus.WarnLevel, "configuration update refused", "read the error field, which names the remedy"}
+	CopyNotSaved         = Event{4016, logrus.WarnLevel, "accepted configuration cannot be written to the disk", "check the disk of the data folder"}
+	CopyUnusable         = Event{4017, logrus.WarnLevel, "stored copy of the configuration cannot be used", "read the error field; the daemon fetches the configuration from a replica"}
+	LeadershipKept       = Event{4019, logrus.WarnLevel, "leadership was not handed over before the stop", ""}
+	CountersDropped      = Event{4018, logrus.WarnLevel, "daily counters were dropped unreported", "repair the connection to the control replicas"}
 )
