Test the control plane under partition, lost disks and restarts

Cause: nothing exercised the replicas' runner over real connections. Change: tests with daemons on loopback whose control connections can be cut; a cut connection stays open and loses everything, as in a silent partition.

--- /dev/null
+++ b/pkg/daemon/controlfault_test.go
@@ -0,0 +1,199 @@
+package daemon_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	controlpb "rosemarygate/api/control/v1"
+	"rosemarygate/pkg/agreement"
+	"rosemarygate/pkg/control/replica"
+	"rosemarygate/pkg/control/state"
+)
+
+func (f *controlFleet) push(i int, q *controlpb.PushRequest) (*controlpb.PushReply, error) {
+	reply, err := f.operator(i).Push(f.context(), q)
+	return reply, replica.RefusalOf(err)
+}
+
+func (f *controlFleet) mustPush(i int, q *controlpb.PushRequest) uint64 {
+	f.t.Helper()
+	reply, err := f.push(i, q)
+	assert.NilError(f.t, err)
+	return reply.GetReply().GetVersion()
+}
+
+func refusalKind(t *testing.T, err error) controlpb.Refusal_Kind {
+	t.Helper()
+	var refused *state.RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	return refused.Refusal.GetKind()
+}
+
+func (f *controlFleet) allAt(version uint64) func() bool {
+	return func() bool {
+		for _, d := range f.daemons {
+			if d != nil && d.Status().Version != version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Guards against a leader that is cut off accepting a push or answering with old state as
+// current, against a daemon on its side that stops serving, and against an accepted change that
+// is undone when the partition ends.
+func TestLeaderCutOff(t *testing.T) {
+	f := newControlFleet(t, "a", "b", "c", "a", "b")
+	f.startAll()
+	first := f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 5*time.Second))
+	f.await("the first version everywhere", f.allAt(first))
+	old := f.leader()
+	f.wires.isolate(f.host(old), true)
+
+	begin := time.Now()
+	_, err := f.push(old, change("lost", first, "20-lost.yaml", serviceFile(2), 0))
+	assert.Equal(t, refusalKind(t, err), controlpb.Refusal_KIND_NO_MAJORITY)
+	_, err = f.operator(old).Show(f.context(), &controlpb.ShowRequest{})
+	assert.Equal(t, refusalKind(t, replica.RefusalOf(err)), controlpb.Refusal_KIND_NO_MAJORITY)
+	t.Logf("a push and a read were refused in %s", time.Since(begin))
+	assert.Equal(t, f.daemons[old].Status().Version, first)
+
+	second := f.mustPush((old+1)%3, change("second", first, "10-acme.yaml", serviceFile(3), 0))
+	assert.Assert(t, second > first)
+	assert.Equal(t, f.daemons[old].Status().Version, first)
+
+	f.wires.isolate(f.host(old), false)
+	took := f.await("the second version everywhere", f.allAt(second))
+	t.Logf("current again %s after the partition ended", took)
+	assert.Assert(t, took < 3*time.Second)
+	shown, err := f.operator(old).Show(f.context(), &controlpb.ShowRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, shown.GetVersion(), second)
+	assert.Equal(t, len(shown.GetFiles()), 1)
+}
+
+// Guards against racing operators overwriting each other, and against a change that is sent again
+// after its reply was lost being applied twice.
+func TestRacingOperatorsAndResentChange(t *testing.T) {
+	f := newControlFleet(t, "a", "b", "c")
+	f.startAll()
+	base := f.mustPush(0, change("base", 0, "10-acme.yaml", serviceFile(0), 0))
+	type outcome struct {
+		id      string
+		version uint64
+		err     error
+	}
+	outcomes := make(chan outcome)
+	race := func(i int) *controlpb.PushRequest {
+		return change(fmt.Sprint("race ", i), base, fmt.Sprintf("20-race-%d.yaml", i), serviceFile(i), 0)
+	}
+	for i := range 3 {
+		go func() {
+			reply, err := f.push(i, race(i))
+			outcomes <- outcome{fmt.Sprint("race ", i), reply.GetReply().GetVersion(), err}
+		}()
+	}
+	won, winner := 0, outcome{}
+	for range 3 {
+		o := <-outcomes
+		if o.err == nil {
+			won, winner = won+1, o
+			continue
+		}
+		assert.Equal(t, refusalKind(t, o.err), controlpb.Refusal_KIND_NUMBER_TAKEN)
+		assert.ErrorContains(t, o.err, "use the next free number 21")
+	}
+	assert.Equal(t, won, 1)
+	f.mustPush(1, change("later", winner.version, "10-acme.yaml", serviceFile(9), 0))
+	for i := range 3 {
+		if q := race(i); q.GetChangeId() == winner.id {
+			reply, err := f.push((i+1)%3, q)
+			assert.NilError(t, err)
+			assert.Equal(t, reply.GetReply().GetVersion(), winner.version)
+			assert.Assert(t, reply.GetReply().GetResent())
+		}
+	}
+}
+
+// Guards against a replica that lost its disk voting before it has caught up, against the loss of
+// accepted changes when a second replica fails right after the repair, and against a restarted
+// replica that does not find back.
+func TestLostDiskThenSecondFailure(t *testing.T) {
+	f := newControlFleet(t, "a", "b", "c")
+	f.startAll()
+	version := uint64(0)
+	for i := range 20 {
+		version = f.mustPush(i%3, change(fmt.Sprint("push ", i), version, "10-acme.yaml", serviceFile(i), 0))
+	}
+	lost := (f.leader() + 1) % 3
+	f.kill(lost)
+	assert.NilError(t, os.RemoveAll(f.settings[lost].DataDir))
+	f.start(lost)
+	voter := func() bool {
+		st := f.daemons[lost].Control().Status()
+		return st.Membership.IsVoter(st.Self) && st.Applied >= version
+	}
+	took := f.await("a voter again", voter)
+	t.Logf("a replica that lost its disk was a voter again after %s", took)
+
+	f.kill(f.leader())
+	f.await("another leader", func() bool { return f.leader() >= 0 })
+	next := f.mustPush(lost, change("after repair", version, "10-acme.yaml", serviceFile(99), 0))
+	shown, err := f.operator(lost).Show(f.context(), &controlpb.ShowRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, shown.GetVersion(), next)
+	history, err := f.operator(lost).History(f.context(), &controlpb.HistoryRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(history.GetRecords()), 22) // 21 pushes and the first key
+}
+
+// Guards against a stop of the leader that leaves the replicas without one for an election
+// timeout, and against a restarted replica that forgets what it accepted.
+func TestPlannedStopAndRestart(t *testing.T) {
+	f := newControlFleet(t, "a", "b", "c")
+	f.startAll()
+	version := f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 0))
+	old := f.leader()
+	begin := time.Now()
+	f.cancel[old]()
+	f.await("another leader", func() bool { l := f.leader(); return l >= 0 && l != old })
+	t.Logf("leadership was handed over in %s", time.Since(begin))
+	assert.Assert(t, time.Since(begin) < time.Second)
+	assert.NilError(t, <-f.done[old])
+	f.start(old)
+	f.await("the restarted replica current", func() bool {
+		return f.daemons[old].Control().Status().Version == version && f.daemons[old].Status().Version == version
+	})
+}
+
+// Guards against a daemon that does not start from its stored copy when no replica can be reached,
+// and against one that founds a second group after its disk was lost.
+func TestStartWithoutTheOthers(t *testing.T) {
+	f := newControlFleet(t, "a", "b", "c")
+	f.startAll()
+	version := f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 0))
+	f.await("the version everywhere", f.allAt(version))
+	for i := range 3 {
+		f.kill(i)
+	}
+	f.start(0)
+	assert.Equal(t, f.daemons[0].Status().Version, version)
+	f.kill(0)
+	assert.NilError(t, os.RemoveAll(filepath.Join(f.settings[0].DataDir, "agreement")))
+	f.start(0)
+	time.Sleep(time.Second)
+	assert.Equal(t, f.daemons[0].Control().Status().Role, agreement.Follower)
+	assert.Assert(t, !f.daemons[0].Control().Status().Loaded)
+	f.start(1, 2)
+	f.await("a voter again", func() bool {
+		st := f.daemons[0].Control().Status()
+		return st.Membership.IsVoter(st.Self)
+	})
+}
--- a/pkg/daemon/controlfleet_test.go
+++ b/pkg/daemon/controlfleet_test.go
@@ -71,6 +71,13 @@
 	return from != to && (w.cut[from] || w.cut[to])
 }
 
+// isolate cuts a host off from all others, or ends that.
+func (w *wires) isolate(host string, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[host] = cut
+}
+
 func (c *wire) Write(b []byte) (int, error) {
 	if c.w.isCut(c.from, c.to) {
 		return len(b), nil
