Add the operators' commands for the control replicas

Cause: a configuration could be pushed by gRPC only. A folder records the accepted version it was last equal to, so a push sends only what its operator changed. A missing required flag now exits with 2 as documented; it exited with 1 because cobra checks it after the hook that marks the start. Conclusion: the whole cycle of push, fetch, racing push and removal runs through the commands (go test ./pkg/cli -run TestControl).

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -35,7 +35,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newVersion(), newConfig(), newDaemon(), newUpstream(), newStatus(), newDemo())
+	root.AddCommand(newVersion(), newConfig(), newDaemon(), newUpstream(), newStatus(), newDemo(), newTotals(), newKeys(), newReplicas())
 	return root
 }
 
--- a/pkg/cli/config.go
+++ b/pkg/cli/config.go
@@ -16,14 +16,14 @@
 func newConfig() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "config",
-		Short: "Check, show and compare configuration folders",
+		Short: "Check, show, compare and push configuration folders",
 		Long: "Commands for folders of numbered configuration files (10-users.yaml, 20-label.yaml).\n" +
 			"Files are merged in the order of their numbers; a later file overrides an earlier one.\n" +
 			"docs/CONFIGURATION.md lists every key.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	cmd.AddCommand(newConfigCheck(), newConfigShow(), newConfigDiff())
+	cmd.AddCommand(newConfigCheck(), newConfigShow(), newConfigDiff(), newConfigPush(), newConfigHistory())
 	return cmd
 }
 
@@ -94,34 +94,56 @@
 func (e *folderError) Unwrap() error { return e.faults }
 
 func newConfigShow() *cobra.Command {
-	var format string
+	var format, out string
+	var accepted bool
+	var control controlFlags
 	cmd := &cobra.Command{
-		Use:   "show DIR",
+		Use:   "show [DIR]",
 		Short: "Print the merged configuration with the origin of each value",
 		Long: "Show merges the files of a folder and prints each value with the file and line that\n" +
 			"set it, or \"default\". Secrets are masked in every format.\n\n" +
-			"Exit codes: 0 success, 2 wrong arguments or an invalid folder.",
+			"With --accepted it shows the configuration that the control replicas accepted, and with --out\n" +
+			"it writes the accepted folder byte for byte, as the base of further changes.\n\n" +
+			"Exit codes: 0 success, 1 no replica with a majority answered, 2 wrong arguments or an invalid\n" +
+			"folder.",
 		Example: `  rosemarygate config show examples/guild/config
   rosemarygate config show --format yaml examples/guild/config
-  rosemarygate config show --format json examples/guild/config | jq '.values[].path'`,
-		Args:              cobra.ExactArgs(1),
+  rosemarygate config show --format json examples/guild/config | jq '.values[].path'
+  rosemarygate config show --accepted --replica 127.1.0.1:7901 --out ./config`,
+		Args: func(cmd *cobra.Command, args []string) error {
+			if accepted {
+				return cobra.NoArgs(cmd, args)
+			}
+			return cobra.ExactArgs(1)(cmd, args)
+		},
 		ValidArgsFunction: completeFolder(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkFormat(format, "text", "yaml", "json"); err != nil {
+				return err
+			}
+			if accepted {
+				return showAccepted(cmd.Context(), cmd.OutOrStdout(), &control, out, format)
+			}
 			return showFolder(cmd.OutOrStdout(), args[0], format)
 		},
 	}
+	control.addOptional(cmd)
+	cmd.Flags().BoolVar(&accepted, "accepted", false, "show what the control replicas accepted")
+	cmd.Flags().StringVar(&out, "out", "", "with --accepted: new folder to write the accepted files to")
+	cmd.MarkFlagsRequiredTogether("accepted", "replica")
 	addFormat(cmd, &format, "text", "yaml", "json")
 	return cmd
 }
 
 func showFolder(out io.Writer, dir, format string) error {
-	if err := checkFormat(format, "text", "yaml", "json"); err != nil {
-		return err
-	}
 	c, err := config.LoadConfig(dir)
 	if err != nil {
 		return describe(dir, err)
 	}
+	return writeConfig(out, c, format)
+}
+
+func writeConfig(out io.Writer, c *config.Config, format string) error {
 	switch format {
 	case "yaml":
 		return c.WriteYAML(out)
--- a/pkg/cli/exit.go
+++ b/pkg/cli/exit.go
@@ -31,10 +31,19 @@
 // execute runs the command line and returns the exit code. Errors go to stderr.
 func execute(root *cobra.Command, args []string, stderr io.Writer) int {
 	started := false
-	// Cobra reports wrong arguments and flags before it calls this hook. Traversal makes
-	// it run for commands with hooks of their own too.
+	// Cobra reports wrong arguments and flags before it calls this hook, but missing flags
+	// only after it. Traversal makes it run for commands with hooks of their own too.
 	cobra.EnableTraverseRunHooks = true
-	root.PersistentPreRun = func(*cobra.Command, []string) { started = true }
+	root.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
+		if err := cmd.ValidateRequiredFlags(); err != nil {
+			return err
+		}
+		if err := cmd.ValidateFlagGroups(); err != nil {
+			return err
+		}
+		started = true
+		return nil
+	}
 	root.SetArgs(args)
 	cmd, err := root.ExecuteC()
 	if err == nil {
--- /dev/null
+++ b/pkg/cli/replicas.go
@@ -0,0 +1,109 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	controlpb "rosemarygate/api/control/v1"
+)
+
+// group returns a command that only holds others.
+func group(use, short string, commands ...*cobra.Command) *cobra.Command {
+	cmd := &cobra.Command{
+		Use: use, Short: short, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.AddCommand(commands...)
+	return cmd
+}
+
+func newKeys() *cobra.Command {
+	return group("keys", "Rotate the keys of flow tokens", newKeysRotate())
+}
+
+func newKeysRotate() *cobra.Command {
+	var c controlFlags
+	var operator, id string
+	cmd := &cobra.Command{
+		Use:   "rotate",
+		Short: "Add a token key and drop the oldest of two",
+		Long: "Rotate adds a key that begins to sign half a minute later, when all daemons have it. Open\n" +
+			"flows get tokens of the new key with their keep-alives. Another rotation is refused until the\n" +
+			"tokens of the oldest key have been renewed; the message names the time.\n\n" +
+			"Exit codes: 0 accepted, 1 refused, 2 wrong arguments.",
+		Example: "  rosemarygate keys rotate --replica 127.1.0.1:7901",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			q := &controlpb.RotateKeysRequest{ChangeId: ownID(id, "rotate"), Operator: operator}
+			reply, err := call(cmd.Context(), &c, 0, func(ctx context.Context, client controlpb.OperatorClient) (*controlpb.ChangeReply, error) {
+				return client.RotateKeys(ctx, q)
+			})
+			return printChange(cmd, reply, err)
+		},
+	}
+	c.add(cmd)
+	addOperator(cmd, &operator, &id)
+	return cmd
+}
+
+// ownID returns the given change id, or one that no other change has.
+func ownID(id, what string) string {
+	if id != "" {
+		return id
+	}
+	return fmt.Sprintf("%s-%d", what, time.Now().UnixNano())
+}
+
+func printChange(cmd *cobra.Command, reply *controlpb.ChangeReply, err error) error {
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "accepted: version %d\n", reply.GetReply().GetVersion())
+	return errors.WithStack(err)
+}
+
+func newReplicas() *cobra.Command {
+	return group("replicas", "Replace control replicas", newReplicasReplace())
+}
+
+func newReplicasReplace() *cobra.Command {
+	var c controlFlags
+	var operator, id, joining, address string
+	cmd := &cobra.Command{
+		Use:   "replace LEAVING",
+		Short: "Replace a control replica by another host",
+		Long: "Replace adds a replica as a learner, lets it vote when it has caught up, and then removes the\n" +
+			"leaving one. The joining daemon has to run with control.replica set and with its own entry in\n" +
+			"control.replicas. The leader carries the replacement out; config history shows its end.\n" +
+			"A replica that only lost its disk comes back by itself and needs no replacement.\n\n" +
+			"Exit codes: 0 accepted, 1 refused, 2 wrong arguments.",
+		Example: "  rosemarygate replicas replace perth-b-1 --by perth-b-2 --address 127.1.0.5:7901 --replica 127.1.0.1:7901",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := netip.ParseAddrPort(address); err != nil {
+				return usageError(errors.Errorf("address %q is not IP:port: write the gRPC address of the joining daemon", address))
+			}
+			q := &controlpb.ReplaceReplicaRequest{
+				ChangeId: ownID(id, "replace"), Operator: operator, Leaving: args[0],
+				Joining: &controlpb.ReplicaHost{Name: joining, Address: address},
+			}
+			reply, err := call(cmd.Context(), &c, 0, func(ctx context.Context, client controlpb.OperatorClient) (*controlpb.ChangeReply, error) {
+				return client.ReplaceReplica(ctx, q)
+			})
+			return printChange(cmd, reply, err)
+		},
+	}
+	c.add(cmd)
+	addOperator(cmd, &operator, &id)
+	cmd.Flags().StringVar(&joining, "by", "", "name of the joining daemon (required)")
+	cmd.Flags().StringVar(&address, "address", "", "gRPC address of the joining daemon (required)")
+	// The flags exist, so these cannot fail.
+	_ = cmd.MarkFlagRequired("by")
+	_ = cmd.MarkFlagRequired("address")
+	return cmd
+}
