--- a/pkg/control/replica/core.go
+++ b/pkg/control/replica/core.go
@@ -22,6 +22,9 @@
 // folder, and 10,000 took longer than the second in which a restart has to be ready.
 const snapshotEvery = 200
 
+// maxBatch bounds the messages and calls that one sync serves.
+const maxBatch = 64
+
 // maxEntryBytes holds the largest push (state.MaxPushBytes) with its envelope.
 const maxEntryBytes = 4 << 20
 
@@ -124,12 +127,27 @@
 		case f := <-c.r.calls:
 			f(c)
 		}
+		c.drain()
 		if err := c.process(); err != nil {
 			return err
 		}
 	}
 }
 
+// drain takes what waits already, so that one sync serves all of it.
+func (c *core) drain() {
+	for range maxBatch {
+		select {
+		case m := <-c.r.incoming:
+			c.step(m)
+		case f := <-c.r.calls:
+			f(c)
+		default:
+			return
+		}
+	}
+}
+
 // step passes a message to the node. Other errors say only why a message was ignored.
 func (c *core) step(m agreement.Message) {
 	if err := c.node.Step(m); errors.Is(err, agreement.ErrOtherGroup) || errors.Is(err, agreement.ErrDiverged) {
--- a/pkg/control/replica/distributor.go
+++ b/pkg/control/replica/distributor.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/control/distribution"
@@ -18,7 +19,7 @@
 	distributionTick = time.Second
 	updateQueue      = 4
 	// progressLifetime is how long the progress of a silent replica counts.
-	progressLifetime = 6 * time.Second
+	progressLifetime = 15 * time.Second
 	maxDaemonName    = 128 // bytes
 )
 
@@ -86,11 +87,15 @@
 	d.notify()
 }
 
+// acknowledge takes a report; only a new version changes the progress.
 func (d *distributor) acknowledge(daemon string, version uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	before := d.core.Progress(d.name)
 	d.send(d.core.Acknowledge(time.Now(), daemon, version))
-	d.notify()
+	if !proto.Equal(before, d.core.Progress(d.name)) {
+		d.notify()
+	}
 }
 
 func (d *distributor) notify() {
--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -25,8 +25,8 @@
 
 const (
 	tick           = 100 * time.Millisecond
-	electionTicks  = 10
-	heartbeatTicks = 3
+	electionTicks  = 12
+	heartbeatTicks = 4
 	queueLength    = 1024
 	retryPeriod    = 2 * time.Second
 	walFolder      = "agreement"
--- a/pkg/control/replica/share.go
+++ b/pkg/control/replica/share.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	sharePeriod    = 2 * time.Second       // when nothing changed
+	sharePeriod    = 5 * time.Second       // when nothing changed
 	shareDelay     = 50 * time.Millisecond // joins the reports of several daemons
 	shareTimeout   = time.Second
 	bookPeriod     = time.Minute
@@ -131,7 +131,7 @@
 }
 
 // share sends the progress and the changed totals to the other replicas, soon after a change and
-// every two seconds.
+// every few seconds.
 func (r *Replica) share(ctx context.Context) error {
 	ticker := time.NewTicker(sharePeriod)
 	defer ticker.Stop()
--- a/pkg/control/replica/transport.go
+++ b/pkg/control/replica/transport.go
@@ -26,6 +26,10 @@
 	silence = 1500 * time.Millisecond
 )
 
+// Window is the flow control window of control connections in bytes. A fixed one keeps gRPC from
+// measuring the connection with a ping for each message, a sixth of the idle traffic.
+const Window = 1 << 20
+
 // transport sends messages to the other replicas, each over one stream, and drops what a
 // replica does not take in time: the protocol repeats it.
 type transport struct {
@@ -57,6 +61,7 @@
 	quick := backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond}
 	return append([]grpc.DialOption{
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: dialTimeout, Backoff: quick}),
+		grpc.WithInitialWindowSize(Window), grpc.WithInitialConnWindowSize(Window),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 	}, options...)
 }
--- a/pkg/daemon/controlfault_test.go
+++ b/pkg/daemon/controlfault_test.go
@@ -50,6 +50,7 @@
 // current, against a daemon on its side that stops serving, and against an accepted change that
 // is undone when the partition ends.
 func TestLeaderCutOff(t *testing.T) {
+	t.Parallel()
 	f := newControlFleet(t, "a", "b", "c", "a", "b")
 	f.startAll()
 	first := f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 5*time.Second))
@@ -82,6 +83,7 @@
 // Guards against racing operators overwriting each other, and against a change that is sent again
 // after its reply was lost being applied twice.
 func TestRacingOperatorsAndResentChange(t *testing.T) {
+	t.Parallel()
 	f := newControlFleet(t, "a", "b", "c")
 	f.startAll()
 	base := f.mustPush(0, change("base", 0, "10-acme.yaml", serviceFile(0), 0))
@@ -126,6 +128,7 @@
 // accepted changes when a second replica fails right after the repair, and against a restarted
 // replica that does not find back.
 func TestLostDiskThenSecondFailure(t *testing.T) {
+	t.Parallel()
 	f := newControlFleet(t, "a", "b", "c")
 	f.startAll()
 	version := uint64(0)
@@ -157,6 +160,7 @@
 // Guards against a stop of the leader that leaves the replicas without one for an election
 // timeout, and against a restarted replica that forgets what it accepted.
 func TestPlannedStopAndRestart(t *testing.T) {
+	t.Parallel()
 	f := newControlFleet(t, "a", "b", "c")
 	f.startAll()
 	version := f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 0))
@@ -176,6 +180,7 @@
 // Guards against a daemon that does not start from its stored copy when no replica can be reached,
 // and against one that founds a second group after its disk was lost.
 func TestStartWithoutTheOthers(t *testing.T) {
+	t.Parallel()
 	f := newControlFleet(t, "a", "b", "c")
 	f.startAll()
 	version := f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 0))
--- a/pkg/daemon/controlfleet_test.go
+++ b/pkg/daemon/controlfleet_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"path/filepath"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,10 +34,9 @@
 // wires are the control connections of a fleet. They count bytes and can be cut: a cut
 // connection stays open and loses everything.
 type wires struct {
-	bytes atomic.Int64
 	mu    sync.Mutex
-	cut   map[string]bool // host addresses
-	conns map[*wire]bool
+	cut   map[string]bool  // host addresses
+	bytes map[string]int64 // sent and received, by host address
 }
 
 type wire struct {
@@ -57,11 +56,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &wire{Conn: conn, w: w, from: from, to: host}
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.conns[c] = true
-		return c, nil
+		return &wire{Conn: conn, w: w, from: from, to: host}, nil
 	}
 }
 
@@ -78,11 +73,27 @@
 	w.cut[host] = cut
 }
 
+// perHost returns the bytes that each host sent and received.
+func (w *wires) perHost() map[string]int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.bytes)
+}
+
+func (c *wire) count(n int) {
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	if c.from != c.to {
+		c.w.bytes[c.from] += int64(n)
+		c.w.bytes[c.to] += int64(n)
+	}
+}
+
 func (c *wire) Write(b []byte) (int, error) {
 	if c.w.isCut(c.from, c.to) {
 		return len(b), nil
 	}
-	c.w.bytes.Add(int64(len(b)))
+	c.count(len(b))
 	return c.Conn.Write(b)
 }
 
@@ -92,7 +103,7 @@
 	for {
 		n, err := c.Conn.Read(b)
 		if err != nil || !c.w.isCut(c.from, c.to) {
-			c.w.bytes.Add(int64(n))
+			c.count(n)
 			return n, err
 		}
 	}
@@ -110,7 +121,7 @@
 }
 
 func newControlFleet(t *testing.T, dataCentres ...string) *controlFleet {
-	f := &controlFleet{t: t, wires: &wires{cut: map[string]bool{}, conns: map[*wire]bool{}}}
+	f := &controlFleet{t: t, wires: &wires{cut: map[string]bool{}, bytes: map[string]int64{}}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	if testing.Verbose() {
@@ -211,8 +222,10 @@
 	return controlpb.NewOperatorClient(conn)
 }
 
-func (f *controlFleet) context() context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+func (f *controlFleet) context() context.Context { return f.contextFor(10 * time.Second) }
+
+func (f *controlFleet) contextFor(limit time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	f.t.Cleanup(cancel)
 	return ctx
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -19,6 +19,7 @@
 	peerpb "rosemarygate/api/peer/v1"
 	upstreampb "rosemarygate/api/upstream/v1"
 	"rosemarygate/pkg/config"
+	"rosemarygate/pkg/control/replica"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/membership"
@@ -264,7 +265,7 @@
 
 func (d *Daemon) addServers(g *run.Group) {
 	options := append(d.identity.RequirePeer(append(controlServices(), peerpb.Peer_ServiceDesc.ServiceName)...),
-		d.identity.Server(), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
+		d.identity.Server(), grpc.InitialWindowSize(replica.Window), grpc.InitialConnWindowSize(replica.Window), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
 	server := grpc.NewServer(options...)
 	upstreampb.RegisterRegistryServer(server, &registry{d: d})
 	peerpb.RegisterPeerServer(server, &peerServer{d: d})
