--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -20,6 +20,7 @@
 	peerpb "rosemarygate/api/peer/v1"
 	upstreampb "rosemarygate/api/upstream/v1"
 	"rosemarygate/pkg/config"
+	"rosemarygate/pkg/control/replica"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/membership"
@@ -45,8 +46,11 @@
 	sessions *sessions
 	cluster  *cluster
 	peers    *peers
-	grpcLis  net.Listener
-	httpLis  net.Listener
+	control  *control // nil when the configuration comes from a folder
+	// dialControl connects to control replicas; nil for the usual way.
+	dialControl DialControl
+	grpcLis     net.Listener
+	httpLis     net.Listener
 
 	ctx        context.Context
 	stop       context.CancelFunc
@@ -57,12 +61,15 @@
 
 // New prepares a daemon and binds its own ports, so that an address in use is reported
 // before anything starts.
+//
+// The configuration is nil when the settings name control replicas: the daemon then starts with
+// the stored copy, or without services, and takes versions from the replicas.
 func New(s *settings.Daemon, cfg *config.Config, log logrus.FieldLogger, options ...Option) (*Daemon, error) {
 	key, err := clusterKey(s)
 	if err != nil {
 		return nil, err
 	}
-	index, err := indexServices(cfg, key)
+	index, err := indexServices(initialConfig(s, cfg), key)
 	if err != nil {
 		return nil, err
 	}
@@ -86,6 +93,10 @@
 		d.closeListeners()
 		return nil, err
 	}
+	if d.control, err = newControl(d, d.dialControl); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -217,6 +228,7 @@
 	g.Add(func() error {
 		select {
 		case <-ctx.Done():
+			d.control.leave()
 			d.drain()
 			return nil
 		case <-d.ctx.Done():
@@ -247,6 +259,7 @@
 func (d *Daemon) addControlPlane(g *run.Group) {
 	var control run.Group
 	addActor(&control, d.ctx, d.cluster.run)
+	d.control.add(&control)
 	g.Add(control.Run, func(error) {
 		d.stop()
 		d.peers.close()
@@ -254,11 +267,12 @@
 }
 
 func (d *Daemon) addServers(g *run.Group) {
-	options := append(d.identity.RequirePeer(peerpb.Peer_ServiceDesc.ServiceName),
-		d.identity.Server(), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
+	options := append(d.identity.RequirePeer(append(controlServices(), peerpb.Peer_ServiceDesc.ServiceName)...),
+		d.identity.Server(), grpc.InitialWindowSize(replica.Window), grpc.InitialConnWindowSize(replica.Window), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
 	server := grpc.NewServer(options...)
 	upstreampb.RegisterRegistryServer(server, &registry{d: d})
 	peerpb.RegisterPeerServer(server, &peerServer{d: d})
+	d.control.register(server)
 	g.Add(func() error { return server.Serve(d.grpcLis) }, func(error) { server.Stop() })
 	web := newWebServer(d)
 	g.Add(func() error { return web.serve(d.httpLis) }, func(error) { web.stop() })
