Add call and feed commands and one table of refusal reasons

Cause: nothing but the demo could send a request, three places formed the name of a reason, and no place gave callers its remedy.

--- a/client/flow.go
+++ b/client/flow.go
@@ -6,6 +6,7 @@
 
 	wirepb "rosemarygate/api/wire/v1"
 	"rosemarygate/pkg/frame"
+	"rosemarygate/pkg/refusal"
 )
 
 // FlowError says why a flow was refused or has ended.
@@ -13,7 +14,7 @@
 
 // Error names the reason and the remedy.
 func (e *FlowError) Error() string {
-	return "flow is not open (" + e.Reason.String() + "): open a new flow"
+	return "flow is not open (" + refusal.Name(e.Reason) + "): " + refusal.Remedy(e.Reason)
 }
 
 // Flow is one open flow to an upstream of the service.
--- /dev/null
+++ b/pkg/cli/call.go
@@ -0,0 +1,147 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"rosemarygate/client"
+	"rosemarygate/pkg/refusal"
+)
+
+// exitUnknown tells scripts that a request may have run.
+const exitUnknown = 3
+
+func newCall() *cobra.Command {
+	var entries []string
+	var q client.Request
+	var payload string
+	var deadline time.Duration
+	cmd := &cobra.Command{
+		Use:   "call",
+		Short: "Send one request to a service, as a caller does",
+		Long: `call opens a flow to a service, sends one request and prints the answer.
+
+Exit codes: 0 answered, 1 refused and certainly not run, 2 wrong arguments, 3 unknown: the
+request may have run.`,
+		Example: `  rosemarygate call --entry 127.1.0.1:7001,127.1.0.4:7001 --class tally --payload "press 4: 12 welds"
+  rosemarygate call --entry 127.1.0.1:7002 --class sheet --idempotent --payload "sheet 7"`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := dialService(entries)
+			if err != nil {
+				return err
+			}
+			defer c.Close()
+			ctx, cancel := context.WithTimeout(cmd.Context(), deadline)
+			defer cancel()
+			q.Payload = []byte(payload)
+			caller := c.NewCaller()
+			defer caller.Close()
+			attempts, err := caller.Do(ctx, q)
+			if len(attempts) == 0 {
+				return errors.Wrap(err, "request was not sent: check the entry addresses and that an upstream of the service is up")
+			}
+			return printResult(cmd, attempts[len(attempts)-1].Result)
+		},
+	}
+	addEntries(cmd, &entries)
+	f := cmd.Flags()
+	f.StringVar(&q.Class, "class", "", "request class")
+	f.BoolVar(&q.Idempotent, "idempotent", false, "the request may run more than once")
+	f.StringVar(&payload, "payload", "", "content of the request")
+	f.DurationVar(&deadline, "deadline", 5*time.Second, "deadline of the request")
+	return cmd
+}
+
+func printResult(cmd *cobra.Command, r client.Result) error {
+	reason := refusal.Name(r.Reason) + ": " + refusal.Meaning(r.Reason)
+	switch r.Outcome {
+	case client.Answered:
+		_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s\n", r.Answer)
+		return err
+	case client.NotRun:
+		return errors.Errorf("not run (%s): %s", reason, refusal.Remedy(r.Reason))
+	case client.Deadline:
+		return errors.Errorf("no answer in time (%s): the request is idempotent and may be sent again", reason)
+	default:
+		return &exitError{code: exitUnknown, err: errors.Errorf(
+			"unknown (%s): the request may have run; ask the service before sending it again", reason)}
+	}
+}
+
+func newFeed() *cobra.Command {
+	var entries []string
+	var topic string
+	var after uint64
+	cmd := &cobra.Command{
+		Use:     "feed",
+		Short:   "Follow the feed of a service, as a caller does",
+		Long:    "feed opens a flow, subscribes and prints one line for each item until SIGINT.",
+		Example: `  rosemarygate feed --entry 127.1.0.1:7001,127.1.0.4:7001 --topic press-4`,
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := dialService(entries)
+			if err != nil {
+				return err
+			}
+			defer c.Close()
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			flow, err := c.Open(ctx)
+			if err != nil {
+				return err
+			}
+			defer flow.Close()
+			return followFeed(ctx, cmd, flow, flow.Subscribe(topic, after))
+		},
+	}
+	addEntries(cmd, &entries)
+	cmd.Flags().StringVar(&topic, "topic", "", "topic of the feed")
+	cmd.Flags().Uint64Var(&after, "after", 0, "last sequence already received")
+	return cmd
+}
+
+func followFeed(ctx context.Context, cmd *cobra.Command, flow *client.Flow, feed *client.Feed) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-flow.Gone():
+			return errors.Wrapf(flow.Err(), "feed ended after sequence %d; go on with --after %d", feed.Last(), feed.Last())
+		case item, ok := <-feed.Items():
+			if !ok {
+				return nil
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%d\t%s\n", item.Sequence, item.Payload)
+		}
+	}
+}
+
+func addEntries(cmd *cobra.Command, entries *[]string) {
+	cmd.Flags().StringSliceVar(entries, "entry", nil, "addresses of the service at the entry hosts, IP:port (required)")
+	// The flag exists, so this cannot fail.
+	_ = cmd.MarkFlagRequired("entry")
+}
+
+func dialService(entries []string) (*client.Client, error) {
+	var addrs []netip.AddrPort
+	for _, e := range entries {
+		a, err := netip.ParseAddrPort(e)
+		if err != nil {
+			return nil, usageError(errors.Errorf("entry %q is not IP:port: use the service's port at an entry host", e))
+		}
+		addrs = append(addrs, a)
+	}
+	t, err := client.NewUDPTransport(addrs)
+	if err != nil {
+		return nil, err
+	}
+	return client.New(t, client.Config{}), nil
+}
--- a/pkg/daemon/controlcounts.go
+++ b/pkg/daemon/controlcounts.go
@@ -6,6 +6,7 @@
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/control/totals"
 	"rosemarygate/pkg/owner"
+	"rosemarygate/pkg/refusal"
 )
 
 // dailyKinds are the counters of the owner cores that enter the daily totals. A flow counts as
@@ -25,7 +26,7 @@
 	}
 	key := totals.Key{User: user, Service: name, Kind: kind}
 	if n.Reason != 0 {
-		key.Reason = reasonName(n.Reason)
+		key.Reason = refusal.Name(n.Reason)
 	}
 	c.subscription.Count(key, 1)
 }
--- a/pkg/daemon/counters.go
+++ b/pkg/daemon/counters.go
@@ -1,14 +1,13 @@
 package daemon
 
 import (
-	"strings"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	wirepb "rosemarygate/api/wire/v1"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/owner"
+	"rosemarygate/pkg/refusal"
 	"rosemarygate/pkg/telemetry"
 )
 
@@ -70,14 +69,9 @@
 	defer c.mu.Unlock()
 	labels := []string{"service", c.names[n.Service]}
 	if n.Reason != 0 {
-		labels = append(labels, "reason", reasonName(n.Reason))
+		labels = append(labels, "reason", refusal.Name(n.Reason))
 	}
 	counter := c.set.Counter(counterNames[n.Counter], labels...)
 	c.cache[n] = counter
 	return counter
 }
-
-// reasonName returns a reason as counters and logs show it.
-func reasonName(r wirepb.Reason) string {
-	return strings.ToLower(strings.TrimPrefix(r.String(), "REASON_"))
-}
--- a/pkg/demo/callers.go
+++ b/pkg/demo/callers.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
-	"strings"
 	"sync"
 	"time"
 
 	"rosemarygate/client"
 	"rosemarygate/pkg/fleet"
+	"rosemarygate/pkg/refusal"
 	"rosemarygate/pkg/standin"
 )
 
@@ -118,7 +118,7 @@
 }
 
 func (s *session) countOutcome(a client.Attempt) {
-	reason := strings.ToLower(strings.TrimPrefix(a.Result.Reason.String(), "REASON_"))
+	reason := refusal.Name(a.Result.Reason)
 	switch a.Result.Outcome {
 	case client.Answered:
 		s.report.RequestsAnswered++
