Answer only proved addresses; test bad, replayed and flooding packets

Cause: a replayed packet with a forged source moved a flow to that address, so answers went there; datagrams to an address that is no IPv4 address were dropped without a counter. Change: a flow follows its caller to another address once a token issued to that address comes back. Counters for repeated requests, frames from another address, moved callers and bad addresses. Tests fire random, truncated, oversize, replayed and forged packets at a running daemon.

--- a/pkg/daemon/counters.go
+++ b/pkg/daemon/counters.go
@@ -28,6 +28,10 @@
 	owner.RequestsRetried: "requests_retried",
 	owner.FeedItems:       "feed_items",
 	owner.FeedResends:     "feed_resends",
+
+	owner.RequestsRepeated: "requests_repeated",
+	owner.FramesElsewhere:  "frames_other_address",
+	owner.CallersMoved:     "callers_moved",
 }
 
 // counters caches the counters of the owner cores by service and reason.
--- a/pkg/daemon/datapath.go
+++ b/pkg/daemon/datapath.go
@@ -18,8 +18,9 @@
 	"rosemarygate/pkg/token"
 )
 
-// serviceQueueLimit bounds one service's packets between its socket and the owner cores.
-const serviceQueueLimit = shardCount * shardQueue / 4
+// serviceQueueLimit bounds the packets of one service between its socket and the owner cores
+// to a quarter of one core's queue, so that a flood leaves room for other services on every core.
+const serviceQueueLimit = shardQueue / 4
 
 // datapath moves packets between callers, peers and owner cores.
 type datapath struct {
@@ -137,6 +138,7 @@
 	}
 	b, ok := r.out.next(d.peers, to)
 	if !ok {
+		d.counters.badAddress.Inc()
 		return
 	}
 	r.out.put(r.sealer.Seal(relay.AppendPacket(b, p)))
@@ -172,6 +174,7 @@
 	}
 	b, ok := r.out.next(sock.batch, to)
 	if !ok {
+		d.counters.badAddress.Inc()
 		return
 	}
 	if b, err := (proto.MarshalOptions{}).MarshalAppend(b, fr); err == nil {
--- a/pkg/daemon/datapath_test.go
+++ b/pkg/daemon/datapath_test.go
@@ -19,18 +19,26 @@
 	"rosemarygate/pkg/token"
 )
 
-// Guards against garbage for every packet that a daemon passes on, and against decoding
-// such a packet, which allocates.
-func TestRelayStepDoesNotAllocate(t *testing.T) {
+const testService = ident.ServiceID(9)
+
+var testKeys = []token.Key{{ID: 1, Secret: make([]byte, 32)}}
+
+// newTestPath returns the data path of daemon 1 of two, with one service and queues that
+// nobody empties.
+func newTestPath(t testing.TB) *datapath {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	assert.NilError(t, err)
-	defer conn.Close()
-	keys := []token.Key{{ID: 1, Secret: make([]byte, 32)}}
+	t.Cleanup(func() { conn.Close() })
 	d := &datapath{
 		clock: time.Now, peerConn: conn, peers: ipv4.NewPacketConn(conn),
 		counters: newPacketCounters(telemetry.NewSet()),
+		sockets: &sockets{byService: map[ident.ServiceID]*serviceSocket{
+			testService: {service: testService, conn: conn, batch: ipv4.NewPacketConn(conn)},
+		}},
+		shards:     &shards{all: []*shard{{events: make(chan envelope, 4)}}},
+		membership: func(netip.AddrPort, []byte) {},
 	}
-	d.keys.Store(&keyRing{keys})
+	d.keys.Store(&keyRing{testKeys})
 	var members []membership.Member
 	for i := range 2 {
 		members = append(members, membership.Member{
@@ -40,13 +48,36 @@
 	}
 	v := &membership.View{Members: members}
 	d.table.Store(relay.NewTable(members[0], v, ownership.NewTable(v, nil)))
-	claims := &token.Claims{Service: 9, DataCentre: ident.DataCentre("dc"), Upstream: 1, Owner: 2, OwnerIncarnation: 5}
+	d.opener = newOpener(d, members[0], func(ident.ServiceID, wirepb.Reason) {})
+	return d
+}
+
+// queued takes the next event that a shard would handle.
+func (d *datapath) queued() (envelope, bool) {
+	select {
+	case e := <-d.shards.all[0].events:
+		d.released(e.service)
+		return e, true
+	default:
+		return envelope{}, false
+	}
+}
+
+func testFrame(t testing.TB, claims *token.Claims) []byte {
 	b, err := frame.Encode(nil, &wirepb.Frame{
-		FlowId: 7, Token: token.NewCodec(keys).Append(nil, 7, claims),
+		FlowId: 7, Token: token.NewCodec(testKeys).Append(nil, 7, claims),
 		Body: &wirepb.Frame_Request{Request: &wirepb.Request{RequestId: 1, Parts: 1, Payload: make([]byte, 200)}},
 	})
 	assert.NilError(t, err)
-	sock := &serviceSocket{service: 9}
+	return b
+}
+
+// Guards against garbage for every packet that a daemon passes on, and against decoding
+// such a packet, which allocates.
+func TestRelayStepDoesNotAllocate(t *testing.T) {
+	d := newTestPath(t)
+	b := testFrame(t, &token.Claims{Service: testService, DataCentre: ident.DataCentre("dc"), Upstream: 1, Owner: 2, OwnerIncarnation: 5})
+	sock := d.sockets.find(testService)
 	r := d.newReceiver()
 	caller := netip.MustParseAddrPort("127.0.0.1:1")
 	step := func() {
--- /dev/null
+++ b/pkg/daemon/fuzz_test.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	wirepb "rosemarygate/api/wire/v1"
+	"rosemarygate/pkg/frame"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/relay"
+	"rosemarygate/pkg/token"
+)
+
+// FuzzPeerDatagram guards against a panic, or an event for another service, whatever a
+// daemon with the cluster key sends.
+func FuzzPeerDatagram(f *testing.F) {
+	d := newTestPath(f)
+	r := d.newReceiver()
+	claims := token.Claims{Service: testService, DataCentre: ident.DataCentre("dc"), Upstream: 1, Owner: 1, OwnerIncarnation: 5}
+	for _, owner := range []ident.DaemonID{1, 2, 3} {
+		claims.Owner = owner
+		p := relay.Packet{Caller: netip.MustParseAddrPort("127.0.0.1:1"), Service: testService, Hops: 1, Frame: testFrame(f, &claims)}
+		f.Add(relay.AppendPacket(nil, &p))
+		p.Hops, p.Caller = relay.MaxHops, netip.MustParseAddrPort("[::1]:1")
+		f.Add(relay.AppendPacket(nil, &p))
+	}
+	open, err := frame.Encode(nil, &wirepb.Frame{FlowId: 7, Body: &wirepb.Frame_Open{Open: &wirepb.Open{}}})
+	assert.NilError(f, err)
+	f.Add(relay.AppendPacket(nil, &relay.Packet{
+		Caller: netip.MustParseAddrPort("127.0.0.1:1"), Service: testService, Upstream: 1, NumTried: 3, Frame: open,
+	}))
+	f.Add(relay.AppendMembership(nil, []byte("message")))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		d.fromPeer(r, body, netip.AddrPort{}) // without the MAC
+		d.fromPeer(r, r.sealer.Seal(append([]byte(nil), body...)), netip.AddrPort{})
+		r.out.n = 0
+		for {
+			e, ok := d.queued()
+			if !ok {
+				return
+			}
+			assert.Equal(t, e.service, testService)
+		}
+	})
+}
+
+// FuzzCallerDatagram guards against a panic, and against a packet without a valid token
+// that causes a reply larger than itself.
+func FuzzCallerDatagram(f *testing.F) {
+	d := newTestPath(f)
+	r := d.newReceiver()
+	sock := d.sockets.find(testService)
+	claims := token.Claims{Service: testService, DataCentre: ident.DataCentre("dc"), Upstream: 1, Owner: 3, OwnerIncarnation: 5}
+	valid := testFrame(f, &claims)
+	f.Add(valid)
+	f.Add(valid[:len(valid)/2])
+	f.Add(append([]byte(nil), make([]byte, frame.MaxSize+1)...))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d.fromCaller(sock, r, b, netip.MustParseAddrPort("127.0.0.1:1"))
+		sent := 0
+		for _, m := range r.out.messages[:r.out.n] {
+			sent += len(m.Buffers[0])
+		}
+		if r.out.conn == sock.batch {
+			assert.Assert(t, sent <= len(b), "reply of %d bytes to %d", sent, len(b))
+		}
+		r.out.n = 0
+		for {
+			if _, ok := d.queued(); !ok {
+				return
+			}
+		}
+	})
+}
--- a/pkg/daemon/packetcounters.go
+++ b/pkg/daemon/packetcounters.go
@@ -18,6 +18,7 @@
 	missingToken  *metrics.Counter
 	forgedPeer    *metrics.Counter
 	malformedPeer *metrics.Counter
+	badAddress    *metrics.Counter
 	relayed       *metrics.Counter
 	frames        map[frame.Kind]*metrics.Counter
 	tokens        map[token.Kind]*metrics.Counter
@@ -35,6 +36,7 @@
 		missingToken:  dropped("missing_token"),
 		forgedPeer:    dropped("forged_peer"),
 		malformedPeer: dropped("malformed_peer"),
+		badAddress:    dropped("bad_address"),
 		relayed:       set.Counter("packets_relayed"),
 		frames: map[frame.Kind]*metrics.Counter{
 			frame.Oversize:  dropped("oversize"),
--- a/pkg/owner/action.go
+++ b/pkg/owner/action.go
@@ -98,6 +98,9 @@
 	RequestsRetried // (reason)
 	FeedItems
 	FeedResends
+	RequestsRepeated // copies of requests that have a record
+	FramesElsewhere  // frames from an address other than the flow's
+	CallersMoved     // flows that moved to another address
 )
 
 // Count adds one to a counter.
--- a/pkg/owner/flow.go
+++ b/pkg/owner/flow.go
@@ -16,6 +16,7 @@
 	id        ident.FlowID
 	up        *upstream
 	caller    netip.AddrPort
+	move      *callerMove // nil unless frames come from another address
 	lastSeen  time.Time
 	confirmed bool
 	closed    bool // by its caller; kept for its request records
@@ -72,6 +73,13 @@
 }
 
 func (c *Core) sendToken(f *flow, fr *wirepb.Frame) {
+	c.sign(f, fr)
+	c.send(f, fr)
+}
+
+// sign puts the flow's id and a new token into a frame.
+func (c *Core) sign(f *flow, fr *wirepb.Frame) {
+	fr.FlowId = uint64(f.id)
 	fr.Token = c.codec.Append(nil, f.id, &token.Claims{
 		Service:             f.up.service,
 		DataCentre:          f.up.dataCentre,
@@ -81,7 +89,6 @@
 		OwnerIncarnation:    c.cfg.Incarnation,
 		IssuedAt:            c.now,
 	})
-	c.send(f, fr)
 }
 
 // frame handles a frame with a verified token.
@@ -106,7 +113,8 @@
 		c.rejectFrame(ev, wirepb.Reason_REASON_OWNER_GONE)
 		return
 	}
-	f.lastSeen, f.caller = c.now, ev.Caller
+	f.lastSeen = c.now
+	c.checkCaller(f, ev)
 	if !f.confirmed {
 		f.confirmed = true
 		c.count(FlowsConfirmed, u.service, 0)
@@ -170,9 +178,7 @@
 func (c *Core) flowFrame(f *flow, ev FrameReceived) {
 	switch body := ev.Frame.Body.(type) {
 	case *wirepb.Frame_KeepAlive:
-		c.sendToken(f, &wirepb.Frame{Body: &wirepb.Frame_KeepAliveAck{KeepAliveAck: &wirepb.KeepAliveAck{
-			FeedActive: f.feed != nil,
-		}}})
+		c.keepAlive(f, ev.Caller)
 	case *wirepb.Frame_Subscribe:
 		c.subscribe(f, body.Subscribe)
 	case *wirepb.Frame_FeedAck:
--- a/pkg/owner/request.go
+++ b/pkg/owner/request.go
@@ -52,6 +52,9 @@
 	id := ident.RequestID(q.RequestId)
 	c.dropEnded(f, ident.RequestID(q.EndedBelow))
 	if r := f.records[id]; r != nil {
+		if r.state != stateAssembling {
+			c.count(RequestsRepeated, f.up.service, 0)
+		}
 		c.repeatedRequest(r, q)
 		return
 	}
