Deliver handed-over frames to the new owner; ignore views that are older

Two faults kept a daemon that joined from serving the upstreams it took back: - A frame whose token names the old owner was passed on to the new one, which routed it by its token back to the old one, until its hops were used up. A frame passed on by an owner that has handed over now names its upstream, and the receiver decides. - While a daemon joined, the view of its own joining state was handled after the view in which it serves, so it refused handovers until the next change of members.

--- a/pkg/daemon/cluster.go
+++ b/pkg/daemon/cluster.go
@@ -177,7 +177,12 @@
 	c.stepMembers(now, membership.Serve{})
 }
 
+// viewChanged takes a view over. Joining steps the membership core again while its first
+// actions are carried out, so an older view can come after a newer one.
 func (c *cluster) viewChanged(now time.Time, v *membership.View) {
+	if c.view != nil && v.Version <= c.view.Version {
+		return
+	}
 	c.logChanges(v)
 	c.view = v
 	if c.joined {
--- a/pkg/daemon/datapath.go
+++ b/pkg/daemon/datapath.go
@@ -219,6 +219,11 @@
 		d.counters.wrongService.Inc()
 		return
 	}
+	if p.Upstream != 0 {
+		// The owner that the token names has handed the upstream over to this daemon.
+		d.deliver(&claims, p.Frame, p.Caller, p.Hops)
+		return
+	}
 	d.route(r, &claims, p.Frame, p.Caller, p.Hops)
 }
 
--- a/pkg/daemon/glue.go
+++ b/pkg/daemon/glue.go
@@ -73,7 +73,7 @@
 		to = decision.Peer
 	}
 	d.path.forward(d.path.newReceiver(), to, &relay.Packet{
-		Caller: ev.Caller, Service: ev.Claims.Service, Frame: b, Hops: ev.Hops + 1,
+		Caller: ev.Caller, Service: ev.Claims.Service, Frame: b, Hops: ev.Hops + 1, Upstream: ev.Claims.Upstream,
 	})
 }
 
--- /dev/null
+++ b/pkg/daemon/owner_change_test.go
@@ -0,0 +1,80 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"rosemarygate/client"
+	"rosemarygate/pkg/config"
+	"rosemarygate/pkg/fleet"
+	"rosemarygate/pkg/standin"
+)
+
+const testPort = 4301
+
+// startFleet runs daemons in the given data centres, with upstreams in the first one.
+func startFleet(t *testing.T, upstreams int, dataCentres ...string) *fleet.Fleet {
+	t.Helper()
+	folder, err := config.FromFiles([]config.File{{Name: "10-test.yaml", Data: []byte(`users:
+  user:
+    time_zone: UTC
+    services:
+      service:
+        port: 4301
+        credential: test-credential
+        slots: 3
+        flow_limit: 100
+        classes:
+          post: {priority: 0, share: 0.5, queue_limit: 64, deadline: 10s}
+`)}})
+	assert.NilError(t, err)
+	cfg, err := folder.Merge()
+	assert.NilError(t, err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := fleet.New(cfg, dataCentres, log)
+	t.Cleanup(f.Close)
+	assert.NilError(t, f.Start())
+	for n := range upstreams {
+		assert.NilError(t, f.StartUpstream(standin.Config{
+			Service: "user/service", Name: fmt.Sprintf("upstream-%d", n), DataCentre: dataCentres[0],
+			Slots: 3, FlowLimit: 100, Credential: "test-credential", FeedPeriod: 50 * time.Millisecond,
+		}))
+	}
+	assert.NilError(t, f.WaitUpstreams(upstreams, 10*time.Second))
+	return f
+}
+
+// Guards against frames that go back and forth between the owner that their token names
+// and the daemon to which it handed the upstream over, until they have no hops left.
+func TestFramesReachDaemonThatTookUpstreamsBack(t *testing.T) {
+	f := startFleet(t, 6, "dc", "dc")
+	assert.NilError(t, f.StopDaemon(0))
+	c, err := f.Client(testPort, fleet.FabricFaults{}, 1, client.Config{KeepAlive: time.Hour})
+	assert.NilError(t, err)
+	defer c.Close()
+	var flows []*client.Flow
+	for range 12 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		flow, err := c.Open(ctx)
+		cancel()
+		assert.NilError(t, err)
+		flows = append(flows, flow)
+	}
+	assert.NilError(t, f.StartDaemon(0))
+	assert.NilError(t, f.WaitReady(0))
+	assert.NilError(t, f.WaitUpstreams(6, 10*time.Second))
+	for i, flow := range flows {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		r, err := flow.Do(ctx, client.Request{Class: "post", Payload: fmt.Appendf(nil, "post %d", i)})
+		cancel()
+		assert.NilError(t, err)
+		assert.Equal(t, r.Outcome, client.Answered, "flow %d: %s", i, r.Reason)
+	}
+}
--- a/pkg/relay/datagram.go
+++ b/pkg/relay/datagram.go
@@ -76,11 +76,13 @@
 
 // Packet is a caller's frame on its way between daemons. Frame aliases its buffer.
 type Packet struct {
-	Caller   netip.AddrPort
-	Service  ident.ServiceID
-	Frame    []byte
-	Hops     int
-	Upstream ident.UpstreamID // opens only: the upstream that was picked
+	Caller  netip.AddrPort
+	Service ident.ServiceID
+	Frame   []byte
+	Hops    int
+	// Upstream says that the receiver decides: it is the upstream picked for an open, or that
+	// of a frame passed on by an owner that has handed it over. Otherwise it is 0.
+	Upstream ident.UpstreamID
 	Tried    [MaxTried]ident.UpstreamID
 	NumTried int
 }
