Close four ways to a false "not run" or a second run

Cause: a random test of the owner core against the upstream's own record (loss, repeats, delays, retries, handovers, crashes, lapsed leases, wrong views) found: a new owner ran an idempotent request again that the crashed one had refused or run, and could refuse it; an owner that had handed over still expired and retried the records it gave away; a handover vouched for tokens from before the sender's own records began; and a token issued in the millisecond in which an ownership began was taken for one of the next ownership. Change: requests with the token of a lost owner are always unknown, and the client library sends idempotent ones again as new requests, paid for by a retry budget; the core leaves upstreams alone that it handed over; predecessors carry the issue time from which on their tokens are covered, and ownerships begin after the last token issued.

--- a/client/caller.go
+++ b/client/caller.go
@@ -31,9 +31,10 @@
 	Result Result
 }
 
-// Do runs one request until it has an outcome other than a refusal that another upstream
-// may lift, or ctx ends. It returns every attempt, the last one being the result. A
-// request that may have run is not sent again.
+// Do runs one request until it has an outcome other than one that another attempt may
+// better, or ctx ends. It returns every attempt, the last one being the result. A request
+// that may have run is sent again only when it is idempotent, as a new request. Attempts
+// after the first are paid for by the client's retry budget.
 func (c *Caller) Do(ctx context.Context, q Request) ([]Attempt, error) {
 	var attempts []Attempt
 	wait := elsewhereWait
@@ -51,7 +52,10 @@
 			continue
 		}
 		attempts = append(attempts, Attempt{Flow: f.id, Result: r})
-		if !c.tryElsewhere(f, r) {
+		if r.Outcome == Answered {
+			c.client.succeeded()
+		}
+		if !c.tryAgain(f, q, r) || !c.client.takeRetry() {
 			return attempts, nil
 		}
 		select {
@@ -63,13 +67,15 @@
 	}
 }
 
-// tryElsewhere reports whether the request did not run and may be sent again, and leaves
-// the flow when its upstream does not take work for now.
-func (c *Caller) tryElsewhere(f *Flow, r Result) bool {
-	if r.Outcome != NotRun {
+// tryAgain reports whether another attempt is allowed and may help, and leaves the flow
+// when its upstream does not take work for now.
+func (c *Caller) tryAgain(f *Flow, q Request, r Result) bool {
+	if r.Outcome == Answered || r.Outcome != NotRun && !q.Idempotent {
 		return false
 	}
 	switch r.Reason {
+	case wirepb.Reason_REASON_OWNER_GONE, wirepb.Reason_REASON_RECORD_EXPIRED:
+		return r.Outcome != NotRun
 	case wirepb.Reason_REASON_UPSTREAM_DRAINING, wirepb.Reason_REASON_UPSTREAM_GONE:
 		c.leave(f)
 		return true
--- a/client/client.go
+++ b/client/client.go
@@ -17,6 +17,7 @@
 
 	wirepb "rosemarygate/api/wire/v1"
 	"rosemarygate/pkg/frame"
+	"rosemarygate/pkg/retry"
 )
 
 const (
@@ -43,8 +44,9 @@
 	done      chan struct{}
 	wheel     wheel
 
-	mu    sync.Mutex
-	flows map[uint64]*Flow
+	mu     sync.Mutex
+	flows  map[uint64]*Flow
+	budget *retry.Budget
 }
 
 // New returns a client over the transport and takes ownership of it.
@@ -55,7 +57,9 @@
 	if cfg.FlowTimeout == 0 {
 		cfg.FlowTimeout = defaultFlowTimeout
 	}
-	c := &Client{cfg: cfg, transport: t, flows: map[uint64]*Flow{}, done: make(chan struct{})}
+	c := &Client{
+		budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultMinRate, retry.DefaultBurst),
+		cfg:    cfg, transport: t, flows: map[uint64]*Flow{}, done: make(chan struct{})}
 	go c.receive()
 	go c.wheel.run(c.done)
 	return c
@@ -110,6 +114,20 @@
 	return f
 }
 
+// takeRetry uses one retry of the client's budget and reports whether it had one.
+func (c *Client) takeRetry() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.budget.Take(time.Now())
+}
+
+// succeeded lets an answered request pay for retries.
+func (c *Client) succeeded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.budget.Success()
+}
+
 func (c *Client) forget(f *Flow) {
 	c.mu.Lock()
 	delete(c.flows, f.id)
--- a/pkg/owner/core.go
+++ b/pkg/owner/core.go
@@ -78,7 +78,9 @@
 	budgets  map[ident.ServiceID]*retry.Budget
 	nextCall uint64
 	now      time.Time
-	out      []Action
+	// lastIssue is the largest issue time of a token; a new ownership starts after it.
+	lastIssue time.Time
+	out       []Action
 }
 
 // NewCore returns a core without upstreams.
--- a/pkg/owner/flow.go
+++ b/pkg/owner/flow.go
@@ -79,6 +79,8 @@
 
 // sign puts the flow's id and a new token into a frame.
 func (c *Core) sign(f *flow, fr *wirepb.Frame) {
+	issued := later(c.now, f.up.since)
+	c.lastIssue = later(c.lastIssue, issued)
 	fr.FlowId = uint64(f.id)
 	fr.Token = c.codec.Append(nil, f.id, &token.Claims{
 		Service:             f.up.service,
@@ -87,10 +89,17 @@
 		UpstreamIncarnation: f.up.incarnation,
 		Owner:               c.cfg.Self,
 		OwnerIncarnation:    c.cfg.Incarnation,
-		IssuedAt:            c.now,
+		IssuedAt:            issued,
 	})
 }
 
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // frame handles a frame with a verified token.
 func (c *Core) frame(ev FrameReceived) {
 	u := c.upstreams[ev.Claims.Upstream]
@@ -153,11 +162,12 @@
 // in the token made for the upstream. Tokens that this core issued before it handed the
 // upstream over, and took it back after the other owner crashed, are not covered.
 func (c *Core) holdsRecordsOf(u *upstream, cl *token.Claims) bool {
-	if u.predecessors[ownerKey{cl.Owner, cl.OwnerIncarnation}] {
+	since, ok := u.predecessors[ownerKey{cl.Owner, cl.OwnerIncarnation}]
+	if ok && !cl.IssuedAt.Before(since) {
 		return true
 	}
 	self := cl.Owner == c.cfg.Self && cl.OwnerIncarnation == c.cfg.Incarnation
-	return self && !cl.IssuedAt.Before(u.since.Truncate(time.Millisecond))
+	return self && !cl.IssuedAt.Before(u.since)
 }
 
 // rejectFrame answers a frame whose flow does not exist here.
--- a/pkg/owner/handover.go
+++ b/pkg/owner/handover.go
@@ -55,7 +55,7 @@
 		c.resubscribeAll(u)
 		return
 	}
-	u.movedTo, u.held = ev.To, nil
+	u.movedTo, u.held, u.retries = ev.To, nil, nil
 	for _, f := range ordered(u.flows) {
 		if f.feed != nil {
 			c.emit(SubscribeFeed{Upstream: u.id, Flow: f.id, Unsubscribe: true})
@@ -101,9 +101,12 @@
 		Service: uint64(u.service), Upstream: uint64(u.id), UpstreamIncarnation: uint64(u.incarnation),
 		Owner: uint64(c.cfg.Self), OwnerIncarnation: uint64(c.cfg.Incarnation),
 	}
+	ch.Predecessors = append(ch.Predecessors, &peerpb.Predecessor{
+		Owner: uint64(c.cfg.Self), OwnerIncarnation: uint64(c.cfg.Incarnation), SinceMs: u.since.UnixMilli(),
+	})
 	for _, k := range slices.SortedFunc(maps.Keys(u.predecessors), compareOwners) {
 		ch.Predecessors = append(ch.Predecessors, &peerpb.Predecessor{
-			Owner: uint64(k.owner), OwnerIncarnation: uint64(k.incarnation),
+			Owner: uint64(k.owner), OwnerIncarnation: uint64(k.incarnation), SinceMs: u.predecessors[k].UnixMilli(),
 		})
 	}
 	return ch
@@ -166,9 +169,8 @@
 	if u == nil {
 		return
 	}
-	u.predecessors[ownerKey{ident.DaemonID(first.Owner), ident.Incarnation(first.OwnerIncarnation)}] = true
 	for _, p := range first.Predecessors {
-		u.predecessors[ownerKey{ident.DaemonID(p.Owner), ident.Incarnation(p.OwnerIncarnation)}] = true
+		u.inherit(p)
 	}
 	for _, ch := range ev.Chunks {
 		for _, s := range ch.Flows {
@@ -179,6 +181,15 @@
 	c.submitHeld(u)
 }
 
+// inherit accepts the tokens of a predecessor from the given issue time on.
+func (u *upstream) inherit(p *peerpb.Predecessor) {
+	k := ownerKey{ident.DaemonID(p.Owner), ident.Incarnation(p.OwnerIncarnation)}
+	since := time.UnixMilli(p.SinceMs)
+	if old, ok := u.predecessors[k]; !ok || since.Before(old) {
+		u.predecessors[k] = since
+	}
+}
+
 // successorOf returns the upstream entry that takes the flows over, or nil when this core
 // knows a later incarnation of the upstream.
 func (c *Core) successorOf(ch *peerpb.HandoverChunk) *upstream {
--- a/pkg/owner/request.go
+++ b/pkg/owner/request.go
@@ -62,7 +62,9 @@
 		c.replyOutcome(f, id, wirepb.Outcome_OUTCOME_UNKNOWN, wirepb.Reason_REASON_RECORD_EXPIRED)
 		return
 	}
-	if !q.Idempotent && !c.holdsRecordsOf(f.up, cl) {
+	if !c.holdsRecordsOf(f.up, cl) {
+		// Also an idempotent request must not run: a refusal as not run whose record is
+		// lost would become false. Its caller sends it again as a new request.
 		c.count(RequestsUnknown, f.up.service, wirepb.Reason_REASON_OWNER_GONE)
 		c.replyOutcome(f, id, wirepb.Outcome_OUTCOME_UNKNOWN, wirepb.Reason_REASON_OWNER_GONE)
 		return
--- a/pkg/owner/upstream.go
+++ b/pkg/owner/upstream.go
@@ -20,13 +20,14 @@
 	slots       int
 	flowLimit   int
 	draining    bool
-	since       time.Time // start of this ownership
+	since       time.Time // issue time of the first token of this ownership
 	connected   bool      // an UpstreamUp for this incarnation was seen
 
 	sched *dispatch.Scheduler
 	flows map[ident.FlowID]*flow
-	// predecessors are the owner incarnations whose records were handed over to this core.
-	predecessors map[ownerKey]bool
+	// predecessors are the owner incarnations whose records were handed over to this core,
+	// with the issue time of the earliest token that the records cover.
+	predecessors map[ownerKey]time.Time
 	// held are requests that wait for a connection or for the end of a handover.
 	held []*record
 	// retries are requests that wait before their next attempt.
@@ -57,9 +58,9 @@
 
 func (c *Core) newUpstream(id ident.UpstreamID, service ident.ServiceID) *upstream {
 	u := &upstream{
-		id: id, service: service, since: c.now,
+		id: id, service: service, since: nextMilli(later(c.now, c.lastIssue)),
 		flows:        map[ident.FlowID]*flow{},
-		predecessors: map[ownerKey]bool{},
+		predecessors: map[ownerKey]time.Time{},
 		unacked:      map[ident.FlowID]*flow{},
 		expiry:       map[int64][]*flow{},
 		records:      map[int64][]*record{},
@@ -69,6 +70,12 @@
 	return u
 }
 
+// nextMilli returns the first whole millisecond after t. Tokens carry whole milliseconds, so
+// that a token of an earlier ownership is never taken for one of the new ownership.
+func nextMilli(t time.Time) time.Time {
+	return t.Truncate(time.Millisecond).Add(time.Millisecond)
+}
+
 func (c *Core) limits(u *upstream) dispatch.Limits {
 	l := dispatch.Limits{Slots: max(1, u.slots-u.elsewhere)}
 	if s := c.services[u.service]; s != nil {
@@ -185,8 +192,8 @@
 	second := c.now.Unix()
 	for _, u := range ordered(c.upstreams) {
 		c.resendFeeds(u)
-		if u.frozen {
-			continue
+		if u.frozen || u.movedTo != 0 {
+			continue // the new owner decides over what was handed over
 		}
 		c.start(u.sched.Tick(c.now))
 		c.submitRetries(u)
