--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -35,7 +35,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newVersion(), newConfig(), newDaemon(), newUpstream(), newStatus(), newDemo(), newLoad())
+	root.AddCommand(newVersion(), newConfig(), newDaemon(), newUpstream(), newStatus(), newDemo(), newLoad(),
+		newTotals(), newKeys(), newReplicas(), newCall(), newFeed())
 	return root
 }
 
--- a/pkg/daemon/counters.go
+++ b/pkg/daemon/counters.go
@@ -1,14 +1,13 @@
 package daemon
 
 import (
-	"strings"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	wirepb "rosemarygate/api/wire/v1"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/owner"
+	"rosemarygate/pkg/refusal"
 	"rosemarygate/pkg/telemetry"
 )
 
@@ -36,7 +35,8 @@
 
 // counters caches the counters of the owner cores by service and reason.
 type counters struct {
-	set *telemetry.Set
+	set   *telemetry.Set
+	daily func(n owner.Count, service string) // nil without control replicas
 
 	mu    sync.RWMutex
 	names map[ident.ServiceID]string
@@ -57,7 +57,11 @@
 func (c *counters) add(n owner.Count) {
 	c.mu.RLock()
 	counter := c.cache[n]
+	service := c.names[n.Service]
 	c.mu.RUnlock()
+	if c.daily != nil {
+		c.daily(n, service)
+	}
 	if counter == nil {
 		counter = c.create(n)
 	}
@@ -69,14 +73,9 @@
 	defer c.mu.Unlock()
 	labels := []string{"service", c.names[n.Service]}
 	if n.Reason != 0 {
-		labels = append(labels, "reason", reasonName(n.Reason))
+		labels = append(labels, "reason", refusal.Name(n.Reason))
 	}
 	counter := c.set.Counter(counterNames[n.Counter], labels...)
 	c.cache[n] = counter
 	return counter
 }
-
-// reasonName returns a reason as counters and logs show it.
-func reasonName(r wirepb.Reason) string {
-	return strings.ToLower(strings.TrimPrefix(r.String(), "REASON_"))
-}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -20,6 +20,7 @@
 	peerpb "rosemarygate/api/peer/v1"
 	upstreampb "rosemarygate/api/upstream/v1"
 	"rosemarygate/pkg/config"
+	"rosemarygate/pkg/control/replica"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/membership"
@@ -37,6 +38,7 @@
 	metrics  *telemetry.Set
 	counters *counters
 	clock    func() time.Time
+	blocked  func(netip.Addr) bool // nil unless an experiment cuts connections
 
 	services atomic.Pointer[serviceIndex]
 	shards   atomic.Pointer[shards]
@@ -44,8 +46,11 @@
 	sessions *sessions
 	cluster  *cluster
 	peers    *peers
-	grpcLis  net.Listener
-	httpLis  net.Listener
+	control  *control // nil when the configuration comes from a folder
+	// dialControl connects to control replicas; nil for the usual way.
+	dialControl DialControl
+	grpcLis     net.Listener
+	httpLis     net.Listener
 
 	ctx        context.Context
 	stop       context.CancelFunc
@@ -56,12 +61,15 @@
 
 // New prepares a daemon and binds its own ports, so that an address in use is reported
 // before anything starts.
-func New(s *settings.Daemon, cfg *config.Config, log logrus.FieldLogger) (*Daemon, error) {
+//
+// The configuration is nil when the settings name control replicas: the daemon then starts with
+// the stored copy, or without services, and takes versions from the replicas.
+func New(s *settings.Daemon, cfg *config.Config, log logrus.FieldLogger, options ...Option) (*Daemon, error) {
 	key, err := clusterKey(s)
 	if err != nil {
 		return nil, err
 	}
-	index, err := indexServices(cfg, key)
+	index, err := indexServices(initialConfig(s, cfg), key)
 	if err != nil {
 		return nil, err
 	}
@@ -74,6 +82,9 @@
 		clock: monotonicClock(), started: time.Now(),
 		ready: make(chan struct{}),
 	}
+	for _, o := range options {
+		o(d)
+	}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.counters = newCounters(d.metrics)
 	d.counters.setNames(index.names)
@@ -82,6 +93,10 @@
 		d.closeListeners()
 		return nil, err
 	}
+	if d.control, err = newControl(d, d.dialControl); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -111,7 +126,7 @@
 		return errors.Wrap(err, "peer port cannot be bound: free it or change ports.peer")
 	}
 	_ = conn.SetReadBuffer(socketBuffer)
-	d.path = &datapath{clock: d.clock, key: key, peerConn: conn, peers: ipv4.NewPacketConn(conn), counters: newPacketCounters(d.metrics)}
+	d.path = &datapath{clock: d.clock, blocked: d.blocked, key: key, peerConn: conn, peers: ipv4.NewPacketConn(conn), counters: newPacketCounters(d.metrics)}
 	if d.grpcLis, err = net.Listen("tcp", s.Address(s.Ports.GRPC).String()); err != nil {
 		return errors.Wrap(err, "gRPC port cannot be bound: free it or change ports.grpc")
 	}
@@ -136,7 +151,7 @@
 
 // assemble connects the parts with each other.
 func (d *Daemon) assemble(key []byte) {
-	d.peers = newPeers(d.identity.Client())
+	d.peers = newPeers(append(blockable(d.blocked), d.identity.Client()))
 	d.path.receivers.New = func() any { return d.path.newReceiver() }
 	d.path.keys.Store(&keyRing{d.services.Load().keys})
 	d.path.sockets = &sockets{
@@ -149,10 +164,11 @@
 		PeerAddr:    addrPort(d.path.peerConn.LocalAddr()), GRPCAddr: addrPort(d.grpcLis.Addr()),
 	}
 	d.path.opener = newOpener(d.path, self, d.openRefused)
-	d.sessions = &sessions{ctx: d.ctx, log: d.log, creds: grpc.WithTransportCredentials(insecure.NewCredentials()), all: map[ident.UpstreamID]*session{}}
+	d.sessions = &sessions{ctx: d.ctx, log: d.log, dial: append(blockable(d.blocked), grpc.WithTransportCredentials(insecure.NewCredentials())), all: map[ident.UpstreamID]*session{}}
 	d.cluster = newCluster(d.clock, d.log, d.path.peerConn, key, self, d.settings.Seeds)
 	d.cluster.assign = newAssignment(self, nil)
 	d.cluster.assign.connect = d.connectUpstream
+	d.cluster.assign.connected = d.sessions.connected
 	d.cluster.assign.handOver = d.handOver
 	d.cluster.assign.drop = d.dropUpstream
 	d.cluster.hooks = clusterHooks{
@@ -212,6 +228,7 @@
 	g.Add(func() error {
 		select {
 		case <-ctx.Done():
+			d.control.leave()
 			d.drain()
 			return nil
 		case <-d.ctx.Done():
@@ -242,6 +259,7 @@
 func (d *Daemon) addControlPlane(g *run.Group) {
 	var control run.Group
 	addActor(&control, d.ctx, d.cluster.run)
+	d.control.add(&control)
 	g.Add(control.Run, func(error) {
 		d.stop()
 		d.peers.close()
@@ -249,11 +267,12 @@
 }
 
 func (d *Daemon) addServers(g *run.Group) {
-	options := append(d.identity.RequirePeer(peerpb.Peer_ServiceDesc.ServiceName),
-		d.identity.Server(), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
+	options := append(d.identity.RequirePeer(append(controlServices(), peerpb.Peer_ServiceDesc.ServiceName)...),
+		d.identity.Server(), grpc.InitialWindowSize(replica.Window), grpc.InitialConnWindowSize(replica.Window), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
 	server := grpc.NewServer(options...)
 	upstreampb.RegisterRegistryServer(server, &registry{d: d})
 	peerpb.RegisterPeerServer(server, &peerServer{d: d})
+	d.control.register(server)
 	g.Add(func() error { return server.Serve(d.grpcLis) }, func(error) { server.Stop() })
 	web := newWebServer(d)
 	g.Add(func() error { return web.serve(d.httpLis) }, func(error) { web.stop() })
--- a/pkg/daemon/datapath.go
+++ b/pkg/daemon/datapath.go
@@ -21,6 +21,7 @@
 // datapath moves packets between callers, peers and owner cores.
 type datapath struct {
 	clock    func() time.Time
+	blocked  func(netip.Addr) bool       // nil unless an experiment cuts connections
 	table    atomic.Pointer[relay.Table] // nil until the daemon has joined; set after shards
 	keys     atomic.Pointer[keyRing]
 	key      []byte // cluster key
@@ -180,6 +181,9 @@
 }
 
 func (d *datapath) fromPeer(r *receiver, b []byte, from netip.AddrPort) {
+	if d.blocked != nil && d.blocked(from.Addr()) {
+		return
+	}
 	body, err := r.sealer.Open(b)
 	if err != nil {
 		d.counters.forgedPeer.Inc()
@@ -224,6 +228,11 @@
 		d.counters.wrongService.Inc()
 		return
 	}
+	if p.Upstream != 0 {
+		// The owner that the token names has handed the upstream over to this daemon.
+		d.deliver(&claims, p.Frame, p.Caller, p.Hops)
+		return
+	}
 	d.route(r, &claims, p.Frame, p.Caller, p.Hops)
 }
 
--- a/pkg/daemon/sessions.go
+++ b/pkg/daemon/sessions.go
@@ -24,7 +24,7 @@
 	ctx    context.Context
 	shards *shards
 	log    logrus.FieldLogger
-	creds  grpc.DialOption
+	dial   []grpc.DialOption
 
 	mu  sync.RWMutex
 	all map[ident.UpstreamID]*session
@@ -40,7 +40,7 @@
 		old.update(reg)
 		return nil
 	}
-	next, err := newSession(s.ctx, reg, service, s.shards, s.log, s.creds)
+	next, err := newSession(s.ctx, reg, service, s.shards, s.log, s.dial)
 	if err == nil {
 		s.all[reg.Upstream] = next
 	}
@@ -67,6 +67,12 @@
 	return s.all[u]
 }
 
+// connected reports whether the feed stream of an upstream is open.
+func (s *sessions) connected(u ident.UpstreamID) bool {
+	c := s.find(u)
+	return c != nil && c.connected.Load()
+}
+
 // owned returns the upstreams that have a session.
 func (s *sessions) owned() []ident.UpstreamID {
 	s.mu.RLock()
