Resend to slow callers less often; end flows and requests that exceed a frame

Cause: a caller that acknowledged nothing got up to 8 feed items every 150 ms as long as its flow lived; a feed item over 1,200 bytes was repeated for ever and never accepted; an answer over 4.9 MB was sent in parts that callers refuse. Change: the time between two rounds of resends doubles up to 2.4 s without an acknowledgement; an oversize item breaks the flow and an oversize answer ends its request as UNKNOWN, both with REASON_LIMIT. Figures (test): a silent caller with a full window gets at most 64 items in 10 s; by the old rule 8 items each 150 ms are about 530. Conclusion: slow callers cost little, and nothing waits for a frame that cannot come.

--- a/pkg/owner/budget_test.go
+++ b/pkg/owner/budget_test.go
@@ -111,3 +111,47 @@
 	q.GetRequest().EndedBelow = 5
 	assert.Equal(t, len(executes(b.frame(q))), 0)
 }
+
+// Guards against answers and feed items that no frame can carry: the caller would wait for
+// them until its deadline, or for ever.
+func TestOversizeFromUpstream(t *testing.T) {
+	b := newBench(t, 10)
+	b.up()
+	b.open()
+	call := executes(b.frame(tally(1)))[0]
+	out := b.step(ExecuteDone{Upstream: testUpstream, Call: call.Call, Result: Answered, Payload: make([]byte, frame.MaxPayload+1)})
+	assert.Equal(t, outcomes(out)[0].Outcome, wirepb.Outcome_OUTCOME_UNKNOWN)
+	assert.Equal(t, outcomes(out)[0].Reason, wirepb.Reason_REASON_LIMIT)
+	b.frame(&wirepb.Frame{Body: &wirepb.Frame_Subscribe{Subscribe: &wirepb.Subscribe{Topic: "t"}}})
+	out = b.step(FeedReceived{Upstream: testUpstream, Flow: testFlow, Sequence: 1, Payload: make([]byte, frame.MaxPartSize+1)})
+	var status *wirepb.FlowStatus
+	for _, a := range out {
+		if s, ok := a.(SendFrame); ok && s.Frame.GetFlowStatus() != nil {
+			status = s.Frame.GetFlowStatus()
+		}
+	}
+	assert.Assert(t, status != nil && status.Gone)
+	assert.Equal(t, status.Reason, wirepb.Reason_REASON_LIMIT)
+}
+
+// Guards against callers that acknowledge nothing and get feed items again and again: many
+// of them would cost as much as a flood.
+func TestSlowCallerCostsLittle(t *testing.T) {
+	b := newBench(t, 10)
+	b.up()
+	b.open()
+	b.frame(&wirepb.Frame{Body: &wirepb.Frame_Subscribe{Subscribe: &wirepb.Subscribe{Topic: "t"}}})
+	for i := range 2 * feedWindow {
+		b.step(FeedReceived{Upstream: testUpstream, Flow: testFlow, Sequence: uint64(i + 1), Payload: []byte("item")})
+	}
+	sent := 0
+	for range 10 * time.Second / TickInterval {
+		b.now = b.now.Add(TickInterval)
+		for _, a := range b.step(Tick{}) {
+			if s, ok := a.(SendFrame); ok && s.Frame.GetFeedItem() != nil {
+				sent++
+			}
+		}
+	}
+	assert.Assert(t, sent <= 8*feedResendBatch, "%d items resent in 10 s", sent)
+}
--- a/pkg/owner/feed.go
+++ b/pkg/owner/feed.go
@@ -4,12 +4,16 @@
 	"time"
 
 	wirepb "rosemarygate/api/wire/v1"
+	"rosemarygate/pkg/frame"
 )
 
 const (
 	feedWindow      = 32 // items sent and not acknowledged
 	feedResendAfter = 150 * time.Millisecond
 	feedResendBatch = 8 // items resent to one caller at a time
+	// feedMaxBackoff is how often the time between two resends doubles for a caller that
+	// acknowledges nothing; without it many slow callers cost as much as a flood.
+	feedMaxBackoff = 4
 )
 
 // feed is the state of a flow's feed. Items acked+1 to sent are in the window.
@@ -21,6 +25,8 @@
 	// behind says that items were left out because the window was full; they are fetched
 	// from the upstream again once the caller has caught up.
 	behind bool
+	// resends counts the rounds of resends since the last acknowledgement.
+	resends uint8
 }
 
 type feedItem struct {
@@ -65,6 +71,10 @@
 		c.emit(SubscribeFeed{Upstream: ev.Upstream, Flow: ev.Flow, Unsubscribe: true})
 		return
 	}
+	if len(ev.Payload) > frame.MaxPartSize {
+		c.breakFlow(f, wirepb.Reason_REASON_LIMIT)
+		return
+	}
 	fd := f.feed
 	if ev.Sequence != fd.sent+1 {
 		fd.behind = fd.behind || ev.Sequence > fd.sent+1
@@ -94,7 +104,7 @@
 		return
 	}
 	fd.window = fd.window[sequence-fd.acked:]
-	fd.acked = sequence
+	fd.acked, fd.resends = sequence, 0
 	if len(fd.window) > 0 {
 		return
 	}
@@ -105,16 +115,19 @@
 	}
 }
 
-// resendWindow sends the first items of the window again that were sent before a time.
-func (c *Core) resendWindow(f *flow, before time.Time) {
-	window := f.feed.window
+// resendWindow sends the first items of the window again that were sent before a time, and
+// reports whether there were any.
+func (c *Core) resendWindow(f *flow, before time.Time) bool {
+	window, any := f.feed.window, false
 	for i := range window[:min(len(window), feedResendBatch)] {
 		if window[i].sentAt.After(before) {
 			continue
 		}
 		c.count(FeedResends, f.up.service, 0)
 		c.sendItem(f, &window[i])
+		any = true
 	}
+	return any
 }
 
 func (c *Core) resendFeeds(u *upstream) {
@@ -122,7 +135,10 @@
 		return
 	}
 	for _, f := range ordered(u.unacked) {
-		c.resendWindow(f, c.now.Add(-feedResendAfter))
+		fd := f.feed
+		if c.resendWindow(f, c.now.Add(-feedResendAfter<<fd.resends)) && fd.resends < feedMaxBackoff {
+			fd.resends++
+		}
 	}
 }
 
--- a/pkg/owner/flow.go
+++ b/pkg/owner/flow.go
@@ -207,6 +207,16 @@
 	}
 }
 
+// breakFlow ends a flow that cannot go on and tells its caller.
+func (c *Core) breakFlow(f *flow, reason wirepb.Reason) {
+	c.count(FlowsBroken, f.up.service, reason)
+	c.send(f, &wirepb.Frame{Body: &wirepb.Frame_FlowStatus{
+		FlowStatus: &wirepb.FlowStatus{Reason: reason, Gone: true},
+	}})
+	f.closed = true
+	c.closeFlow(f)
+}
+
 func (c *Core) removeFlow(f *flow) {
 	f.gone = true
 	delete(f.up.flows, f.id)
--- a/pkg/owner/request.go
+++ b/pkg/owner/request.go
@@ -245,6 +245,10 @@
 func (c *Core) finishCall(r *record, ev ExecuteDone) {
 	switch ev.Result {
 	case Answered:
+		if len(ev.Payload) > frame.MaxPayload {
+			c.finishUnknown(r, wirepb.Reason_REASON_LIMIT)
+			return
+		}
 		r.state, r.answer, r.payload = stateAnswered, ev.Payload, nil
 		r.account()
 		c.budget(r.flow.up.service).Success()
