--- a/pkg/cli/loadflows.go
+++ b/pkg/cli/loadflows.go
@@ -37,7 +37,7 @@
 				return enc.Encode(r)
 			}
 			fmt.Fprintf(w, "opened %d flows in %.1f s: %.0f a second, slowest second %d\n", r.Flows, r.OpenSeconds, r.FlowsPerSec, r.SlowestRate)
-			fmt.Fprintf(w, "held %d flows with %.0f keep-alives a second\n", r.HeldFlows, r.KeepAlives)
+			fmt.Fprintf(w, "held %d flows, %d of them seen with a feed, with %.0f keep-alives a second\n", r.HeldFlows, r.HeldFeeds, r.KeepAlives)
 			fmt.Fprintf(w, "memory of one flow: heap %.0f bytes, resident %.0f bytes (%.0f before garbage collection)\n", r.HeapPerFlow, r.RSSPerFlow, r.RSSUncollected)
 			return nil
 		},
@@ -47,6 +47,7 @@
 	f.IntVar(&o.Rate, "rate", 5_000, "new flows a second")
 	f.DurationVar(&o.Hold, "hold", 10*time.Second, "how long all flows are held open")
 	f.DurationVar(&o.KeepAlive, "keep-alive", 20*time.Second, "time between two keep-alives of a flow")
+	f.BoolVar(&o.Feeds, "feeds", false, "open a feed on every flow; the stand-in's memory of it is included")
 	addFormat(cmd, &format, "text", "json")
 	return cmd
 }
--- a/pkg/load/flowbench/caller.go
+++ b/pkg/load/flowbench/caller.go
@@ -31,11 +31,13 @@
 	conn   *net.UDPConn
 	entry  *net.UDPAddr
 	count  int
+	feeds  bool   // subscribe every flow
 	tokens []byte // token.Size bytes for each flow
 	state  []atomic.Uint32
 
 	opened    atomic.Int64 // flows with a token
 	confirmed atomic.Int64 // flows whose keep-alive was answered
+	followed  atomic.Int64 // flows whose feed is active at the daemon
 	refused   atomic.Int64
 	acks      atomic.Int64 // keep-alives answered
 	frames    [][]byte
@@ -48,6 +50,7 @@
 	stateUnopened uint32 = iota
 	stateOpened
 	stateConfirmed
+	stateFollowed
 )
 
 func newCaller(entry *net.UDPAddr, flows int) (*caller, error) {
@@ -94,7 +97,7 @@
 		return
 	}
 	i := int(fr.FlowId - flowIDBase)
-	switch fr.Body.(type) {
+	switch body := fr.Body.(type) {
 	case *wirepb.Frame_Opened:
 		if len(fr.Token) != token.Size || c.state[i].Load() != stateUnopened {
 			return
@@ -108,11 +111,31 @@
 		if c.state[i].CompareAndSwap(stateOpened, stateConfirmed) {
 			c.confirmed.Add(1)
 		}
+		if c.feeds {
+			c.follow(i, body.KeepAliveAck.FeedActive)
+		}
 	case *wirepb.Frame_FlowStatus:
 		c.refused.Add(1)
 	}
 }
 
+// follow subscribes a flow until a keep-alive says that its feed is active.
+func (c *caller) follow(i int, active bool) {
+	if active {
+		if c.state[i].CompareAndSwap(stateConfirmed, stateFollowed) {
+			c.followed.Add(1)
+		}
+		return
+	}
+	b, err := frame.Encode(nil, &wirepb.Frame{
+		FlowId: flowIDBase + uint64(i), Token: c.tokens[i*token.Size : (i+1)*token.Size],
+		Body: &wirepb.Frame_Subscribe{Subscribe: &wirepb.Subscribe{Topic: "job tickets"}},
+	})
+	if err == nil {
+		_, _ = c.conn.WriteToUDP(b, c.entry)
+	}
+}
+
 func (c *caller) confirm(i int) {
 	if b, err := c.encode(nil, i); err == nil {
 		// A lost packet is repeated by the pass over unconfirmed flows.
@@ -156,7 +179,7 @@
 	}
 }
 
-func (c *caller) unconfirmed(i int) bool { return c.state[i].Load() != stateConfirmed }
+func (c *caller) unconfirmed(i int) bool { return c.state[i].Load() < stateConfirmed }
 
 // open opens all flows at the given rate a second and repeats what got no reply.
 func (c *caller) open(ctx context.Context, rate int, period time.Duration) error {
--- a/pkg/load/flowbench/flowbench.go
+++ b/pkg/load/flowbench/flowbench.go
@@ -43,6 +43,7 @@
 	Rate      int           // new flows a second
 	Hold      time.Duration // how long all flows are held open
 	KeepAlive time.Duration // time between two keep-alives of a flow
+	Feeds     bool          // open a feed on every flow
 }
 
 // Memory is the process's memory.
@@ -65,6 +66,7 @@
 	RSSUncollected float64 `json:"rss_uncollected_bytes_per_flow"`
 	HeldFlows      int     `json:"held_flows"` // open at the daemon after the hold
 	OpensRefused   int64   `json:"opens_refused"`
+	HeldFeeds      int64   `json:"held_feeds"`             // flows whose keep-alive reported an active feed
 	KeepAlives     float64 `json:"keep_alives_per_second"` // answered during the hold
 }
 
@@ -90,6 +92,7 @@
 		return nil, err
 	}
 	defer c.conn.Close()
+	c.feeds = o.Feeds
 	go c.receive()
 	return measure(ctx, f, c, o)
 }
@@ -126,6 +129,7 @@
 	for _, u := range f.Daemon(0).Status().Upstreams {
 		r.HeldFlows += u.Flows
 	}
+	r.HeldFeeds = c.followed.Load()
 	r.OpensRefused = c.refused.Load()
 	r.HeapPerFlow = float64(r.After.Heap-r.Before.Heap) / float64(o.Flows)
 	r.RSSPerFlow = float64(r.After.RSS-r.Before.RSS) / float64(o.Flows)
@@ -209,7 +213,7 @@
 	for i := range upstreams {
 		err := f.StartUpstream(standin.Config{
 			Service: service, Name: fmt.Sprintf("up-%d", i), DataCentre: dataCentre, Slots: 1,
-			FlowLimit: flowLimit(o), Credential: credential, FeedPeriod: time.Second,
+			FlowLimit: flowLimit(o), Credential: credential, FeedPeriod: time.Hour,
 		})
 		if err != nil {
 			return err
