Tell a joining replica the address of the replica that writes to it

Cause: a replacement stalled when the leader was the leaving replica: the joining one does not list it in its settings, so its acknowledgements had no address. Change: a stream between replicas names its sender; tests of a replacement and of the totals.

--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -93,7 +93,7 @@
 		return nil, err
 	}
 	r.book = book
-	r.transport = newTransport(r.ctx, r.address, cfg.Dial)
+	r.transport = newTransport(r.ctx, r.addresses[r.id], r.address, cfg.Dial)
 	return r, nil
 }
 
--- a/pkg/control/replica/transport.go
+++ b/pkg/control/replica/transport.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/metadata"
 
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/agreement"
@@ -24,6 +25,10 @@
 	// silence is how long a peer may be silent while messages go to it before the connection is
 	// made anew. After a partition TCP would repeat its segments only after minutes.
 	silence = 1500 * time.Millisecond
+	// The sender of a stream names itself: a joining replica does not know the address of a leader
+	// that its settings do not list any more, and would otherwise never answer it.
+	nameKey    = "rosemarygate-name"
+	addressKey = "rosemarygate-address"
 )
 
 // Window is the flow control window of control connections in bytes. A fixed one keeps gRPC from
@@ -34,6 +39,7 @@
 // replica does not take in time: the protocol repeats it.
 type transport struct {
 	ctx     context.Context
+	self    *controlpb.ReplicaHost
 	resolve func(ident.DaemonID) (string, bool)
 	options []grpc.DialOption
 
@@ -47,9 +53,9 @@
 	heard atomic.Int64 // Unix nanoseconds of the last message from the peer
 }
 
-func newTransport(ctx context.Context, resolve func(ident.DaemonID) (string, bool), options []grpc.DialOption) *transport {
+func newTransport(ctx context.Context, self *controlpb.ReplicaHost, resolve func(ident.DaemonID) (string, bool), options []grpc.DialOption) *transport {
 	t := &transport{
-		ctx: ctx, resolve: resolve, options: DialOptions(options),
+		ctx: ctx, self: self, resolve: resolve, options: DialOptions(options),
 		peers: map[ident.DaemonID]*peer{}, conns: map[string]*grpc.ClientConn{},
 	}
 	context.AfterFunc(ctx, t.close)
@@ -152,6 +158,7 @@
 	defer conn.Close()
 	ctx, cancel := context.WithCancel(t.ctx)
 	defer cancel()
+	ctx = metadata.AppendToOutgoingContext(ctx, nameKey, t.self.GetName(), addressKey, t.self.GetAddress())
 	limit := time.AfterFunc(dialTimeout, cancel)
 	stream, err := controlpb.NewAgreementClient(conn).Exchange(ctx, grpc.WaitForReady(true))
 	if !limit.Stop() || err != nil {
@@ -185,6 +192,7 @@
 
 // Exchange takes messages until the stream or the replica ends.
 func (s *agreementServer) Exchange(stream grpc.ClientStreamingServer[controlpb.AgreementMessage, controlpb.ExchangeReply]) error {
+	s.r.introduce(stream.Context())
 	ended := make(chan error, 1)
 	go func() {
 		for {
@@ -204,6 +212,18 @@
 	}
 }
 
+// introduce remembers the address of a replica that neither the settings nor the log name.
+func (r *Replica) introduce(ctx context.Context) {
+	in, _ := metadata.FromIncomingContext(ctx)
+	name, address := in.Get(nameKey), in.Get(addressKey)
+	if len(name) != 1 || len(address) != 1 {
+		return
+	}
+	if _, known := r.address(ident.Daemon(name[0])); !known {
+		r.know([]*controlpb.ReplicaHost{{Name: name[0], Address: address[0]}})
+	}
+}
+
 func (r *Replica) receive(m agreement.Message) {
 	r.transport.received(m.From.ID)
 	select {
--- a/pkg/control/subscription/subscription.go
+++ b/pkg/control/subscription/subscription.go
@@ -26,8 +26,8 @@
 	// shows that the replica cannot be reached, also when the connection stays open.
 	reportPeriod  = 2 * time.Second
 	reportTimeout = 2 * time.Second
-	countPeriod   = 10 * time.Second // between reports of counters
-	watchTimeout  = 2 * time.Second  // until a replica takes the watch
+	countPeriod   = 5 * time.Second // between reports of counters
+	watchTimeout  = 2 * time.Second // until a replica takes the watch
 	retryPause    = 300 * time.Millisecond
 	// returnPeriod is how long a daemon stays with a replica of another data centre before it
 	// tries those of its own again.
--- /dev/null
+++ b/pkg/daemon/controlrepair_test.go
@@ -0,0 +1,101 @@
+package daemon_test
+
+import (
+	"net/netip"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	controlpb "rosemarygate/api/control/v1"
+	"rosemarygate/client"
+	"rosemarygate/pkg/control/totals"
+	"rosemarygate/pkg/fleet"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/settings"
+	"rosemarygate/pkg/standin"
+)
+
+// request runs one request of the service that serviceFile(1) declares, on a flow of its own.
+func (f *controlFleet) request() {
+	ctx := f.context()
+	_, _, err := standin.Start(ctx, standin.Config{
+		Service: "acme/label", Name: "up", DataCentre: "c", Listen: "127.0.0.1:0", Credential: "credential-1",
+		Registries: []string{f.settings[3].Address(testGRPCPort).String()}, Slots: 1, Records: standin.NewRecords(),
+	})
+	assert.NilError(f.t, err)
+	transport, err := fleet.NewFabric([]netip.AddrPort{f.settings[3].Address(7001)}, fleet.FabricFaults{}, 1)
+	assert.NilError(f.t, err)
+	c := client.New(transport, client.Config{})
+	defer c.Close()
+	caller := c.NewCaller()
+	defer caller.Close()
+	f.await("an answer of the upstream", func() bool {
+		attempts, err := caller.Do(ctx, client.Request{Class: "sheet", Payload: []byte("x")})
+		return err == nil && attempts[len(attempts)-1].Result.Outcome == client.Answered
+	})
+}
+
+// Guards against a replacement that never ends, or that leaves the old replica with a vote.
+func TestReplaceReplica(t *testing.T) {
+	t.Parallel()
+	f := newControlFleet(t, "a", "b", "c", "c")
+	joining := f.settings[3]
+	f.start(0, 1, 2)
+	f.await("a leader", func() bool { return f.leader() >= 0 })
+	version := f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 0))
+
+	joining.DataDir = filepath.Join(t.TempDir(), "data")
+	joining.Control.Replica = true
+	host := settings.Replica{Name: joining.Name, Address: joining.Address(testGRPCPort)}
+	joining.Control.Replicas = append(slices.Clone(joining.Control.Replicas[:2]), host)
+	f.start(3)
+	q := &controlpb.ReplaceReplicaRequest{
+		ChangeId: "replace", Operator: "asha", Leaving: f.settings[2].Name,
+		Joining: &controlpb.ReplicaHost{Name: host.Name, Address: host.Address.String()},
+	}
+	_, err := f.operator(1).ReplaceReplica(f.context(), q)
+	assert.NilError(t, err)
+	operator := f.operator(0)
+	took := f.await("the end of the replacement", func() bool {
+		history, err := operator.History(f.context(), &controlpb.HistoryRequest{Limit: 1})
+		return err == nil && history.GetRecords()[0].GetSummary() == "replacement completed"
+	})
+	t.Logf("a replica was replaced in %s", took)
+	members := f.daemons[3].Control().Status().Membership
+	_, present := members.Find(ident.Daemon(f.settings[2].Name))
+	assert.Assert(t, !present)
+	assert.Equal(t, members.Voters(), 3)
+
+	f.kill(2)
+	f.kill(0)
+	next := f.mustPush(3, change("second", version, "10-acme.yaml", serviceFile(2), 0))
+	assert.Assert(t, next > version)
+}
+
+// Guards against daily counters that do not reach the totals, or that count twice when a daemon
+// reports to two replicas.
+func TestTotalsReachTheOperator(t *testing.T) {
+	t.Parallel()
+	f := newControlFleet(t, "a", "b", "c", "c")
+	f.startAll()
+	f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 5*time.Second))
+	f.request()
+	total := func(i int) uint64 {
+		reply, err := f.operator(i).Totals(f.context(), &controlpb.TotalsRequest{User: "acme"})
+		assert.NilError(t, err)
+		sum := uint64(0)
+		for _, row := range totals.Rows(reply.GetDays()) {
+			if row.Key.Kind == controlpb.Counter_KIND_FLOWS_CARRIED {
+				sum += row.Count
+			}
+		}
+		return sum
+	}
+	f.await("the flow in the totals of every replica", func() bool { return total(0) == 1 && total(1) == 1 && total(2) == 1 })
+	f.kill(2) // the daemon reports everything again to another replica
+	time.Sleep(3 * time.Second)
+	assert.Equal(t, total(0), uint64(1))
+}
