--- a/pkg/control/replica/core.go
+++ b/pkg/control/replica/core.go
@@ -106,6 +106,7 @@
 		}
 		c.snapshotted = st.Snapshot.Index
 	}
+	r.led.Store(time.Now().UnixNano()) // daemons get what the disk holds before an election ends
 	r.identity.Store(&controlpb.IdentifyReply{
 		Id: uint64(st.Self.ID), Incarnation: uint64(st.Self.Incarnation), Group: st.HardState.Group, Replicas: r.cfg.Replicas,
 	})
@@ -250,6 +251,9 @@
 // report publishes what other goroutines need.
 func (c *core) report() {
 	st := c.node.Status()
+	if st.Leader != agreement.None {
+		c.r.led.Store(time.Now().UnixNano())
+	}
 	c.r.status.Store(&Status{Status: st, Version: c.machine.View().Version, Loaded: true})
 	if st.Role != c.role && (st.Role == agreement.Leader || c.role == agreement.Leader) {
 		events.LeaderChanged.Log(c.r.log, logrus.Fields{"leader": st.Role == agreement.Leader, "term": st.Term})
--- a/pkg/control/replica/distributor.go
+++ b/pkg/control/replica/distributor.go
@@ -162,9 +162,14 @@
 	if q.GetDaemon() == "" || len(q.GetDaemon()) > maxDaemonName {
 		return status.Errorf(codes.InvalidArgument, "daemon name has to have 1 to %d bytes: correct the daemon's settings", maxDaemonName)
 	}
-	if !s.r.Status().Loaded {
-		return status.Error(codes.Unavailable, "replica belongs to no group yet: watch another replica, or wait until all replicas of the settings run")
+	if !s.r.connected() {
+		return errLeaderless
 	}
+	if err := stream.SendHeader(nil); err != nil { // tells the daemon that the watch began
+		return err
+	}
+	check := time.NewTicker(distributionTick)
+	defer check.Stop()
 	watch, updates := s.r.publish.subscribe(q)
 	defer s.r.publish.unsubscribe(q.GetDaemon(), watch)
 	for {
@@ -173,6 +178,10 @@
 			return nil
 		case <-s.r.ctx.Done():
 			return errStopping
+		case <-check.C:
+			if !s.r.connected() {
+				return errLeaderless
+			}
 		case u := <-updates:
 			if err := stream.Send(u); err != nil {
 				return err
--- a/pkg/control/replica/errors.go
+++ b/pkg/control/replica/errors.go
@@ -14,6 +14,7 @@
 var (
 	errOutcomeUnknown = errors.New("leadership ended before the change was confirmed")
 	errStopping       = status.Error(codes.Unavailable, "replica is stopping: connect to another replica")
+	errLeaderless     = status.Error(codes.Unavailable, "replica has no leader and gets no changes: watch another replica, or wait until a majority of the replicas runs")
 )
 
 // refusal returns a refusal as a gRPC error that carries it as a detail.
--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -28,10 +28,13 @@
 	electionTicks  = 12
 	heartbeatTicks = 4
 	queueLength    = 1024
-	retryPeriod    = 2 * time.Second
-	walFolder      = "agreement"
-	totalsFile     = "totals"
-	retentionDays  = 400 // of totals: a year can be compared with the one before
+	// leaderless is how long a replica without a leader keeps its daemons. After that they look
+	// for a replica that gets changes; this one's disk or connection may have failed.
+	leaderless    = 10 * time.Second
+	retryPeriod   = 2 * time.Second
+	walFolder     = "agreement"
+	totalsFile    = "totals"
+	retentionDays = 400 // of totals: a year can be compared with the one before
 )
 
 // Config describes a replica.
@@ -60,7 +63,8 @@
 	book      *ledger
 	status    atomic.Pointer[Status]
 	identity  atomic.Pointer[controlpb.IdentifyReply]
-	driving   atomic.Bool // a replacement or the first entries are being worked on
+	led       atomic.Int64 // Unix nanoseconds when a leader was known last
+	driving   atomic.Bool  // a replacement or the first entries are being worked on
 
 	addrMu    sync.Mutex
 	addresses map[ident.DaemonID]*controlpb.ReplicaHost
@@ -108,6 +112,11 @@
 // Status returns the replica's state.
 func (r *Replica) Status() Status { return *r.status.Load() }
 
+// connected reports whether the replica's group has had a leader lately, so that it gets changes.
+func (r *Replica) connected() bool {
+	return r.Status().Loaded && time.Since(time.Unix(0, r.led.Load())) < leaderless
+}
+
 // Run runs the replica until ctx ends. Faults of the disk are logged and the folder is opened
 // again, so that the daemon serves callers all the same.
 func (r *Replica) Run(ctx context.Context) error {
--- a/pkg/control/replica/transport.go
+++ b/pkg/control/replica/transport.go
@@ -18,7 +18,6 @@
 
 const (
 	peerQueue   = 256
-	maxMessage  = 16 << 20 // bytes of one gRPC message
 	sendTimeout = 5 * time.Second
 	dialTimeout = time.Second
 	redialPause = 200 * time.Millisecond
@@ -35,6 +34,10 @@
 // measuring the connection with a ping for each message, a sixth of the idle traffic.
 const Window = 1 << 20
 
+// MaxMessage is the largest message on control connections in bytes: a snapshot of the largest
+// folder (state.MaxFolderSize) with its history and replies.
+const MaxMessage = 48 << 20
+
 // transport sends messages to the other replicas, each over one stream, and drops what a
 // replica does not take in time: the protocol repeats it.
 type transport struct {
@@ -68,7 +71,7 @@
 	return append([]grpc.DialOption{
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: dialTimeout, Backoff: quick}),
 		grpc.WithInitialWindowSize(Window), grpc.WithInitialConnWindowSize(Window),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage)),
 	}, options...)
 }
 
--- a/pkg/control/subscription/subscription.go
+++ b/pkg/control/subscription/subscription.go
@@ -28,7 +28,10 @@
 	reportTimeout = 2 * time.Second
 	countPeriod   = 5 * time.Second // between reports of counters
 	watchTimeout  = 2 * time.Second // until a replica takes the watch
+	// Pauses between rounds over all replicas; the longest keeps a daemon current within 3 s after
+	// a partition.
 	retryPause    = 300 * time.Millisecond
+	maxRetryPause = 1500 * time.Millisecond
 	// returnPeriod is how long a daemon stays with a replica of another data centre before it
 	// tries those of its own again.
 	returnPeriod = 15 * time.Second
@@ -57,13 +60,14 @@
 	inForce  atomic.Uint64
 	order    []*controlpb.ReplicaHost
 	counters *counters
-	news     chan struct{} // has a value when a report is due at once
-	snapshot bool          // the next watch asks for a snapshot
+	news     chan struct{}   // has a value when a report is due at once
+	snapshot bool            // the next watch asks for a snapshot
+	failing  map[string]bool // replicas whose failure was logged
 }
 
 // New loads the stored copy and puts it in force.
 func New(cfg Config) *Subscription {
-	s := &Subscription{cfg: cfg, counters: newCounters(cfg.Daemon, cfg.Incarnation), news: make(chan struct{}, 1)}
+	s := &Subscription{cfg: cfg, counters: newCounters(cfg.Daemon, cfg.Incarnation), news: make(chan struct{}, 1), failing: map[string]bool{}}
 	s.order = slices.Clone(cfg.Replicas)
 	rotate(s.order, cfg.Daemon)
 	s.receiver = s.load()
@@ -123,25 +127,39 @@
 
 // Run follows the replicas until ctx ends.
 func (s *Subscription) Run(ctx context.Context) error {
+	pause := retryPause
 	for ctx.Err() == nil {
-		for _, h := range s.candidates() {
-			if err := s.follow(ctx, h); err != nil && ctx.Err() == nil {
-				events.WatchEnded.Log(s.cfg.Log, logrus.Fields{"replica": h.GetName(), "error": err})
-				continue
-			}
-			break
+		begin := time.Now()
+		s.round(ctx)
+		if time.Since(begin) > maxRetryPause {
+			pause = retryPause
 		}
 		s.counters.prune(s.cfg.Log)
-		s.pause(ctx)
+		s.pause(ctx, pause)
+		pause = min(2*pause, maxRetryPause)
 	}
 	return nil
 }
 
+// round tries the replicas until one was followed and the daemon has to begin again.
+func (s *Subscription) round(ctx context.Context) {
+	for _, h := range s.candidates() {
+		err := s.follow(ctx, h)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		if !s.failing[h.GetName()] {
+			events.WatchEnded.Log(s.cfg.Log, logrus.Fields{"replica": h.GetName(), "error": err})
+		}
+		s.failing[h.GetName()] = true
+	}
+}
+
 // pause waits before the next round; a key may begin to sign meanwhile.
-func (s *Subscription) pause(ctx context.Context) {
+func (s *Subscription) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(retryPause):
+	case <-time.After(d):
 	case <-s.activation():
 		s.apply(s.receiver.Held())
 	}
@@ -210,6 +228,10 @@
 	if err != nil {
 		return err
 	}
+	if header, err := stream.Header(); err != nil || header == nil {
+		_, err := stream.Recv()
+		return err
+	}
 	receiving.Go(func() { x.receive(ctx, stream) })
 	s.counters.resendAll()
 	if err := x.report(ctx); err != nil {
@@ -219,6 +241,7 @@
 		return errors.New("replica did not answer in time: check that it runs")
 	}
 	s.snapshot = false
+	clear(s.failing)
 	events.WatchStarted.Log(s.cfg.Log, logrus.Fields{"replica": h.GetName(), "version": s.receiver.Held().Version})
 	var back <-chan time.Time
 	if s.distance(h) > s.distance(s.candidates()[0]) {
--- a/pkg/daemon/control_test.go
+++ b/pkg/daemon/control_test.go
@@ -17,18 +17,21 @@
 	f := newControlFleet(t, sevenHosts...)
 	f.startAll()
 	replicas := []int{0, 3, 5}
-	version := uint64(0)
+	first := change("first", 0, "10-acme.yaml", serviceFile(1000), 5*time.Second)
+	f.await("all daemons watching", func() bool {
+		reply, err := f.push(0, first)
+		return err == nil && reply.GetDaemonsInForce() == 7
+	})
+	version := f.mustPush(0, first)
 	var took []time.Duration
 	for i := range 60 {
 		begin := time.Now()
 		q := change(fmt.Sprint("push ", i), version, "10-acme.yaml", serviceFile(i), 5*time.Second)
 		reply, err := f.operator(replicas[i%3]).Push(f.context(), q)
 		assert.NilError(t, err)
-		if i > 0 { // not every daemon watches yet at the first push
-			took = append(took, time.Since(begin))
-			assert.Equal(t, reply.GetDaemons(), uint32(7))
-			assert.Equal(t, reply.GetDaemonsInForce(), uint32(7))
-		}
+		took = append(took, time.Since(begin))
+		assert.Equal(t, reply.GetDaemons(), uint32(7))
+		assert.Equal(t, reply.GetDaemonsInForce(), uint32(7))
 		version = reply.GetReply().GetVersion()
 	}
 	for i, d := range f.daemons {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -227,6 +227,7 @@
 		case <-ctx.Done():
 			d.control.leave()
 			d.drain()
+			d.control.leave() // it may have been elected again meanwhile
 			return nil
 		case <-d.ctx.Done():
 			return nil
@@ -265,7 +266,7 @@
 
 func (d *Daemon) addServers(g *run.Group) {
 	options := append(d.identity.RequirePeer(append(controlServices(), peerpb.Peer_ServiceDesc.ServiceName)...),
-		d.identity.Server(), grpc.InitialWindowSize(replica.Window), grpc.InitialConnWindowSize(replica.Window), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
+		d.identity.Server(), grpc.InitialWindowSize(replica.Window), grpc.InitialConnWindowSize(replica.Window), grpc.MaxRecvMsgSize(replica.MaxMessage), grpc.MaxSendMsgSize(replica.MaxMessage))
 	server := grpc.NewServer(options...)
 	upstreampb.RegisterRegistryServer(server, &registry{d: d})
 	peerpb.RegisterPeerServer(server, &peerServer{d: d})
