--- a/pkg/daemon/controlrepair_test.go
+++ b/pkg/daemon/controlrepair_test.go
@@ -40,6 +40,12 @@
 
 // Guards against a replacement that never ends, or that leaves the old replica with a vote.
 func TestReplaceReplica(t *testing.T) {
+	for name, dead := range map[string]bool{"of a running host": false, "of a dead host": true} {
+		t.Run(name, func(t *testing.T) { testReplaceReplica(t, dead) })
+	}
+}
+
+func testReplaceReplica(t *testing.T, dead bool) {
 	t.Parallel()
 	f := newControlFleet(t, "a", "b", "c", "c")
 	joining := f.settings[3]
@@ -47,6 +53,9 @@
 	f.await("a leader", func() bool { return f.leader() >= 0 })
 	version := f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 0))
 
+	if dead {
+		f.kill(2)
+	}
 	joining.DataDir = filepath.Join(t.TempDir(), "data")
 	joining.Control.Replica = true
 	host := settings.Replica{Name: joining.Name, Address: joining.Address(testGRPCPort)}
@@ -69,7 +78,9 @@
 	assert.Assert(t, !present)
 	assert.Equal(t, members.Voters(), 3)
 
-	f.kill(2)
+	if !dead {
+		f.kill(2)
+	}
 	f.kill(0)
 	next := f.mustPush(3, change("second", version, "10-acme.yaml", serviceFile(2), 0))
 	assert.Assert(t, next > version)
