--- a/pkg/daemon/controlfleet_test.go
+++ b/pkg/daemon/controlfleet_test.go
@@ -118,10 +118,15 @@
 	cancel   []context.CancelFunc
 	done     []chan error
 	log      logrus.FieldLogger
+	// credentials are those of operators.
+	credentials grpc.DialOption
 }
 
 func newControlFleet(t *testing.T, dataCentres ...string) *controlFleet {
-	f := &controlFleet{t: t, wires: &wires{cut: map[string]bool{}, bytes: map[string]int64{}}}
+	f := &controlFleet{
+		t: t, wires: &wires{cut: map[string]bool{}, bytes: map[string]int64{}},
+		credentials: grpc.WithTransportCredentials(insecure.NewCredentials()),
+	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	if testing.Verbose() {
@@ -216,7 +221,7 @@
 
 func (f *controlFleet) operator(i int) controlpb.OperatorClient {
 	address := f.settings[i].Address(testGRPCPort).String()
-	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient(address, f.credentials)
 	assert.NilError(f.t, err)
 	f.t.Cleanup(func() { conn.Close() })
 	return controlpb.NewOperatorClient(conn)
