Place retries by queues and keep queues short in a flood

Cause: with 15 upstreams over 4 data centres one has 3. Change: Table.PickRetry compares random upstreams of the data centre and of the whole service by reported requests per slot. The part of its slack that a request may wait falls from 0.25 to 0.125 with the refused part of its class. The model has the stated sizes: 15 upstreams, 2,000 connections each.

--- a/pkg/dispatch/admit.go
+++ b/pkg/dispatch/admit.go
@@ -7,9 +7,15 @@
 	marginSpreads = 2
 	// maxWaitShare is the part of its slack that a request may be expected to wait. With
 	// the whole slack a flood keeps the queue at the edge of the deadline, where long
-	// service times end too late, and the queue outlasts the flood by seconds. A request refused early can still
-	// be retried on another upstream.
+	// service times end too late, and the queue outlasts the flood by seconds. A request
+	// refused early can still be retried on another upstream.
 	maxWaitShare = 0.25
+	// floodWaitShare is that part while every request of the class is refused: a queue that
+	// stands all the time raises no goodput. With maxWaitShare 1.5 s of long requests were
+	// queued at the end of a flood, and at 80% load an upstream took 4 s to work them off.
+	floodWaitShare = 0.125
+	// refusalWeight is the weight of one request in the refused part of a class.
+	refusalWeight = 1.0 / 32
 )
 
 // Submit admits, queues or refuses a request. It returns the requests to run now and the
@@ -21,7 +27,9 @@
 	}
 	s.begin(now)
 	deadline := s.relative(r.Deadline)
-	if reason := s.admit(r, deadline); reason != 0 {
+	reason := s.admit(r, deadline)
+	s.countAdmission(r.Class, reason)
+	if reason != 0 {
 		s.refuse(r.ID, reason)
 		return s.run, s.refused
 	}
@@ -90,7 +98,7 @@
 		return ReasonDeadline
 	}
 	wait := s.waitOf(r.Class)
-	if wait > maxWaitShare*(float64(deadline-s.now)-c.service) && deadline != noDeadline && wait > 0 {
+	if wait > c.waitShare()*(float64(deadline-s.now)-c.service) && deadline != noDeadline && wait > 0 {
 		return ReasonDeadline
 	}
 	if wait == 0 && s.misses(c, s.now, deadline) && !c.stale(s.now) {
@@ -104,8 +112,9 @@
 	return c.queue.n == 0 && s.running < s.limit.slots() && s.mayRun(c, c.overdue(float64(s.limit.slots()), s.longest) >= 0)
 }
 
-// misses reports whether a request that starts now would probably end after its deadline. A request that uses up its slack by waiting has to leave a margin for a long
-// service time, since under overload another one would make better use of the slot.
+// misses reports whether a request that starts now would probably end after its deadline.
+// A request that uses up its slack by waiting has to leave a margin for a long service
+// time, since under overload another one would make better use of the slot.
 func (s *Scheduler) misses(c *class, arrived, deadline int64) bool {
 	if deadline == noDeadline {
 		return false
@@ -143,3 +152,23 @@
 func (s *Scheduler) refuse(id uint64, reason Reason) {
 	s.refused = append(s.refused, Refusal{ID: id, Reason: reason})
 }
+
+// countAdmission keeps the part of the latest requests of a class that were refused for
+// lack of capacity.
+func (s *Scheduler) countAdmission(ci int, reason Reason) {
+	if ci < 0 || ci >= len(s.classes) {
+		return
+	}
+	refused := 0.0
+	if reason == ReasonDeadline || reason == ReasonQueueFull {
+		refused = 1
+	}
+	c := &s.classes[ci]
+	c.refused += refusalWeight * (refused - c.refused)
+}
+
+// waitShare returns the part of its slack that a request of the class may wait: less, the
+// more of them are refused anyway.
+func (c *class) waitShare() float64 {
+	return maxWaitShare - (maxWaitShare-floodWaitShare)*c.refused
+}
--- a/pkg/dispatch/class.go
+++ b/pkg/dispatch/class.go
@@ -70,6 +70,7 @@
 	observedAt  int64   // time of the last service time sample or probe
 	arrivedAt   int64   // time of the last request
 	arrived     bool
+	refused     float64 // part of the latest requests refused for lack of capacity
 	use         float64 // mean number of occupied slots
 	busy        float64 // slot-nanoseconds since the last classify
 	tier        int     // number of reservations that apply to the class
--- a/pkg/dispatch/scheduler_test.go
+++ b/pkg/dispatch/scheduler_test.go
@@ -239,6 +239,43 @@
 	assert.DeepEqual(t, refused, []Refusal{{ID: 4, Reason: ReasonExpired}})
 }
 
+// TestQueueIsShortInFlood guards recovery: what is queued at the end of a flood delays the
+// class for as long as an upstream at usual load needs to work it off. The slots must
+// not lack work in the flood either.
+func TestQueueIsShortInFlood(t *testing.T) {
+	const service, deadline = 150 * time.Millisecond, 5 * time.Second
+	s := NewScheduler(Limits{Slots: 2, Classes: []Class{{Name: "pull", Share: 1, QueueLimit: 64}}})
+	ends := make(map[uint64]time.Time)
+	id, longest := uint64(0), 0
+	for ms := range 20_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for r, end := range ends {
+			if end.After(now) {
+				continue
+			}
+			delete(ends, r)
+			run, _ := s.Done(now, r, Answered)
+			for _, q := range run {
+				ends[q.ID] = now.Add(service)
+			}
+		}
+		if ms%8 == 0 { // 125 requests per second for a capacity of 13
+			id++
+			run, _ := s.Submit(now, Request{ID: id, Deadline: now.Add(deadline)})
+			for _, q := range run {
+				ends[q.ID] = now.Add(service)
+			}
+		}
+		if ms < 2000 {
+			continue
+		}
+		assert.Equal(t, len(ends), 2, "a slot is idle after %d ms", ms)
+		longest = max(longest, s.Load().Queued)
+	}
+	wait := time.Duration(longest) * service / 2
+	assert.Assert(t, wait < deadline/6, "%v of work are queued", wait)
+}
+
 // TestRefusals guards the typed reasons of bad, duplicate and surplus requests.
 func TestRefusals(t *testing.T) {
 	s := NewScheduler(Limits{Slots: 1, Classes: []Class{{Name: "only", Share: 1, QueueLimit: 1}}})
--- a/pkg/load/model/deployment.go
+++ b/pkg/load/model/deployment.go
@@ -47,7 +47,7 @@
 func Karri() Deployment {
 	return Deployment{
 		Name: "karri", DataCentres: 3, Daemons: 7, Upstreams: 15, Slots: 3,
-		FlowLimit: 1000, Hop: time.Millisecond, FlowLife: 40 * time.Second,
+		FlowLimit: 2000, Hop: time.Millisecond, FlowLife: 40 * time.Second,
 		Classes: []ClassSpec{
 			spec("feed", 0, 0.25, 4*time.Millisecond, 0.20, 100*time.Millisecond, true),
 			spec("post", 1, 0.35, 8*time.Millisecond, 0.30, 400*time.Millisecond, false),
@@ -60,8 +60,8 @@
 // archive pulls that take about 150 ms.
 func Guild() Deployment {
 	return Deployment{
-		Name: "guild", DataCentres: 4, Daemons: 7, Upstreams: 16, Slots: 2,
-		FlowLimit: 1000, Hop: time.Millisecond, FlowLife: 40 * time.Second,
+		Name: "guild", DataCentres: 4, Daemons: 7, Upstreams: 15, Slots: 2,
+		FlowLimit: 2000, Hop: time.Millisecond, FlowLife: 40 * time.Second,
 		Classes: []ClassSpec{
 			spec("cue", 0, 0.25, 4*time.Millisecond, 0.20, 100*time.Millisecond, true),
 			spec("edit", 1, 0.30, 10*time.Millisecond, 0.25, 400*time.Millisecond, false),
--- a/pkg/selection/selection.go
+++ b/pkg/selection/selection.go
@@ -127,18 +127,19 @@
 	return u.Candidate, nil
 }
 
-// PickRetry selects an upstream for one more attempt of a request, except those already
-// tried. It counts no flow. It returns an *Error when there is none.
+// PickRetry selects an upstream for one more attempt of a request that was refused or lost,
+// except those already tried. It counts no flow. It returns an *Error when there is none.
 func (t *Table) PickRetry(now time.Time, s ident.ServiceID, tried []ident.UpstreamID) (Candidate, error) {
 	p := t.services[s]
 	if p == nil {
 		return Candidate{}, errNoUpstream
 	}
 	p.refreshIfDue(now)
-	u := p.choose(now, tried)
+	u := p.chooseRetry(now, tried)
 	if u == nil {
 		return Candidate{}, p.whyNone(tried)
 	}
+	u.requests++ // until the next report
 	return u.Candidate, nil
 }
 
--- a/pkg/selection/selection_test.go
+++ b/pkg/selection/selection_test.go
@@ -137,6 +137,35 @@
 	assert.Equal(t, got[c[1].Upstream], 0)
 }
 
+// TestRetryFollowsQueues guards requests refused by a small data centre against using up
+// their attempts there while another one has free slots, and against leaving it when the
+// queues are alike.
+func TestRetryFollowsQueues(t *testing.T) {
+	c := append(candidates(3, home, 1000), candidates(3, away, 1000)...)
+	left := func(localQueue int) int {
+		table := newTable(c)
+		n := 0
+		for i := range 600 {
+			for j, u := range c {
+				r := Report{Upstream: u.Upstream, Flows: 500, Running: 2, Healthy: true, At: start.Add(time.Duration(i) * time.Second)}
+				if j < 3 {
+					r.Queued = localQueue
+				}
+				table.Report(r.At, svc, r)
+			}
+			got, err := table.PickRetry(start.Add(time.Duration(i)*time.Second), svc, []ident.UpstreamID{c[0].Upstream})
+			assert.NilError(t, err)
+			assert.Assert(t, got.Upstream != c[0].Upstream)
+			if got.DataCentre == away {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Assert(t, left(20) > 400, "%d of 600 retries left a data centre with 20 queued requests an upstream", left(20))
+	assert.Assert(t, left(0) < 60, "%d of 600 retries left a data centre without a queue", left(0))
+}
+
 // TestSlowStart guards a cold upstream against all new flows of the service.
 func TestSlowStart(t *testing.T) {
 	c := candidates(10, home, 10000)
--- a/pkg/selection/spill.go
+++ b/pkg/selection/spill.go
@@ -64,7 +64,7 @@
 		if u.health.state != serving {
 			p.ejected++
 		}
-		if u.Draining || u.health.state == ejected || !u.believedHealthy(now) {
+		if !p.mayServe(u, now) {
 			continue
 		}
 		g := &p.local
