dispatch: give guarantees at once while a more urgent class floods

Change: the delay shrinks with the refused part of a more urgent class above one half. It protects the latency of urgent classes, of which a flood has none.

--- a/pkg/dispatch/admit.go
+++ b/pkg/dispatch/admit.go
@@ -61,6 +61,7 @@
 		return false
 	}
 	c.arrivedAt = max(c.arrivedAt, t)
+	c.refused += refusalWeight * (1 - c.refused)
 	return true
 }
 
--- a/pkg/dispatch/class.go
+++ b/pkg/dispatch/class.go
@@ -40,6 +40,10 @@
 	// request became owed before it ended, and the p99 of the most urgent class under a
 	// flood of the least urgent one was 1.37 instead of 1.15 times that without.
 	guaranteeDelay = 2
+	// floodRefused is the refused part of a class from which it counts as flooded. A short
+	// burst stays below it: with 0 the guarantees took slots from bursts of urgent classes
+	// at the onset of a flood of the least urgent one.
+	floodRefused = 0.5
 	// maxOwed bounds what a class may be owed, in longest mean service times. With 2
 	// classes of equal service times lost 6% of their share when several were owed at once.
 	maxOwed = 16
@@ -71,13 +75,14 @@
 	arrivedAt   int64   // time of the last request
 	arrived     bool
 	refused     float64 // part of the latest requests refused for lack of capacity
+	patience    float64 // part of the guarantee delay that applies
 	use         float64 // mean number of occupied slots
 	busy        float64 // slot-nanoseconds since the last classify
 	tier        int     // number of reservations that apply to the class
 }
 
 func newClass(c Class) class {
-	return class{Class: c, queue: fifo{head: none, tail: none}, minDeadline: noDeadline}
+	return class{Class: c, queue: fifo{head: none, tail: none}, minDeadline: noDeadline, patience: 1}
 }
 
 func (c *class) active(now int64) bool {
@@ -133,7 +138,7 @@
 	if rate <= 0 {
 		return -1
 	}
-	return (c.credit-c.service)/rate - guaranteeDelay*longest
+	return (c.credit-c.service)/rate - c.patience*guaranteeDelay*longest
 }
 
 // idle reports whether time changes nothing about the class.
@@ -166,11 +171,27 @@
 		long += c.use
 		share += c.Share
 	}
+	s.setPatience()
 	s.countTiers()
 	s.setCaps()
 	s.setAllowance(dt, urgent, long, share)
 }
 
+// setPatience shortens the guarantee delay of the classes below one that is refused a lot.
+// The delay keeps the latency of urgent classes low; a class that floods has none to keep,
+// and for the others the delay is service lost at the onset of the flood.
+func (s *Scheduler) setPatience() {
+	refused, above := 0.0, 0.0 // highest so far, and among the classes of higher priority
+	for at, ci := range s.order {
+		c := &s.classes[ci]
+		if at == 0 || s.classes[s.order[at-1]].Priority != c.Priority {
+			above = refused
+		}
+		c.patience = min(1, (1-above)/(1-floodRefused))
+		refused = max(refused, c.refused)
+	}
+}
+
 // setAllowance computes how many slots long requests may occupy on average beyond what
 // they are owed: their usual use, or what leaves enough for the other classes.
 func (s *Scheduler) setAllowance(dt, urgent, long, share float64) {
--- a/pkg/dispatch/scheduler_test.go
+++ b/pkg/dispatch/scheduler_test.go
@@ -276,6 +276,54 @@
 	assert.Assert(t, wait < deadline/6, "%v of work are queued", wait)
 }
 
+// TestGuaranteeAtOnset guards the share of a class in the first two seconds of a flood of a
+// more urgent one: the guarantee delay protects urgent latency, of which a flood has none.
+func TestGuaranteeAtOnset(t *testing.T) {
+	service := []time.Duration{4 * time.Millisecond, 150 * time.Millisecond}
+	s := NewScheduler(Limits{Slots: 2, Classes: []Class{
+		{Name: "cue", Share: 0.25, QueueLimit: 64},
+		{Name: "archive", Share: 0.40, Priority: 1, QueueLimit: 64},
+	}})
+	type running struct {
+		class int
+		end   time.Time
+	}
+	ends := make(map[uint64]running)
+	id, used := uint64(0), 0       // used: slot-milliseconds of archive in the flood
+	const warm, flood = 3000, 2000 // milliseconds
+	for ms := range warm + flood {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		begin := func(run []Request, _ []Refusal) {
+			for _, q := range run {
+				ends[q.ID] = running{q.Class, now.Add(service[q.Class])}
+			}
+		}
+		submit := func(class int, deadline time.Duration) {
+			id++
+			begin(s.Submit(now, Request{ID: id, Class: class, Deadline: now.Add(deadline)}))
+		}
+		for r, e := range ends {
+			if e.end.After(now) {
+				if ms > warm {
+					used += e.class
+				}
+				continue
+			}
+			delete(ends, r)
+			begin(s.Done(now, r, Answered))
+		}
+		if ms%20 == 0 || ms > warm {
+			submit(0, 100*time.Millisecond)
+			submit(0, 100*time.Millisecond)
+		}
+		if ms%300 == 0 || (ms > warm && ms%50 == 0) {
+			submit(1, 5*time.Second)
+		}
+	}
+	share := float64(used) / (2 * flood)
+	assert.Assert(t, share > 0.85*0.40, "archive got %.2f of the slots, guaranteed 0.40", share)
+}
+
 // TestRefusals guards the typed reasons of bad, duplicate and surplus requests.
 func TestRefusals(t *testing.T) {
 	s := NewScheduler(Limits{Slots: 1, Classes: []Class{{Name: "only", Share: 1, QueueLimit: 1}}})
