--- a/pkg/load/model/clock.go
+++ b/pkg/load/model/clock.go
@@ -1,19 +1,21 @@
 package model
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // kind is the kind of an event.
 type kind uint8
 
 const (
-	arrival  kind = iota // a request of class a arrives
-	openFlow             // a caller of data centre a opens a flow
+	openFlow kind = iota // a caller of data centre a opens a flow
 	endFlow              // flow a, generation b, closes
-	finish               // the next running request of upstream a ends; b is a version
 	attempt              // request a is sent again
 	deliver              // a load report reaches a daemon
 	tick                 // all schedulers get a tick
 	mark                 // phase a begins
+	alarm                // timer a expires
 )
 
 // event happens at a virtual time, in nanoseconds since the start.
@@ -28,7 +30,12 @@
 	return e.at < o.at || (e.at == o.at && e.seq < o.seq)
 }
 
-// clock delivers events in order of time. The ends of flows have a heap of their own:
+// never is the time of a timer that is not set.
+const never = math.MaxInt64
+
+// clock delivers events in order of time. What happens most often, the next arrival of
+// each class and the next end of a request at each upstream, has a timer: the timers are
+// few, and looking at all of them costs less than a heap. The ends of flows have a heap of their own:
 // tens of thousands of them are pending for a minute, while all other events are few and
 // close, and a common heap would make each of those events pay for its depth.
 type clock struct {
@@ -36,6 +43,7 @@
 	seq   uint32
 	soon  eventHeap
 	ends  eventHeap
+	timer []int64
 	start time.Time
 }
 
@@ -51,11 +59,33 @@
 	c.soon.push(e)
 }
 
+// set makes a timer expire after d, instead of when it was to expire.
+func (c *clock) set(timer int, d int64) { c.timer[timer] = c.now + max(0, d) }
+
+func (c *clock) stop(timer int) { c.timer[timer] = never }
+
+// firstTimer returns the timer that expires first.
+func (c *clock) firstTimer() (timer int, at int64) {
+	at = never
+	for i, t := range c.timer {
+		if t < at {
+			timer, at = i, t
+		}
+	}
+	return timer, at
+}
+
 func (c *clock) next() (event, bool) {
 	h := &c.soon
 	if len(c.ends) > 0 && (len(c.soon) == 0 || c.ends[0].before(c.soon[0])) {
 		h = &c.ends
 	}
+	timer, at := c.firstTimer()
+	if at < never && (len(*h) == 0 || at < (*h)[0].at) {
+		c.now = at
+		c.stop(timer)
+		return event{at: at, kind: alarm, a: int32(timer)}, true
+	}
 	if len(*h) == 0 {
 		return event{}, false
 	}
--- a/pkg/load/model/measure.go
+++ b/pkg/load/model/measure.go
@@ -45,12 +45,18 @@
 	Phase         Phase
 	Classes       []ClassResult
 	Capacity      float64        // slot-seconds of the upstreams that serve
-	FlowImbalance float64        // busiest over mean, time average of open flows per upstream
+	FlowImbalance float64        // time average of the busiest over the mean number of open flows
+	WorstFlows    float64        // highest of these ratios in the phase
 	BusyImbalance float64        // busiest over mean, time average of busy slots per upstream
 	Retries       map[string]int // decisions by reason
 	SpillOver     float64        // part of the new flows placed in another data centre
+	Opens         int            // flows that callers tried to open
+	FailedOpens   int            // of these, found no upstream
+	StalledOpens  int            // of these, placed on the stalled upstream
 	opened        int
 	remote        int
+	imbalanceSum  float64
+	samples       int
 }
 
 // Work returns the part of the capacity that went into answers within the deadline.
@@ -116,6 +122,23 @@
 	}
 }
 
+// sample takes the current imbalance of the open flows.
+func (p *PhaseResult) sample(flows []float64) {
+	x := busiestOverMean(flows)
+	p.imbalanceSum += x
+	p.samples++
+	p.WorstFlows = math.Max(p.WorstFlows, x)
+	p.FlowImbalance = p.imbalanceSum / float64(p.samples)
+}
+
+// part returns n of all as a ratio, 0 for nothing of nothing.
+func part(n, all int) float64 {
+	if all == 0 {
+		return 0
+	}
+	return float64(n) / float64(all)
+}
+
 // busiestOverMean returns the imbalance of some loads; 1 is even.
 func busiestOverMean(loads []float64) float64 {
 	top, sum := 0.0, 0.0
