Measure how the cost of each role grows

Change: pkg/capacity fits lines to processor time, live heap and bytes of the cores at three or more sizes, with the flag -capacity; make capacity prints all tables. Conclusion: tests without the flag take no time; the figures go to docs/CAPACITY.md.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: setup build test demo generate
+.PHONY: setup build test demo generate capacity
 
 setup:
 	go mod download
@@ -14,3 +14,9 @@
 
 generate:
 	./scripts/generate.sh
+
+# Prints the slopes from which docs/CAPACITY.md is worked out; takes about five minutes.
+capacity:
+	go test ./pkg/capacity -count=1 -capacity -v -timeout 10m
+	go test ./pkg/registration -count=1 -run 'TrafficGrowth|TrafficBetweenDataCentres' -v -full -timeout 10m
+	go test ./pkg/token ./pkg/frame ./pkg/relay ./pkg/selection ./pkg/dispatch -run '^$$' -bench 'Verify|ReadHeader|RelayStep|Pick|Serve' -benchtime 100ms -count 3
--- /dev/null
+++ b/pkg/capacity/members_test.go
@@ -0,0 +1,124 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"rosemarygate/api/peer/v1"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/membership"
+	"rosemarygate/pkg/ownership"
+	"rosemarygate/pkg/relay"
+)
+
+var (
+	start       = time.Unix(1_800_000_000, 0)
+	memberSizes = []int{1000, 4500, 18_000}
+	localSizes  = []int{80, 320, 640}
+)
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7001)
+}
+
+func dataCentre(i int) string { return fmt.Sprintf("region-%d-dc-%d", i%10, i%TargetDataCentres) }
+
+func memberUpdate(i int, revision uint32) *peerpb.Member {
+	name := fmt.Sprintf("host-%05d.example", i)
+	a, _ := address(i).MarshalBinary()
+	return &peerpb.Member{
+		Id: uint64(ident.Daemon(name)), Name: name, DataCentre: dataCentre(i), Incarnation: 1, Revision: revision,
+		State: peerpb.MemberState_MEMBER_STATE_SERVING, PeerAddress: a, GrpcAddress: a,
+	}
+}
+
+// newMembers returns a core that knows n serving members.
+func newMembers(n int) (*membership.Core, *membership.View) {
+	self := membership.Member{
+		ID: ident.Daemon("self"), Name: "self", DataCentre: dataCentre(0), Incarnation: 1,
+		PeerAddr: address(1 << 20), GRPCAddr: address(1 << 20),
+	}
+	c := membership.New(membership.Config{}, self, rand.New(rand.NewPCG(1, 2)))
+	const page = 200
+	for i := 0; i < n; i += page {
+		m := &peerpb.Membership{Kind: peerpb.Membership_KIND_SYNC, From: memberUpdate(0, 1).Id}
+		for j := i; j < min(i+page, n); j++ {
+			m.Updates = append(m.Updates, memberUpdate(j, 1))
+		}
+		c.Step(start, membership.Received{From: address(0), Message: m})
+	}
+	return c, c.View()
+}
+
+// changeMember returns a function that changes one member of another data centre.
+func changeMember(c *membership.Core) func(int) {
+	revision := uint32(1)
+	return func(int) {
+		revision++
+		m := &peerpb.Membership{Kind: peerpb.Membership_KIND_GOSSIP, From: memberUpdate(0, 1).Id}
+		m.Updates = []*peerpb.Member{memberUpdate(1, revision)}
+		c.Step(start, membership.Received{From: address(0), Message: m})
+	}
+}
+
+// Measures the member list, and what a change of one member costs each consumer of the view.
+func TestMembers(t *testing.T) {
+	skipUnlessMeasuring(t)
+	const calls = 30
+	perView := func(f func(v *membership.View, owners *ownership.Table)) func(int) float64 {
+		return func(n int) float64 {
+			_, v := newMembers(n)
+			owners := ownership.NewTable(v, nil)
+			return ProcessorTime(calls, func(int) { f(v, owners) })
+		}
+	}
+	newRelay := func(v *membership.View, owners *ownership.Table) { relay.NewTable(v.Members[0], v, owners) }
+	all := []series{
+		{name: "member list and view, live bytes", cost: func(n int) float64 {
+			return Live(func() any { c, _ := newMembers(n); return c })
+		}},
+		{name: "membership: one change, ns", cost: func(n int) float64 {
+			c, _ := newMembers(n)
+			return ProcessorTime(calls, changeMember(c))
+		}},
+		{name: "membership: one change, bytes allocated", cost: func(n int) float64 {
+			c, _ := newMembers(n)
+			return Allocated(calls, changeMember(c))
+		}},
+		{name: "ownership table, ns", cost: perView(func(v *membership.View, _ *ownership.Table) { ownership.NewTable(v, nil) })},
+		{name: "ownership table, live bytes", cost: func(n int) float64 {
+			_, v := newMembers(n)
+			return Live(func() any { return []any{v, ownership.NewTable(v, nil)} })
+		}},
+		{name: "ownership table, bytes allocated", cost: func(n int) float64 {
+			_, v := newMembers(n)
+			return Allocated(calls, func(int) { ownership.NewTable(v, nil) })
+		}},
+		{name: "relay table, ns", cost: perView(newRelay)},
+		{name: "relay table, live bytes", cost: func(n int) float64 {
+			_, v := newMembers(n)
+			owners := ownership.NewTable(v, nil)
+			return Live(func() any { return []any{v, owners, relay.NewTable(v.Members[0], v, owners)} })
+		}},
+	}
+	for _, s := range all {
+		s.sizes, s.target = memberSizes, TargetDaemons
+		s.run(t)
+	}
+}
+
+// Measures the lookup of an owner, which also a reconciliation of all registrations consists of.
+func TestOwnerLookup(t *testing.T) {
+	skipUnlessMeasuring(t)
+	s := series{name: "owner lookup, ns, by daemons of a data centre", sizes: localSizes, target: TargetPerCentre}
+	s.cost = func(n int) float64 {
+		_, v := newMembers(n * TargetDataCentres)
+		table := ownership.NewTable(v, nil)
+		name := dataCentre(1)
+		return ProcessorTime(100_000, func(i int) { table.Owner(name, ident.UpstreamID(i)) })
+	}
+	s.run(t)
+}
--- /dev/null
+++ b/pkg/capacity/registrations_test.go
@@ -0,0 +1,148 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rosemarygate/api/peer/v1"
+	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/membership"
+	"rosemarygate/pkg/ownership"
+	"rosemarygate/pkg/registration"
+	"rosemarygate/pkg/selection"
+)
+
+var upstreamSizes = []int{10_000, 40_000, 110_000}
+
+func record(i int, version uint64) *peerpb.RegistrationRecord {
+	name := fmt.Sprintf("upstream-%06d.example", i)
+	a, _ := address(i).MarshalBinary()
+	return &peerpb.RegistrationRecord{
+		Upstream: uint64(ident.Upstream("acme", "ticket", name)), Incarnation: 1, Version: version,
+		State: peerpb.RegistrationRecord_STATE_LIVE, Author: memberUpdate(i%1000, 1).Id,
+		Service: uint64(i % TargetServices), Name: name, DataCentre: dataCentre(i), Address: a,
+		Slots: 3, FlowLimit: 2000, SinceMs: start.UnixMilli(),
+	}
+}
+
+func attach(c *registration.Core, records ...*peerpb.RegistrationRecord) []registration.Action {
+	data, _ := proto.Marshal(&peerpb.RegistrationUpdate{Records: records})
+	return c.Step(start, registration.Attached{From: 1, Data: data})
+}
+
+// newRegistrations returns a core that knows n registrations of all data centres.
+func newRegistrations(n int) *registration.Core {
+	c := registration.New(registration.Config{Self: 1, DataCentre: dataCentre(0)}, rand.New(rand.NewPCG(1, 2)))
+	for i := range n {
+		attach(c, record(i, 1))
+	}
+	return c
+}
+
+func candidate(r registration.Registration) selection.Candidate {
+	return selection.Candidate{
+		Upstream: r.Upstream, Incarnation: r.Incarnation, DataCentre: ident.DataCentre(r.DataCentre),
+		FlowLimit: r.FlowLimit, Slots: r.Slots, Since: r.Since,
+	}
+}
+
+// newSelection returns the selection table of a daemon that knows the registrations.
+func newSelection(c *registration.Core) *selection.Table {
+	t := selection.NewTable(ident.DataCentre(dataCentre(0)), rand.New(rand.NewPCG(1, 2)))
+	setAll(t, c.Registrations())
+	return t
+}
+
+// setAll replaces the candidates of all services, as a daemon does for each change.
+func setAll(t *selection.Table, all []registration.Registration) {
+	byService := map[ident.ServiceID][]selection.Candidate{}
+	for _, r := range all {
+		byService[r.Service] = append(byService[r.Service], candidate(r))
+	}
+	for s, list := range byService {
+		t.Set(start, s, list)
+	}
+}
+
+// Measures the registrations of all data centres at one daemon.
+func TestRegistrations(t *testing.T) {
+	skipUnlessMeasuring(t)
+	_, v := newMembers(TargetDaemons)
+	owners := ownership.NewTable(v, nil)
+	all := []series{
+		{name: "registration core, live bytes", cost: func(n int) float64 {
+			return Live(func() any { return newRegistrations(n) })
+		}},
+		{name: "selection table, live bytes", cost: func(n int) float64 {
+			c := newRegistrations(n)
+			return Live(func() any { return []any{c, newSelection(c)} })
+		}},
+		{name: "map of registrations as in the daemon, live bytes", cost: func(n int) float64 {
+			c := newRegistrations(n)
+			return Live(func() any {
+				known := map[ident.UpstreamID]registration.Registration{}
+				for _, r := range c.Registrations() {
+					known[r.Upstream] = r
+				}
+				return []any{c, known}
+			})
+		}},
+		{name: "merge of one changed registration, ns", cost: func(n int) float64 {
+			c := newRegistrations(n)
+			return ProcessorTime(1000, func(i int) { attach(c, record(i, 2)) })
+		}},
+		{name: "new candidates of all services, ns", cost: func(n int) float64 {
+			c := newRegistrations(n)
+			table, list := newSelection(c), c.Registrations()
+			return ProcessorTime(3, func(int) { setAll(table, list) })
+		}},
+		{name: "owner lookups of all registrations, ns", cost: func(n int) float64 {
+			list := newRegistrations(n).Registrations()
+			return ProcessorTime(1, func(int) {
+				for _, r := range list {
+					owners.Owner(r.DataCentre, r.Upstream)
+				}
+			})
+		}},
+		{name: "registration core: tick, ns", cost: func(n int) float64 {
+			c := newRegistrations(n)
+			return ProcessorTime(10_000, func(int) { c.Step(start.Add(time.Millisecond), registration.Tick{}) })
+		}},
+	}
+	for _, s := range all {
+		s.sizes, s.target = upstreamSizes, TargetUpstreams
+		s.run(t)
+	}
+}
+
+// Measures what a new view costs the registration core, for a change in another data centre and
+// in its own one, whose upstreams it checks.
+func TestRegistrationsInView(t *testing.T) {
+	skipUnlessMeasuring(t)
+	viewed := func(member int) func(int) float64 {
+		return func(n int) float64 {
+			c := newRegistrations(TargetUpstreams * n / TargetDaemons)
+			_, v := newMembers(n)
+			other := &membership.View{Version: 2, Members: append([]membership.Member(nil), v.Members...)}
+			for i := range other.Members {
+				if other.Members[i].ID == ident.DaemonID(memberUpdate(member, 1).Id) {
+					other.Members[i].State = membership.Dead
+				}
+			}
+			c.Step(start, registration.ViewChanged{View: v})
+			views := []*membership.View{other, v}
+			return ProcessorTime(6, func(i int) { c.Step(start, registration.ViewChanged{View: views[i%2]}) })
+		}
+	}
+	for _, s := range []series{
+		{name: "registration core: change in another data centre, ns", cost: viewed(1)},
+		{name: "registration core: change in its data centre, ns", cost: viewed(TargetDataCentres * 5)},
+	} {
+		s.sizes, s.target = memberSizes, TargetDaemons
+		s.run(t)
+	}
+}
