Read the model's checks by their new form in the load tool

Cause: pkg/load/model gave its checks a method for the verdict and plain values without a bound, so pkg/load did not build and NaN bounds could not be written as JSON. Change: the load tool asks the check and leaves plain values to the results. Conclusion: builds and tests of pkg/load pass.

--- a/pkg/load/modelrun.go
+++ b/pkg/load/modelrun.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"time"
 
 	"rosemarygate/pkg/load/model"
@@ -78,7 +79,10 @@
 		r.Results = append(r.Results, modelResult(m, p))
 	}
 	for _, c := range checks {
-		check := Check{Name: m.Deployment + " " + c.Name, Value: c.Value, Bound: c.Bound, OK: c.OK}
+		if math.IsNaN(c.Bound) {
+			continue // a plain value; the results show it
+		}
+		check := Check{Name: m.Deployment + " " + c.Name, Value: c.Value, Bound: c.Bound, OK: c.OK(c.Value)}
 		if baseline {
 			r.Baseline = append(r.Baseline, check)
 		} else {
