Make authorities and certificates with one piece of code

Cause: two tests built certificates with the same sixty lines, and operators had to bring certificates of their own before they could use TLS. Change: pkg/security makes, stores and issues; rosemarygate certificates offers it to operators; both tests use it. The event of an expired lease, which nothing logged, is gone.

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -36,7 +36,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newVersion(), newConfig(), newDaemon(), newUpstream(), newStatus(), newDemo(), newLoad(),
-		newTotals(), newKeys(), newReplicas(), newCall(), newFeed())
+		newTotals(), newKeys(), newReplicas(), newCall(), newFeed(), newCertificates())
 	return root
 }
 
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -59,7 +59,6 @@
 	MemberChanged        = add(Event{3001, logrus.InfoLevel, "member changed state", ""})
 	UpstreamRegistered   = add(Event{3002, logrus.InfoLevel, "upstream registered", ""})
 	UpstreamLeft         = add(Event{3003, logrus.InfoLevel, "upstream left", ""})
-	LeaseExpired         = add(Event{3004, logrus.WarnLevel, "upstream lease expired", "check that the upstream still runs and reaches a daemon"})
 	ConfigInForce        = add(Event{4001, logrus.InfoLevel, "configuration in force", ""})
 	ConfigRefused        = add(Event{4002, logrus.WarnLevel, "configuration refused", "read the error field and correct the folder"})
 	ReplicaWaits         = add(Event{4003, logrus.InfoLevel, "replica has no state and asks the other replicas for the group", "start all replicas of control.replicas if this is the first start"})
--- a/pkg/security/security_test.go
+++ b/pkg/security/security_test.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
@@ -27,53 +22,21 @@
 	"rosemarygate/pkg/settings"
 )
 
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
+const testValidity = time.Hour
 
-func newAuthority(t *testing.T) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	tmpl := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, IsCA: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		KeyUsage: x509.KeyUsageCertSign, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
-	assert.NilError(t, err)
-	cert, err := x509.ParseCertificate(der)
+func newAuthority(t *testing.T) *Authority {
+	a, err := NewAuthority("test authority", testValidity)
 	assert.NilError(t, err)
-	return &authority{cert, key}
+	return a
 }
 
 // issue writes a certificate for 127.0.0.1, its key and the authority into dir.
-func (a *authority) issue(t *testing.T, dir string) settings.TLS {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+func issue(t *testing.T, a *Authority, dir string) settings.TLS {
+	files, err := a.Issue(dir, "daemon", []netip.Addr{netip.MustParseAddr("127.0.0.1")}, testValidity)
 	assert.NilError(t, err)
-	tmpl := &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "daemon"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
-	assert.NilError(t, err)
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	assert.NilError(t, err)
-	files := settings.TLS{
-		Certificate: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), Authority: filepath.Join(dir, "ca.pem"),
-	}
-	write(t, files.Certificate, "CERTIFICATE", der)
-	write(t, files.Key, "EC PRIVATE KEY", keyDER)
-	write(t, files.Authority, "CERTIFICATE", a.cert.Raw)
 	return files
 }
 
-func write(t *testing.T, name, kind string, der []byte) {
-	assert.NilError(t, os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
-}
-
 func serve(t *testing.T, id *Identity) string {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -97,19 +60,19 @@
 // Guards against a server that accepts callers of another authority.
 func TestOnlyCallersOfTheAuthorityAreAccepted(t *testing.T) {
 	own := newAuthority(t)
-	server, err := Load(own.issue(t, t.TempDir()))
+	server, err := Load(issue(t, own, t.TempDir()))
 	assert.NilError(t, err)
 	addr := serve(t, server)
-	friend, err := Load(own.issue(t, t.TempDir()))
+	friend, err := Load(issue(t, own, t.TempDir()))
 	assert.NilError(t, err)
 	assert.NilError(t, check(t, addr, friend.Client()))
 
 	pool := x509.NewCertPool()
-	pool.AddCert(own.cert)
+	pool.AddCert(own.Certificate())
 	anonymous := grpc.WithTransportCredentials(credentials.NewTLS(&tls.Config{RootCAs: pool}))
 	assert.Equal(t, status.Code(check(t, addr, anonymous)), codes.Unauthenticated)
 
-	stranger, err := Load(newAuthority(t).issue(t, t.TempDir()))
+	stranger, err := Load(issue(t, newAuthority(t), t.TempDir()))
 	assert.NilError(t, err)
 	assert.Equal(t, status.Code(check(t, addr, stranger.Client())), codes.Unavailable)
 }
@@ -118,19 +81,32 @@
 func TestChangedFilesAreReloaded(t *testing.T) {
 	dir := t.TempDir()
 	old, next := newAuthority(t), newAuthority(t)
-	server, err := Load(old.issue(t, dir))
+	server, err := Load(issue(t, old, dir))
 	assert.NilError(t, err)
 	addr := serve(t, server)
 
-	next.issue(t, dir)
+	issue(t, next, dir)
 	later := time.Now().Add(time.Minute)
-	for _, name := range []string{"cert.pem", "key.pem", "ca.pem"} {
+	for _, name := range []string{certificateFile, keyFile, authorityFile} {
 		assert.NilError(t, os.Chtimes(filepath.Join(dir, name), later, later))
 	}
 	server.mu.Lock()
 	server.checked = time.Time{}
 	server.mu.Unlock()
-	caller, err := Load(next.issue(t, t.TempDir()))
+	caller, err := Load(issue(t, next, t.TempDir()))
 	assert.NilError(t, err)
 	assert.NilError(t, check(t, addr, caller.Client()))
 }
+
+// Guards against an authority whose stored key no longer fits, and against one that is
+// overwritten by mistake.
+func TestAuthorityIsStored(t *testing.T) {
+	dir := t.TempDir()
+	a := newAuthority(t)
+	assert.NilError(t, a.Write(dir))
+	assert.ErrorContains(t, newAuthority(t).Write(dir), "holds an authority already")
+	loaded, err := LoadAuthority(dir)
+	assert.NilError(t, err)
+	_, err = Load(issue(t, loaded, t.TempDir()))
+	assert.NilError(t, err)
+}
