--- a/pkg/daemon/badinput_test.go
+++ b/pkg/daemon/badinput_test.go
@@ -32,6 +32,7 @@
 const (
 	quietPort = 4301
 	floodPort = 4302
+	sheetSize = 1 << 20 // bytes
 )
 
 // startFleet runs one daemon with two services of one upstream each.
@@ -42,7 +43,9 @@
       quiet:
         port: %d
         credential: test-credential
-        classes: {any: {priority: 0, share: 0.5, queue_limit: 64, deadline: 10s}}
+        classes:
+          any: {priority: 0, share: 0.5, queue_limit: 64, deadline: 10s}
+          sheet: {priority: 1, share: 0.3, queue_limit: 64, deadline: 30s}
       flood:
         port: %d
         credential: test-credential
@@ -60,6 +63,7 @@
 		assert.NilError(t, f.StartUpstream(standin.Config{
 			Service: "test/" + name, Name: nameInFirstShard("test/" + name), DataCentre: "dc", Slots: 3, FlowLimit: 2000,
 			Credential: "test-credential", ServiceTime: time.Millisecond, FeedPeriod: time.Second,
+			AnswerSize: map[string]int{"sheet": sheetSize},
 		}))
 	}
 	assert.NilError(t, f.WaitUpstreams(2, 10*time.Second))
