Send a change again when its leader fails before it is confirmed

Cause: when the leader's disk failed, a push at another replica ended with an unknown outcome, and one that was passed to the failed leader waited there until its time was over. Change: a change with an unknown outcome is sent to the next leader under its change id; a replica that does not lead refuses what was passed to it at once; passing a change is given 2 s, the whole decision 5 s; a failed core neither leads nor serves daemons.

--- a/pkg/cli/control.go
+++ b/pkg/cli/control.go
@@ -19,7 +19,7 @@
 )
 
 // answerTimeout exceeds the time that a replica takes to find that it has no majority.
-const answerTimeout = 6 * time.Second
+const answerTimeout = 7 * time.Second
 
 // controlFlags tell how the control replicas are reached.
 type controlFlags struct {
--- a/pkg/control/replica/change.go
+++ b/pkg/control/replica/change.go
@@ -9,13 +9,13 @@
 
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/agreement"
-	"rosemarygate/pkg/ident"
 )
 
 const (
 	// decisionTimeout bounds the wait for a majority, so that a replica that is cut off refuses
-	// within a few seconds. It covers an election.
-	decisionTimeout = 4 * time.Second
+	// within a few seconds. It covers an election, which took up to 3 s in tests.
+	decisionTimeout = 5 * time.Second
+	forwardTimeout  = 2 * time.Second        // then the leader is looked for again
 	readPeriod      = 300 * time.Millisecond // a read that is not confirmed is repeated
 	leaderPoll      = 50 * time.Millisecond
 	forwardedKey    = "rosemarygate-forwarded"
@@ -69,10 +69,10 @@
 	}
 }
 
-// atLeader runs a change here if this replica leads, or passes it to the leader once. Changes
-// carry a change id, so one whose reply was lost may be sent again.
+// atLeader runs a change here if this replica leads, or passes it to the leader. Changes carry a
+// change id, so one whose outcome is unknown is sent again, to the next leader too.
 func (r *Replica) atLeader(ctx context.Context, local func(context.Context) (*controlpb.Reply, error),
-	remote func(context.Context, controlpb.OperatorClient) (*controlpb.Reply, error),
+	remote remoteCall,
 ) (*controlpb.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, decisionTimeout)
 	defer cancel()
@@ -82,10 +82,12 @@
 		err := errNotHere
 		if st := r.Status(); st.Role == agreement.Leader {
 			reply, err = local(ctx)
-		} else if client, ok := r.leaderClient(ctx, st.Leader); ok {
-			reply, err = remote(metadata.AppendToOutgoingContext(ctx, forwardedKey, r.cfg.Name), client)
-			lost = lost || err != nil && unreachable(err)
+		} else if address, ok := r.leaderAddress(ctx, st.Leader); ok {
+			reply, err = r.forward(ctx, address, remote)
+		} else if forwarded(ctx) {
+			return nil, noMajority() // the sender looks for the leader
 		}
+		lost = lost || err != nil && undecided(err)
 		if err == nil || isRefusal(err) {
 			return reply, err
 		}
@@ -100,19 +102,37 @@
 	return nil, noMajority()
 }
 
-var errNotHere = errors.New("the leader is not known")
+// remoteCall makes a change at another replica.
+type remoteCall func(context.Context, controlpb.OperatorClient) (*controlpb.Reply, error)
 
-func (r *Replica) leaderClient(ctx context.Context, leader agreement.Replica) (controlpb.OperatorClient, bool) {
-	if in, _ := metadata.FromIncomingContext(ctx); leader == agreement.None || len(in.Get(forwardedKey)) > 0 {
-		return nil, false
-	}
-	address, ok := r.address(leader.ID)
-	if !ok || leader.ID == ident.Daemon(r.cfg.Name) {
-		return nil, false
-	}
+// forward makes a change at the leader. A connection on which nothing was answered is made anew,
+// since TCP may need minutes after a partition.
+func (r *Replica) forward(ctx context.Context, address string, remote remoteCall) (*controlpb.Reply, error) {
 	conn, err := r.transport.conn(address)
 	if err != nil {
-		return nil, false
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	reply, err := remote(metadata.AppendToOutgoingContext(ctx, forwardedKey, r.cfg.Name), controlpb.NewOperatorClient(conn))
+	if ctx.Err() != nil {
+		r.transport.drop(address)
+	}
+	return reply, err
+}
+
+// forwarded reports whether another replica passed the request on.
+func forwarded(ctx context.Context) bool {
+	in, _ := metadata.FromIncomingContext(ctx)
+	return len(in.Get(forwardedKey)) > 0
+}
+
+var errNotHere = errors.New("the leader is not known")
+
+// leaderAddress returns the address of the leader if a request may be passed to it.
+func (r *Replica) leaderAddress(ctx context.Context, leader agreement.Replica) (string, bool) {
+	if leader == agreement.None || leader.ID == r.id || forwarded(ctx) {
+		return "", false
 	}
-	return controlpb.NewOperatorClient(conn), true
+	return r.address(leader.ID)
 }
--- a/pkg/control/replica/core.go
+++ b/pkg/control/replica/core.go
@@ -53,6 +53,7 @@
 	confirmed   []confirmedRead
 	role        agreement.Role
 	superseded  bool
+	refused     seldom
 }
 
 type confirmedRead struct {
@@ -151,7 +152,8 @@
 
 // step passes a message to the node. Other errors say only why a message was ignored.
 func (c *core) step(m agreement.Message) {
-	if err := c.node.Step(m); errors.Is(err, agreement.ErrOtherGroup) || errors.Is(err, agreement.ErrDiverged) {
+	err := c.node.Step(m)
+	if (errors.Is(err, agreement.ErrOtherGroup) || errors.Is(err, agreement.ErrDiverged)) && c.refused.due() {
 		events.MessageRefused.Log(c.r.log, logrus.Fields{"from": m.From, "error": err})
 	}
 }
--- a/pkg/control/replica/errors.go
+++ b/pkg/control/replica/errors.go
@@ -49,12 +49,26 @@
 
 // isRefusal reports whether an error is a decision, so that asking again does not help.
 func isRefusal(err error) bool {
+	switch refusalKind(err) {
+	case controlpb.Refusal_KIND_UNSPECIFIED, controlpb.Refusal_KIND_NO_MAJORITY, controlpb.Refusal_KIND_OUTCOME_UNKNOWN:
+		return false
+	}
+	return true
+}
+
+func refusalKind(err error) controlpb.Refusal_Kind {
 	var refused *state.RefusedError
-	return errors.As(RefusalOf(err), &refused) && refused.Refusal.GetKind() != controlpb.Refusal_KIND_NO_MAJORITY
+	if !errors.As(RefusalOf(err), &refused) {
+		return controlpb.Refusal_KIND_UNSPECIFIED
+	}
+	return refused.Refusal.GetKind()
 }
 
-// unreachable reports whether a replica did not answer.
-func unreachable(err error) bool {
+// undecided reports whether a change may have been accepted in spite of the error.
+func undecided(err error) bool {
+	if kind := refusalKind(err); kind != controlpb.Refusal_KIND_UNSPECIFIED {
+		return kind == controlpb.Refusal_KIND_OUTCOME_UNKNOWN
+	}
 	switch status.Code(err) {
 	case codes.Unavailable, codes.DeadlineExceeded:
 		return true
--- a/pkg/control/replica/found.go
+++ b/pkg/control/replica/found.go
@@ -68,7 +68,9 @@
 		case answer.GetGroup() != 0:
 			return r.foundLate(answer, self)
 		case !sameReplicas(answer.GetReplicas(), r.cfg.Replicas):
-			events.ReplicaListsDiffer.Log(r.log, logrus.Fields{"replica": ident.DaemonID(answer.GetId())})
+			if r.listsDiffer.due() {
+				events.ReplicaListsDiffer.Log(r.log, logrus.Fields{"replica": ident.DaemonID(answer.GetId())})
+			}
 			complete = false
 		default:
 			founder := agreement.Replica{ID: ident.DaemonID(answer.GetId()), Incarnation: ident.Incarnation(answer.GetIncarnation())}
--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -69,6 +69,8 @@
 	addrMu    sync.Mutex
 	addresses map[ident.DaemonID]*controlpb.ReplicaHost
 
+	listsDiffer seldom // used by the goroutine of the cores only
+
 	ctx  context.Context // of the run; ends the streams
 	stop context.CancelFunc
 }
@@ -136,6 +138,7 @@
 func (r *Replica) runCore(ctx context.Context) error {
 	for ctx.Err() == nil {
 		err := r.runOnce(ctx)
+		r.status.Store(&Status{}) // it neither leads nor serves daemons meanwhile
 		if ctx.Err() != nil {
 			break
 		}
@@ -216,4 +219,17 @@
 	return nil
 }
 
+// seldom bounds how often a repeated event is logged.
+type seldom struct{ last time.Time }
+
+const seldomPeriod = 30 * time.Second
+
+func (s *seldom) due() bool {
+	if time.Since(s.last) < seldomPeriod {
+		return false
+	}
+	s.last = time.Now()
+	return true
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/pkg/daemon/controlrepair_test.go
+++ b/pkg/daemon/controlrepair_test.go
@@ -1,7 +1,9 @@
 package daemon_test
 
 import (
+	"fmt"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"slices"
 	"testing"
@@ -110,3 +112,31 @@
 	time.Sleep(3 * time.Second)
 	assert.Equal(t, total(0), uint64(1))
 }
+
+// Guards against a replica whose disk fails and that keeps its daemons on an old version, and
+// against changes that are not accepted any more though the other replicas work.
+func TestBrokenDisk(t *testing.T) {
+	t.Parallel()
+	f := newControlFleet(t, "a", "b", "c", "a")
+	f.startAll()
+	version := f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 0))
+	f.await("the version everywhere", f.allAt(version))
+	broken := f.leader()
+	wal := filepath.Join(f.settings[broken].DataDir, "agreement")
+	assert.NilError(t, os.RemoveAll(wal))
+	assert.NilError(t, os.WriteFile(wal, nil, 0o600))
+	other := (broken + 1) % 3
+	for i := range 210 { // more than between two snapshots, which notice the missing folder
+		version = f.mustPush(other, change(fmt.Sprint("push ", i), version, "10-acme.yaml", serviceFile(i), 0))
+	}
+	f.await("the version everywhere", f.allAt(version))
+	assert.Assert(t, !f.daemons[broken].Control().Status().Loaded)
+	_, err := f.push(broken, change("refused", version, "10-acme.yaml", serviceFile(1), 0))
+	assert.Equal(t, refusalKind(t, err), controlpb.Refusal_KIND_NO_MAJORITY)
+
+	assert.NilError(t, os.Remove(wal))
+	f.await("the repaired replica a voter", func() bool {
+		st := f.daemons[broken].Control().Status()
+		return st.Membership.IsVoter(st.Self) && st.Version == version
+	})
+}
