Look up owners only where the owners changed

Cause: each new view looked up the owners of all known upstreams, of which a daemon knows 110,000 at the target, about 0.4 times a second. Change: the assignment keeps upstreams by data centre and reconciles those of data centres whose owners differ from the last view.

--- a/pkg/daemon/ownership.go
+++ b/pkg/daemon/ownership.go
@@ -29,9 +29,13 @@
 	// daemons that may still hold an upstream's flows.
 	previous *ownership.Table
 	known    map[ident.UpstreamID]registration.Registration
-	held     map[ident.UpstreamID]bool      // sessions of this daemon
-	waiting  map[ident.UpstreamID]time.Time // until the predecessor's handover is overdue
-	leaving  map[ident.UpstreamID]time.Time // handovers in progress, with the time of the next try
+	// centres are the data centres of known upstreams. Only a change of a data centre's owners
+	// moves its upstreams: with 110,000 upstreams, lookups of all owners for each view took
+	// 0.2 s.
+	centres map[string]*upstreamsOf
+	held    map[ident.UpstreamID]bool      // sessions of this daemon
+	waiting map[ident.UpstreamID]time.Time // until the predecessor's handover is overdue
+	leaving map[ident.UpstreamID]time.Time // handovers in progress, with the time of the next try
 	// retired are upstreams whose lease ended while their connection lives, with the time
 	// at which the connection was last seen. They get no new work; open feeds stay.
 	retired map[ident.UpstreamID]time.Time
@@ -54,6 +58,7 @@
 	return &assignment{
 		self: self, order: order,
 		known:   map[ident.UpstreamID]registration.Registration{},
+		centres: map[string]*upstreamsOf{},
 		held:    map[ident.UpstreamID]bool{},
 		waiting: map[ident.UpstreamID]time.Time{},
 		leaving: map[ident.UpstreamID]time.Time{},
@@ -70,9 +75,47 @@
 	}
 	a.view = v
 	a.current = ownership.NewTable(v, a.order)
-	for _, reg := range a.known {
-		a.reconcile(now, reg, false)
+	for dataCentre, c := range a.centres {
+		if owners, _ := a.current.Owners(dataCentre, a.self.ID); owners != c.owners {
+			c.owners = owners
+			a.reconcileAll(now, c)
+		}
+	}
+}
+
+// upstreamsOf are the known upstreams of one data centre.
+type upstreamsOf struct {
+	owners uint64 // signature of the daemons that own them in the current view
+	ids    map[ident.UpstreamID]bool
+}
+
+func (a *assignment) reconcileAll(now time.Time, c *upstreamsOf) {
+	for u := range c.ids {
+		a.reconcile(now, a.known[u], false)
+	}
+}
+
+// learn remembers a registration.
+func (a *assignment) learn(reg registration.Registration) {
+	a.unlearn(reg.Upstream) // its data centre may be another one
+	a.known[reg.Upstream] = reg
+	c := a.centres[reg.DataCentre]
+	if c == nil {
+		c = &upstreamsOf{ids: map[ident.UpstreamID]bool{}}
+		a.centres[reg.DataCentre] = c
+		if a.current != nil {
+			c.owners, _ = a.current.Owners(reg.DataCentre, a.self.ID)
+		}
+	}
+	c.ids[reg.Upstream] = true
+}
+
+// unlearn removes a registration.
+func (a *assignment) unlearn(u ident.UpstreamID) {
+	if c := a.centres[a.known[u].DataCentre]; c != nil {
+		delete(c.ids, u)
 	}
+	delete(a.known, u)
 }
 
 func (a *assignment) owns() bool {
@@ -96,7 +139,7 @@
 func (a *assignment) changed(now time.Time, set []registration.Registration, removed []ident.UpstreamID, announced bool) {
 	for _, reg := range set {
 		old, seen := a.known[reg.Upstream]
-		a.known[reg.Upstream] = reg
+		a.learn(reg)
 		delete(a.retired, reg.Upstream)
 		a.reconcile(now, reg, announced && (!seen || old.Incarnation != reg.Incarnation))
 	}
@@ -123,7 +166,7 @@
 
 func (a *assignment) forget(reg registration.Registration) {
 	delete(a.retired, reg.Upstream)
-	delete(a.known, reg.Upstream)
+	a.unlearn(reg.Upstream)
 	delete(a.waiting, reg.Upstream)
 	delete(a.leaving, reg.Upstream)
 	if a.held[reg.Upstream] {
@@ -195,7 +238,7 @@
 // received says that a predecessor has handed an upstream over.
 func (a *assignment) received(reg registration.Registration) {
 	if _, ok := a.known[reg.Upstream]; !ok {
-		a.known[reg.Upstream] = reg
+		a.learn(reg)
 	}
 	a.hold(a.known[reg.Upstream])
 }
@@ -206,7 +249,7 @@
 	delete(a.leaving, u)
 	if _, ok := a.retired[u]; ok {
 		delete(a.retired, u)
-		delete(a.known, u)
+		a.unlearn(u)
 	}
 }
 
--- a/pkg/daemon/ownership_test.go
+++ b/pkg/daemon/ownership_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -53,7 +54,7 @@
 	}
 }
 
-func (b *assignBench) learn(r registration.Registration, announced bool) {
+func (b *assignBench) hears(r registration.Registration, announced bool) {
 	b.changed(b.now, []registration.Registration{r}, nil, announced)
 }
 
@@ -62,7 +63,7 @@
 func TestJoiningOwnerWaitsForLivePredecessor(t *testing.T) {
 	b := newAssignBench()
 	b.view(membership.Serving, membership.Serving)
-	b.learn(ownedBy(1), false)
+	b.hears(ownedBy(1), false)
 	assert.Equal(t, len(b.connects), 0)
 	b.now = b.now.Add(handoverWait + time.Second)
 	b.tick(b.now)
@@ -73,7 +74,7 @@
 func TestCrashedOwnersUpstreamIsTakenAtOnce(t *testing.T) {
 	b := newAssignBench()
 	b.view(membership.Serving, membership.Serving)
-	b.learn(ownedBy(otherDaemon), false)
+	b.hears(ownedBy(otherDaemon), false)
 	assert.Equal(t, len(b.connects), 0)
 	b.view(membership.Serving, membership.Dead)
 	assert.Equal(t, len(b.connects), 1)
@@ -83,7 +84,7 @@
 func TestLeavingDaemonHandsOver(t *testing.T) {
 	b := newAssignBench()
 	b.view(membership.Serving, membership.Serving)
-	b.learn(ownedBy(1), true)
+	b.hears(ownedBy(1), true)
 	assert.Equal(t, len(b.connects), 1)
 	b.view(membership.Leaving, membership.Serving)
 	assert.DeepEqual(t, b.handovers, []ident.DaemonID{otherDaemon})
@@ -97,7 +98,7 @@
 	b := newAssignBench()
 	b.view(membership.Serving, membership.Serving)
 	reg := ownedBy(1)
-	b.learn(reg, true)
+	b.hears(reg, true)
 	b.changed(b.now, nil, []ident.UpstreamID{reg.Upstream}, false)
 	assert.Equal(t, len(b.drops), 0)
 	assert.Assert(t, b.known[reg.Upstream].Draining)
@@ -107,3 +108,49 @@
 	b.tick(b.now)
 	assert.Equal(t, len(b.drops), 1)
 }
+
+// Guards against upstreams of a data centre that nobody serves after its last daemon died, and
+// against a second connection when a later view leaves their owners alone.
+func TestUpstreamsOfLostDataCentreAreTaken(t *testing.T) {
+	b := newAssignBench()
+	view := func(far, joining membership.State) {
+		b.viewChanged(b.now, &membership.View{Members: []membership.Member{
+			{ID: 1, DataCentre: "dc", Incarnation: 1, State: membership.Serving},
+			{ID: 2, DataCentre: "far", Incarnation: 1, State: far},
+			{ID: 3, DataCentre: "dc", Incarnation: 1, State: joining},
+		}})
+	}
+	view(membership.Serving, membership.Dead)
+	b.hears(registration.Registration{Upstream: 9, DataCentre: "far", Incarnation: 1}, false)
+	assert.Equal(t, len(b.connects), 0)
+	view(membership.Dead, membership.Dead)
+	assert.Equal(t, len(b.connects), 1)
+	view(membership.Dead, membership.Joining)
+	assert.Equal(t, len(b.connects), 1)
+}
+
+// Measures a new view of 18,000 daemons in 28 data centres in which one daemon of another data
+// centre changes, by upstreams of all data centres.
+func BenchmarkViewChanged(b *testing.B) {
+	var states [2]*membership.View
+	for i := range states {
+		states[i] = &membership.View{}
+		for id := range 18_000 {
+			m := membership.Member{ID: ident.DaemonID(id + 1), DataCentre: fmt.Sprint(id % 28), Incarnation: 1, State: membership.Serving}
+			states[i].Members = append(states[i].Members, m)
+		}
+	}
+	states[1].Members[1].State = membership.Leaving
+	for _, upstreams := range []int{10_000, 40_000, 110_000} {
+		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
+			a := newAssignBench()
+			a.viewChanged(a.now, states[0])
+			for u := range upstreams {
+				a.hears(registration.Registration{Upstream: ident.UpstreamID(u), DataCentre: fmt.Sprint(u % 28), Incarnation: 1}, false)
+			}
+			for i := 0; b.Loop(); i++ {
+				a.viewChanged(a.now, states[(i+1)%2])
+			}
+		})
+	}
+}
