Hold new requests back while a flow's owner is silent

Cause: for about a second after an owner crashed, callers went on binding new requests to its token, and every one of them ended as unknown although most were never received. Change: the client sends no new request while nothing was heard for 250 ms, or after it was told that the owner is gone; it asks for a new token meanwhile and binds the request to it.

--- a/client/flow.go
+++ b/client/flow.go
@@ -32,6 +32,7 @@
 	feed       *Feed
 	lastReply  time.Time
 	awaitReply bool // a keep-alive has not been answered
+	silence    silence
 }
 
 // ID returns the flow's identifier, as daemons and upstreams see it.
@@ -67,10 +68,24 @@
 	if err != nil {
 		return false
 	}
+	if expectsReply(fr) {
+		f.mu.Lock()
+		f.silence.sent(time.Now())
+		f.mu.Unlock()
+	}
 	_ = f.client.transport.Send(b)
 	return true
 }
 
+func expectsReply(fr *wirepb.Frame) bool {
+	switch fr.Body.(type) {
+	case *wirepb.Frame_KeepAlive, *wirepb.Frame_Request:
+		return true
+	default:
+		return false
+	}
+}
+
 // fail ends the flow, its feed and its requests.
 func (f *Flow) fail(err error) {
 	f.client.forget(f)
@@ -107,11 +122,20 @@
 }
 
 func (f *Flow) handle(fr *wirepb.Frame) {
+	f.mu.Lock()
+	if o := fr.GetOutcome(); o != nil && o.Reason == wirepb.Reason_REASON_OWNER_GONE {
+		f.silence.stale = true
+	}
+	if fr.GetKeepAliveAck() != nil && len(fr.Token) > 0 {
+		f.token = fr.Token
+	}
+	f.silence.reply(len(fr.Token) > 0)
+	f.mu.Unlock()
 	switch body := fr.Body.(type) {
 	case *wirepb.Frame_Opened:
 		f.handleOpened(fr.Token)
 	case *wirepb.Frame_KeepAliveAck:
-		f.handleKeepAliveAck(fr.Token, body.KeepAliveAck.FeedActive)
+		f.handleKeepAliveAck(body.KeepAliveAck.FeedActive)
 	case *wirepb.Frame_FeedItem:
 		f.handleFeedItem(body.FeedItem)
 	case *wirepb.Frame_Answer:
@@ -137,12 +161,9 @@
 	}
 }
 
-func (f *Flow) handleKeepAliveAck(token []byte, feedActive bool) {
+func (f *Flow) handleKeepAliveAck(feedActive bool) {
 	f.mu.Lock()
 	f.lastReply, f.awaitReply = time.Now(), false
-	if len(token) > 0 {
-		f.token = token
-	}
 	feed := f.feed
 	f.mu.Unlock()
 	if feed != nil && !feedActive {
--- a/client/request.go
+++ b/client/request.go
@@ -88,6 +88,9 @@
 	if len(q.Payload) > frame.MaxPayload {
 		return Result{}, errors.Errorf("request has %d bytes: send at most %d", len(q.Payload), frame.MaxPayload)
 	}
+	if err := f.awaitOwner(ctx); err != nil {
+		return Result{}, err
+	}
 	p, err := f.start(q, deadline)
 	if err != nil {
 		return Result{}, err
