--- a/pkg/daemon/badinput_test.go
+++ b/pkg/daemon/badinput_test.go
@@ -26,6 +26,7 @@
 	"rosemarygate/pkg/fleet"
 	"rosemarygate/pkg/frame"
 	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/relay"
 	"rosemarygate/pkg/standin"
 )
 
@@ -266,6 +267,12 @@
 		assert.Equal(t, len(a.exchange(b)), 0)
 		assert.Equal(t, counters(t, f)["forged_peer"], before+1)
 	}
+	sealer := relay.NewSealer(nil) // the fleet runs without a cluster key
+	for _, body := range [][]byte{{0xff}, {0x0a, 0x02, 0xff, 0xff}, relay.AppendMembership(nil, []byte{0xff})} {
+		before := counters(t, f)["malformed_peer"]
+		assert.Equal(t, len(a.exchange(sealer.Seal(body))), 0)
+		assert.Equal(t, counters(t, f)["malformed_peer"], before+1)
+	}
 }
 
 // load is what a service kept of the requests offered to it.
--- a/pkg/daemon/cluster.go
+++ b/pkg/daemon/cluster.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
@@ -66,15 +67,20 @@
 	return c
 }
 
-// deliver takes an encoded membership message; it is dropped when the queue is full.
-func (c *cluster) deliver(from netip.AddrPort, message []byte) {
+var errClusterQueueFull = errors.New("queue of membership messages is full")
+
+// deliver takes an encoded membership message. The error is relay.ErrMalformed or
+// errClusterQueueFull.
+func (c *cluster) deliver(from netip.AddrPort, message []byte) error {
 	m := new(peerpb.Membership)
 	if proto.Unmarshal(message, m) != nil {
-		return
+		return relay.ErrMalformed
 	}
 	select {
 	case c.incoming <- membership.Received{From: from, Message: m}:
+		return nil
 	default:
+		return errClusterQueueFull
 	}
 }
 
--- a/pkg/daemon/datapath.go
+++ b/pkg/daemon/datapath.go
@@ -34,7 +34,7 @@
 	// receivers holds idle receivers.
 	receivers sync.Pool
 	// membership takes encoded membership messages; it must not block.
-	membership func(from netip.AddrPort, message []byte)
+	membership func(from netip.AddrPort, message []byte) error
 }
 
 // keyRing is one generation of token keys. A receiver builds its own codec from it.
@@ -195,7 +195,7 @@
 		return
 	}
 	if message != nil {
-		d.membership(from, message)
+		d.counters.membershipRefused(d.membership(from, message))
 		return
 	}
 	if d.table.Load() == nil {
--- a/pkg/daemon/datapath_test.go
+++ b/pkg/daemon/datapath_test.go
@@ -37,7 +37,7 @@
 			testService: {service: testService, conn: conn, batch: ipv4.NewPacketConn(conn)},
 		}},
 		shards:     &shards{all: []*shard{{packets: newFairQueue()}}},
-		membership: func(netip.AddrPort, []byte) {},
+		membership: func(netip.AddrPort, []byte) error { return nil },
 	}
 	d.keys.Store(&keyRing{testKeys})
 	var members []membership.Member
--- a/pkg/daemon/packetcounters.go
+++ b/pkg/daemon/packetcounters.go
@@ -5,6 +5,7 @@
 	"github.com/pkg/errors"
 
 	"rosemarygate/pkg/frame"
+	"rosemarygate/pkg/relay"
 	"rosemarygate/pkg/telemetry"
 	"rosemarygate/pkg/token"
 )
@@ -18,6 +19,7 @@
 	missingToken  *metrics.Counter
 	forgedPeer    *metrics.Counter
 	malformedPeer *metrics.Counter
+	peerQueueFull *metrics.Counter
 	badAddress    *metrics.Counter
 	relayed       *metrics.Counter
 	frames        map[frame.Kind]*metrics.Counter
@@ -36,6 +38,7 @@
 		missingToken:  dropped("missing_token"),
 		forgedPeer:    dropped("forged_peer"),
 		malformedPeer: dropped("malformed_peer"),
+		peerQueueFull: dropped("peer_queue_full"),
 		badAddress:    dropped("bad_address"),
 		relayed:       set.Counter("packets_relayed"),
 		frames: map[frame.Kind]*metrics.Counter{
@@ -65,3 +68,13 @@
 		c.tokens[e.Kind].Inc()
 	}
 }
+
+// membershipRefused counts a membership message that was not taken; nil counts nothing.
+func (c *packetCounters) membershipRefused(err error) {
+	switch {
+	case errors.Is(err, relay.ErrMalformed):
+		c.malformedPeer.Inc()
+	case err != nil:
+		c.peerQueueFull.Inc()
+	}
+}
