selection: never choose an ejected upstream while another is eligible

Cause: a differential test against the naive chooser found a flow placed on an ejected upstream while four others were eligible. When sampling finds nothing, the data centre is scanned, and the scan used the groups of the last refresh, up to 200 ms old, without looking at the state. The last resort likewise compared ejected upstreams with others of a third data centre by score alone. Change: the scan passes over ejected upstreams; the last resort takes one only if there is no other.

--- a/pkg/selection/selection.go
+++ b/pkg/selection/selection.go
@@ -302,11 +302,13 @@
 	return p.scan(g, tried)
 }
 
+// scan returns the member with the smallest score. A member can be ejected since the
+// groups were formed.
 func (p *pool) scan(g *group, tried []ident.UpstreamID) *upstream {
 	var won *upstream
 	for _, i := range g.members {
 		u := &p.upstreams[i]
-		if u.full() || slices.Contains(tried, u.Upstream) {
+		if u.health.state == ejected || !u.mayTake(tried) {
 			continue
 		}
 		if won == nil || u.score(p) < won.score(p) {
@@ -316,28 +318,38 @@
 	return won
 }
 
+// mayTake reports whether the upstream has room for a flow that was not tried there.
+func (u *upstream) mayTake(tried []ident.UpstreamID) bool {
+	return !u.Draining && !u.full() && !slices.Contains(tried, u.Upstream)
+}
+
 // usable reports whether a sampled upstream may take the flow. Cold and probed upstreams
 // pass only part of the time.
 func (p *pool) usable(u *upstream, now time.Time, tried []ident.UpstreamID) bool {
-	if u.full() || slices.Contains(tried, u.Upstream) {
+	if !u.mayTake(tried) {
 		return false
 	}
 	pass := u.ramp(now)
 	return pass >= 1 || p.table.rng.Float64() < pass
 }
 
-// lastResort takes the least loaded upstream even when it is ejected or reported as
-// unhealthy: refusing every flow would be worse.
+// lastResort takes the least loaded upstream of any data centre, and even one that is
+// reported as unhealthy or, if there is no other, ejected: refusing every flow would be
+// worse.
 func (p *pool) lastResort(tried []ident.UpstreamID) *upstream {
 	var won *upstream
 	for i := range p.upstreams {
 		u := &p.upstreams[i]
-		if u.Draining || u.full() || slices.Contains(tried, u.Upstream) {
-			continue
-		}
-		if won == nil || u.score(p) < won.score(p) {
+		if u.mayTake(tried) && (won == nil || p.better(u, won)) {
 			won = u
 		}
 	}
 	return won
 }
+
+func (p *pool) better(u, than *upstream) bool {
+	if out := u.health.state == ejected; out != (than.health.state == ejected) {
+		return !out
+	}
+	return u.score(p) < than.score(p)
+}
