selection: one path for Pick and PickRetry, clearer names

Cause: both had the same body but for the choice; trial() and judge() did not tell that they return a known latency and update the trust in reports. Change: no behaviour.

--- a/pkg/selection/estimate.go
+++ b/pkg/selection/estimate.go
@@ -171,7 +171,7 @@
 	if u.heard && !u.remote {
 		dt := r.At.Sub(u.at).Seconds()
 		u.fit.add(reported, u.total-u.picksSince(r.At), dt)
-		u.judge(p, current, dt)
+		u.updateTrust(p, current, dt)
 	} else {
 		u.model = current
 		u.trust = 1
@@ -192,10 +192,10 @@
 	f.picked = max(f.picked, picked)
 }
 
-// judge compares a report with the model. The difference is measured against the
+// updateTrust compares a report with the model. The difference is measured against the
 // tolerance plus the model's sampling error, which is that of the own picks. An error
 // common to all upstreams (of gain or close rate) is removed first: it affects no choice.
-func (u *upstream) judge(p *pool, current, dt float64) {
+func (u *upstream) updateTrust(p *pool, current, dt float64) {
 	u.fit.deviation = math.Log((current + p.gain) / (u.model + p.gain))
 	tolerance := modelTolerance + 2*math.Sqrt(p.gain/(u.model+p.gain))
 	z := (u.fit.deviation - p.bias) / tolerance
--- a/pkg/selection/retry.go
+++ b/pkg/selection/retry.go
@@ -46,8 +46,8 @@
 		return x
 	}
 	x *= spillBenefit
-	if g := p.groupOf(u); g != nil && p.local.trial() > 0 {
-		x *= math.Max(1, g.trial()/p.local.trial())
+	if g := p.groupOf(u); g != nil && p.local.knownLatency() > 0 {
+		x *= math.Max(1, g.knownLatency()/p.local.knownLatency())
 	}
 	return x
 }
--- a/pkg/selection/selection.go
+++ b/pkg/selection/selection.go
@@ -114,14 +114,9 @@
 // Pick selects an upstream for a new flow, except those already tried, and counts the
 // flow as opened there. It returns an *Error when no upstream can take the flow.
 func (t *Table) Pick(now time.Time, s ident.ServiceID, tried []ident.UpstreamID) (Candidate, error) {
-	p := t.services[s]
-	if p == nil {
-		return Candidate{}, errNoUpstream
-	}
-	p.refreshIfDue(now)
-	u := p.choose(now, tried)
-	if u == nil {
-		return Candidate{}, p.whyNone(tried)
+	p, u, err := t.pick(now, s, tried, (*pool).choose)
+	if err != nil {
+		return Candidate{}, err
 	}
 	u.opened(now, p.gain)
 	return u.Candidate, nil
@@ -130,17 +125,27 @@
 // PickRetry selects an upstream for one more attempt of a request that was refused or lost,
 // except those already tried. It counts no flow. It returns an *Error when there is none.
 func (t *Table) PickRetry(now time.Time, s ident.ServiceID, tried []ident.UpstreamID) (Candidate, error) {
+	_, u, err := t.pick(now, s, tried, (*pool).chooseRetry)
+	if err != nil {
+		return Candidate{}, err
+	}
+	u.requests++ // until the next report
+	return u.Candidate, nil
+}
+
+type chooser func(p *pool, now time.Time, tried []ident.UpstreamID) *upstream
+
+func (t *Table) pick(now time.Time, s ident.ServiceID, tried []ident.UpstreamID, choose chooser) (*pool, *upstream, error) {
 	p := t.services[s]
 	if p == nil {
-		return Candidate{}, errNoUpstream
+		return nil, nil, errNoUpstream
 	}
 	p.refreshIfDue(now)
-	u := p.chooseRetry(now, tried)
+	u := choose(p, now, tried)
 	if u == nil {
-		return Candidate{}, p.whyNone(tried)
+		return nil, nil, p.whyNone(tried)
 	}
-	u.requests++ // until the next report
-	return u.Candidate, nil
+	return p, u, nil
 }
 
 // Spill returns the part of the new flows of a service that goes to other data centres.
--- a/pkg/selection/spill.go
+++ b/pkg/selection/spill.go
@@ -113,8 +113,8 @@
 	return g.flows / g.limit
 }
 
-// trial returns the latency by which data centres are compared, 0 until it is known.
-func (g *group) trial() float64 {
+// knownLatency returns the latency by which data centres are compared, 0 until it is known.
+func (g *group) knownLatency() float64 {
 	if !g.latency.known(groupSamples) {
 		return 0
 	}
@@ -131,7 +131,7 @@
 		if g.load() >= maxUtilization {
 			continue
 		}
-		if p.remote == nil || g.trial() < p.remote.trial() || (g.trial() == p.remote.trial() && dc < id) {
+		if p.remote == nil || g.knownLatency() < p.remote.knownLatency() || (g.knownLatency() == p.remote.knownLatency() && dc < id) {
 			p.remote, id = g, dc
 		}
 	}
@@ -150,9 +150,9 @@
 	switch {
 	case full:
 		p.spill += spillStep
-	case pressed && r.trial() == 0:
+	case pressed && r.knownLatency() == 0:
 		p.spill = math.Max(p.spill, spillTrial)
-	case pressed && l.trial() > spillBenefit*r.trial():
+	case pressed && l.knownLatency() > spillBenefit*r.knownLatency():
 		p.spill += spillStep
 	default:
 		p.spill -= spillStep
