--- a/pkg/load/model/clock.go
+++ b/pkg/load/model/clock.go
@@ -9,13 +9,13 @@
 type kind uint8
 
 const (
-	openFlow kind = iota // a caller of data centre a opens a flow
-	endFlow              // flow a, generation b, closes
-	attempt              // request a is sent again
-	deliver              // a load report reaches a daemon
-	tick                 // all schedulers get a tick
-	mark                 // phase a begins
-	alarm                // timer a expires
+	openFlow   kind = iota // a caller of data centre a opens a flow
+	endFlow                // flow a, generation b, closes
+	attempt                // request a is sent again
+	deliver                // a load report reaches a daemon
+	tick                   // all schedulers get a tick
+	phaseStart             // phase a begins
+	alarm                  // timer a expires
 )
 
 // event happens at a virtual time, in nanoseconds since the start.
--- a/pkg/load/model/flows.go
+++ b/pkg/load/model/flows.go
@@ -21,9 +21,9 @@
 		return
 	}
 	f := s.newFlow()
-	s.flows[f] = flow{server: i, dc: dc, gen: s.flows[f].gen + 1, pos: len(s.live)}
+	s.flows[f] = flow{upstream: i, dc: dc, gen: s.flows[f].gen + 1, pos: len(s.live)}
 	s.live = append(s.live, f)
-	u := s.servers[i]
+	u := s.upstreams[i]
 	u.advance(s.now)
 	u.flows++
 	s.after(s.exponential(float64(s.Deployment.FlowLife)), endFlow, f, s.flows[f].gen)
@@ -46,7 +46,7 @@
 		if !ok {
 			return 0, false
 		}
-		if s.servers[i].flows < s.Deployment.FlowLimit {
+		if s.upstreams[i].flows < s.Deployment.FlowLimit {
 			return i, true
 		}
 		tried = append(tried, upstreamID(i))
@@ -76,7 +76,7 @@
 	s.live = s.live[:last]
 	fl.pos = -1
 	fl.gen++
-	u := s.servers[fl.server]
+	u := s.upstreams[fl.upstream]
 	u.advance(s.now)
 	u.flows--
 	s.freeFlow = append(s.freeFlow, f)
@@ -90,7 +90,7 @@
 		return
 	}
 	s.after(int64(reportEvery), deliver, -1, i)
-	if s.servers[i].absent {
+	if s.upstreams[i].absent {
 		return
 	}
 	slot = s.newReport()
@@ -113,7 +113,7 @@
 }
 
 func (s *simulation) distort(i int) selection.Report {
-	u := s.servers[i]
+	u := s.upstreams[i]
 	running, queued := s.policy.load(i)
 	r := selection.Report{Upstream: upstreamID(i), Flows: u.flows, Running: running, Queued: queued, Healthy: true, At: s.time()}
 	switch s.wrong[i] {
@@ -135,12 +135,12 @@
 	c := selection.Candidate{
 		Upstream:    upstreamID(i),
 		Incarnation: 1,
-		DataCentre:  ident.DataCentreID(s.servers[i].dc + 1),
+		DataCentre:  ident.DataCentreID(s.upstreams[i].dc + 1),
 		FlowLimit:   s.Deployment.FlowLimit,
 		Slots:       s.Deployment.Slots,
 		Since:       s.clock.start.Add(-time.Hour),
 	}
-	if i == len(s.servers)-1 && s.ColdAt > 0 {
+	if i == len(s.upstreams)-1 && s.ColdAt > 0 {
 		c.Since = s.clock.start.Add(s.ColdAt)
 	}
 	return c
--- a/pkg/load/model/policy.go
+++ b/pkg/load/model/policy.go
@@ -44,8 +44,8 @@
 }
 
 func newOurPolicy(s *simulation) *ourPolicy {
-	p := &ourPolicy{simulation: s, queued: make([]float64, len(s.servers))}
-	for range s.servers {
+	p := &ourPolicy{simulation: s, queued: make([]float64, len(s.upstreams))}
+	for range s.upstreams {
 		p.schedulers = append(p.schedulers, dispatch.NewScheduler(s.Deployment.limits()))
 	}
 	for i, dc := range s.daemons {
@@ -70,7 +70,7 @@
 
 func (p *ourPolicy) candidates() {
 	var all []selection.Candidate
-	for i, u := range p.servers {
+	for i, u := range p.upstreams {
 		if !u.absent {
 			all = append(all, p.candidate(i))
 		}
@@ -82,7 +82,7 @@
 
 func (p *ourPolicy) submit(r int) {
 	q := &p.requests[r]
-	run, refused := p.schedulers[q.server].Submit(p.time(), dispatch.Request{
+	run, refused := p.schedulers[q.upstream].Submit(p.time(), dispatch.Request{
 		ID:         uint64(r),
 		Class:      q.class,
 		Deadline:   p.clock.start.Add(time.Duration(q.deadline)),
@@ -102,7 +102,7 @@
 }
 
 func (p *ourPolicy) done(r int, o dispatch.Outcome) {
-	run, refused := p.schedulers[p.requests[r].server].Done(p.time(), uint64(r), o)
+	run, refused := p.schedulers[p.requests[r].upstream].Done(p.time(), uint64(r), o)
 	p.take(run, refused)
 }
 
@@ -122,13 +122,13 @@
 		p.lost(r)
 		return
 	}
-	q.tried = append(q.tried, upstreamID(q.server))
+	q.tried = append(q.tried, upstreamID(q.upstream))
 	next, err := p.tables[q.entry].PickRetry(p.time(), service, q.tried)
 	if err != nil {
 		p.lost(r)
 		return
 	}
-	q.server = int(next.Upstream) - 1
+	q.upstream = int(next.Upstream) - 1
 	p.after(int64(d.Wait), attempt, r, 0)
 }
 
@@ -137,7 +137,7 @@
 	if ok {
 		p.budgets[q.entry].Success()
 	}
-	p.tables[q.entry].Observe(p.time(), service, upstreamID(q.server), ok, latency)
+	p.tables[q.entry].Observe(p.time(), service, upstreamID(q.upstream), ok, latency)
 }
 
 func (p *ourPolicy) pick(entry int, tried []ident.UpstreamID) (int, bool) {
@@ -154,7 +154,7 @@
 	local, remote, best := 0.0, -1.0, -1
 	sum := make([]float64, p.Deployment.DataCentres)
 	n := make([]float64, p.Deployment.DataCentres)
-	for i, u := range p.servers {
+	for i, u := range p.upstreams {
 		sum[u.dc] += p.queued[i]
 		n[u.dc]++
 	}
@@ -181,7 +181,7 @@
 // Table does not spill over by its own rule.
 func (p *ourPolicy) outside(dc int, tried []ident.UpstreamID) []ident.UpstreamID {
 	out := slices.Clone(tried)
-	for i, u := range p.servers {
+	for i, u := range p.upstreams {
 		if u.dc != dc {
 			out = append(out, upstreamID(i))
 		}
@@ -216,91 +216,3 @@
 		p.take(run, refused)
 	}
 }
-
-// boundedQueue is the queue of a Bounded daemon for one upstream; 7 daemons together queue
-// about as much as one class may at an owner.
-const boundedQueue = 9
-
-// naivePolicy lets each daemon dispatch alone, in order of arrival, to random upstreams.
-type naivePolicy struct {
-	*simulation
-	dispatchers [][]*naive.Dispatcher // by daemon and upstream
-}
-
-func newNaivePolicy(s *simulation) *naivePolicy {
-	p := &naivePolicy{simulation: s}
-	limit := 0
-	if s.Policy == Bounded {
-		limit = boundedQueue
-	}
-	for range s.daemons {
-		var row []*naive.Dispatcher
-		for range s.servers {
-			row = append(row, naive.NewDispatcher(s.Deployment.Slots, limit))
-		}
-		p.dispatchers = append(p.dispatchers, row)
-	}
-	return p
-}
-
-func (p *naivePolicy) submit(r int) {
-	q := &p.requests[r]
-	run, ok := p.dispatchers[q.entry][q.server].Submit(dispatch.Request{ID: uint64(r), Class: q.class})
-	if !ok {
-		p.class(r).Refused[dispatch.ReasonQueueFull.String()]++
-		p.retry(r, true)
-	}
-	p.take(run)
-}
-
-func (p *naivePolicy) take(run []dispatch.Request) {
-	for _, r := range run {
-		p.todo = append(p.todo, int(r.ID))
-	}
-}
-
-func (p *naivePolicy) done(r int, _ dispatch.Outcome) {
-	q := &p.requests[r]
-	p.take(p.dispatchers[q.entry][q.server].Done(uint64(r)))
-}
-
-func (p *naivePolicy) retry(r int, _ bool) {
-	q := &p.requests[r]
-	if !naive.Retry(q.attempts, maxAttempts) {
-		p.lost(r)
-		return
-	}
-	p.result.Phases[q.phase].Retries["immediate"]++
-	if i, ok := p.pick(q.entry, nil); ok {
-		q.server = i
-	}
-	p.after(0, attempt, r, 0)
-}
-
-func (p *naivePolicy) observe(int, bool, time.Duration) {}
-
-func (p *naivePolicy) pick(int, []ident.UpstreamID) (int, bool) {
-	for {
-		i := naive.Choose(p.rng, len(p.servers))
-		if !p.servers[i].absent {
-			return i, true
-		}
-	}
-}
-
-func (p *naivePolicy) report(int, selection.Report) {}
-
-func (p *naivePolicy) load(i int) (running, queued int) {
-	for _, row := range p.dispatchers {
-		r, q := row[i].Load()
-		running += r
-		queued += q
-	}
-	return running, queued
-}
-
-func (p *naivePolicy) candidates() {}
-
-func (p *naivePolicy) tick() {}
-
-func (p *naivePolicy) meanSlots() float64 { return float64(p.Deployment.Slots) }
--- a/pkg/load/model/requests.go
+++ b/pkg/load/model/requests.go
@@ -32,7 +32,7 @@
 	r := s.newRequest()
 	s.requests[r] = request{
 		class:    class,
-		server:   s.flows[f].server,
+		upstream: s.flows[f].upstream,
 		entry:    s.entry(s.flows[f].dc),
 		flow:     f,
 		arrived:  s.now,
@@ -64,7 +64,7 @@
 	q := &s.requests[r]
 	q.attempts++
 	q.running = false
-	if s.servers[q.server].dc != s.daemons[q.entry] {
+	if s.upstreams[q.upstream].dc != s.daemons[q.entry] {
 		q.extra += 2 * int64(s.Deployment.Hop)
 	}
 	s.policy.submit(r)
@@ -84,7 +84,7 @@
 
 func (s *simulation) startRequest(r int) {
 	q := &s.requests[r]
-	u := s.servers[q.server]
+	u := s.upstreams[q.upstream]
 	if !u.begin(s.now, r, q.work) {
 		s.class(r).Refused["shed"]++
 		s.policy.done(r, dispatch.Shed)
@@ -95,20 +95,20 @@
 	if len(u.jobs) > u.slots {
 		s.result.Overruns++
 	}
-	s.schedule(q.server)
+	s.schedule(q.upstream)
 }
 
 // schedule plans the next end of a running request of an upstream.
 func (s *simulation) schedule(i int) {
 	timer := len(s.Deployment.Classes) + i
 	s.stop(timer)
-	if d, ok := s.servers[i].nextEnd(); ok {
+	if d, ok := s.upstreams[i].nextEnd(); ok {
 		s.set(timer, d)
 	}
 }
 
 func (s *simulation) finish(i int) {
-	if r, ok := s.servers[i].finished(s.now); ok {
+	if r, ok := s.upstreams[i].finished(s.now); ok {
 		s.answered(r)
 	}
 	s.schedule(i)
--- a/pkg/load/model/sim.go
+++ b/pkg/load/model/sim.go
@@ -51,7 +51,7 @@
 
 type request struct {
 	class    int
-	server   int
+	upstream int
 	entry    int // daemon that relayed it
 	flow     int
 	attempts int
@@ -65,32 +65,32 @@
 }
 
 type flow struct {
-	server int
-	dc     int
-	gen    int
-	pos    int // in live, -1 when closed
+	upstream int
+	dc       int
+	gen      int
+	pos      int // in live, -1 when closed
 }
 
 type simulation struct {
 	Config
 	clock
-	rng      *rand.Rand
-	servers  []*server
-	daemons  []int // data centre of each
-	policy   policy
-	requests []request
-	freeReq  []int
-	flows    []flow
-	freeFlow []int
-	live     []int
-	reports  []selection.Report
-	freeRep  []int
-	phase    int
-	rates    []float64 // arrivals per second by class
-	result   *Result
-	wrong    []distortion
-	loads    []float64 // scratch of sampleFlows
-	todo     []int     // requests to start, see drain
+	rng       *rand.Rand
+	upstreams []*upstream
+	daemons   []int // data centre of each
+	policy    policy
+	requests  []request
+	freeReq   []int
+	flows     []flow
+	freeFlow  []int
+	live      []int
+	reports   []selection.Report
+	freeRep   []int
+	phase     int
+	rates     []float64 // arrivals per second by class
+	result    *Result
+	wrong     []distortion
+	loads     []float64 // scratch of sampleFlows
+	todo      []int     // requests to start, see drain
 }
 
 // distortion is how the reports of an upstream mislead.
@@ -139,7 +139,7 @@
 func (s *simulation) build() {
 	d := s.Deployment
 	for i := range d.Upstreams {
-		s.servers = append(s.servers, &server{slots: s.realSlots(), dc: i % d.DataCentres})
+		s.upstreams = append(s.upstreams, &upstream{slots: s.realSlots(), dc: i % d.DataCentres})
 	}
 	for i := range d.Daemons {
 		s.daemons = append(s.daemons, i%d.DataCentres)
@@ -153,7 +153,7 @@
 		}
 	}
 	if s.ColdAt > 0 {
-		s.servers[d.Upstreams-1].absent = true
+		s.upstreams[d.Upstreams-1].absent = true
 	}
 }
 
@@ -163,10 +163,10 @@
 	d := s.Deployment
 	at := int64(0)
 	for i, p := range s.Phases {
-		s.after(at, mark, i, 0)
+		s.after(at, phaseStart, i, 0)
 		at += int64(p.Length)
 	}
-	s.after(at, mark, len(s.Phases), 0)
+	s.after(at, phaseStart, len(s.Phases), 0)
 	const fill = 2 * time.Second
 	n := s.steadyFlows()
 	for i := range n {
@@ -199,7 +199,7 @@
 func (s *simulation) callerDC() int {
 	n := s.Deployment.DataCentres
 	if s.DCWeights == nil {
-		return s.servers[s.rng.IntN(len(s.servers))].dc
+		return s.upstreams[s.rng.IntN(len(s.upstreams))].dc
 	}
 	x := s.rng.Float64()
 	for i, w := range s.DCWeights {
@@ -231,7 +231,7 @@
 func (s *simulation) handle(e event) {
 	a, b := int(e.a), int(e.b)
 	switch e.kind {
-	case mark:
+	case phaseStart:
 		s.enter(a)
 	case alarm:
 		s.expire(a)
@@ -250,10 +250,10 @@
 	}
 }
 
-// enter begins a phase and closes the books of the last one.
+// enter begins a phase and finishes the last one.
 func (s *simulation) enter(phase int) {
 	if s.phase >= 0 {
-		s.closeBooks(s.result.Phases[s.phase])
+		s.finishPhase(s.result.Phases[s.phase])
 	}
 	s.phase = phase
 	if phase >= len(s.Phases) {
@@ -261,7 +261,7 @@
 	}
 	p := s.Phases[phase]
 	s.result.Phases = append(s.result.Phases, newPhaseResult(s.Deployment, p))
-	for _, u := range s.servers {
+	for _, u := range s.upstreams {
 		u.advance(s.now)
 		u.busy = 0
 	}
@@ -281,8 +281,8 @@
 
 // counted returns the upstreams among which load is compared: without the one that stalls
 // and the one that has not joined.
-func (s *simulation) counted() []*server {
-	out := s.servers
+func (s *simulation) counted() []*upstream {
+	out := s.upstreams
 	if s.StallAt > 0 {
 		out = out[1:]
 	}
@@ -300,7 +300,7 @@
 	s.current().sample(s.loads)
 }
 
-func (s *simulation) closeBooks(p *PhaseResult) {
+func (s *simulation) finishPhase(p *PhaseResult) {
 	var busy []float64
 	for _, u := range s.counted() {
 		u.advance(s.now)
@@ -317,27 +317,27 @@
 // whose deadline has passed, and the planned faults.
 func (s *simulation) tick() {
 	s.after(int64(tickEvery), tick, 0, 0)
-	if s.ColdAt > 0 && s.now >= int64(s.ColdAt) && s.servers[len(s.servers)-1].absent {
-		s.servers[len(s.servers)-1].absent = false
+	if s.ColdAt > 0 && s.now >= int64(s.ColdAt) && s.upstreams[len(s.upstreams)-1].absent {
+		s.upstreams[len(s.upstreams)-1].absent = false
 		s.policy.candidates()
 	}
-	if s.StallAt > 0 && s.now >= int64(s.StallAt) && !s.servers[0].stalled {
-		s.servers[0].advance(s.now)
-		s.servers[0].stalled = true
+	if s.StallAt > 0 && s.now >= int64(s.StallAt) && !s.upstreams[0].stalled {
+		s.upstreams[0].advance(s.now)
+		s.upstreams[0].stalled = true
 	}
 	if s.now%int64(sampleEvery) == 0 {
 		s.sampleFlows()
 	}
-	for i, u := range s.servers {
+	for i, u := range s.upstreams {
 		if !s.Policy.isNaive() || u.stalled {
-			s.giveUp(i, u)
+			s.cancelExpired(i, u)
 		}
 	}
 	s.policy.tick()
 	s.drain()
 }
 
-func (s *simulation) giveUp(i int, u *server) {
+func (s *simulation) cancelExpired(i int, u *upstream) {
 	for j := 0; j < len(u.jobs); j++ {
 		r := u.jobs[j].request
 		q := &s.requests[r]
@@ -357,8 +357,8 @@
 }
 
 // reopen closes a flow at an upstream that does not answer and opens another one.
-func (s *simulation) reopen(f, server int) {
-	if s.flows[f].pos < 0 || s.flows[f].server != server {
+func (s *simulation) reopen(f, upstream int) {
+	if s.flows[f].pos < 0 || s.flows[f].upstream != upstream {
 		return
 	}
 	dc := s.flows[f].dc
--- a/pkg/load/model/upstream.go
+++ b/pkg/load/model/upstream.go
@@ -5,9 +5,9 @@
 // shedAt is the multiple of its slots at which an upstream sheds requests.
 const shedAt = 4
 
-// server is the real behaviour of an upstream: up to slots requests run at full speed,
+// upstream is the real behaviour of an upstream: up to slots requests run at full speed,
 // more share that capacity evenly, and from shedAt times the slots requests are shed.
-type server struct {
+type upstream struct {
 	slots    int
 	dc       int
 	jobs     []job
@@ -24,7 +24,7 @@
 	end     float64 // progress at which the request is complete
 }
 
-func (u *server) speed() float64 {
+func (u *upstream) speed() float64 {
 	if u.stalled || len(u.jobs) == 0 {
 		return 0
 	}
@@ -32,7 +32,7 @@
 }
 
 // advance brings the progress of the running requests up to now.
-func (u *server) advance(now int64) {
+func (u *upstream) advance(now int64) {
 	dt := float64(now - u.at)
 	u.progress += dt * u.speed()
 	u.busy += dt * math.Min(float64(len(u.jobs)), float64(u.slots))
@@ -40,7 +40,7 @@
 }
 
 // begin starts a request; it reports false when the upstream sheds it.
-func (u *server) begin(now int64, request int, work float64) bool {
+func (u *upstream) begin(now int64, request int, work float64) bool {
 	if len(u.jobs) >= shedAt*u.slots {
 		return false
 	}
@@ -50,7 +50,7 @@
 }
 
 // nextEnd returns the time until the first running request is complete.
-func (u *server) nextEnd() (int64, bool) {
+func (u *upstream) nextEnd() (int64, bool) {
 	speed := u.speed()
 	if speed == 0 {
 		return 0, false
@@ -63,7 +63,7 @@
 }
 
 // finished removes and returns the first complete request.
-func (u *server) finished(now int64) (int, bool) {
+func (u *upstream) finished(now int64) (int, bool) {
 	u.advance(now)
 	for i, j := range u.jobs {
 		if j.end <= u.progress+1 {
@@ -75,7 +75,7 @@
 }
 
 // abort removes a request that its caller gave up.
-func (u *server) abort(now int64, request int) bool {
+func (u *upstream) abort(now int64, request int) bool {
 	for i, j := range u.jobs {
 		if j.request == request {
 			u.advance(now)
@@ -86,7 +86,7 @@
 	return false
 }
 
-func (u *server) remove(i int) {
+func (u *upstream) remove(i int) {
 	last := len(u.jobs) - 1
 	u.jobs[i] = u.jobs[last]
 	u.jobs = u.jobs[:last]
