--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,4 @@
 	go test ./pkg/capacity -count=1 -capacity -v -timeout 10m
 	go test ./pkg/registration -count=1 -run 'TrafficGrowth|TrafficBetweenDataCentres' -v -full -timeout 10m
 	go test ./pkg/token ./pkg/frame ./pkg/relay ./pkg/selection ./pkg/dispatch -run '^$$' -bench 'Verify|ReadHeader|RelayStep|Pick|Serve' -benchtime 100ms -count 3
+	go test ./pkg/daemon -run '^$$' -bench ViewChanged -benchtime 200ms -count 3
--- a/pkg/capacity/control_test.go
+++ b/pkg/capacity/control_test.go
@@ -23,7 +23,7 @@
 
 var (
 	fileSizes  = []int{1000, 6000, 24_000}
-	mergeSizes = []int{500, 1000, 2000}
+	mergeSizes = []int{1000, 4000, 12_000}
 )
 
 // replica is a configuration state machine that is fed as a committed log would.
--- a/pkg/capacity/members_test.go
+++ b/pkg/capacity/members_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"rosemarygate/api/peer/v1"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/membership"
@@ -113,6 +115,14 @@
 			table.Route(&token.Claims{Owner: m.ID, OwnerIncarnation: m.Incarnation})
 		})
 	}})
+	all = append(all, series{name: "comparison of two views for the log, ns", cost: perView(func(v *membership.View, _ *ownership.Table) {
+		for _, m := range v.Members {
+			v.Find(m.ID)
+		}
+	})})
+	all = append(all, series{name: "one member in a message, bytes", cost: func(n int) float64 {
+		return float64(proto.Size(memberUpdate(n, 1)))
+	}})
 	for _, s := range all {
 		s.sizes, s.target = memberSizes, TargetDaemons
 		s.run(t)
--- a/pkg/capacity/registrations_test.go
+++ b/pkg/capacity/registrations_test.go
@@ -57,7 +57,7 @@
 	return t
 }
 
-// setAll replaces the candidates of all services, as a daemon does for each change.
+// setAll replaces the candidates of all services.
 func setAll(t *selection.Table, all []registration.Registration) {
 	byService := map[ident.ServiceID][]selection.Candidate{}
 	for _, r := range all {
@@ -68,6 +68,17 @@
 	}
 }
 
+// setOne replaces the candidates of one service.
+func setOne(t *selection.Table, known map[ident.UpstreamID]registration.Registration, s ident.ServiceID) {
+	var list []selection.Candidate
+	for _, r := range known {
+		if r.Service == s {
+			list = append(list, candidate(r))
+		}
+	}
+	t.Set(start, s, list)
+}
+
 // Measures the registrations of all data centres at one daemon.
 func TestRegistrations(t *testing.T) {
 	skipUnlessMeasuring(t)
@@ -100,6 +111,17 @@
 			table, list := newSelection(c), c.Registrations()
 			return ProcessorTime(3, func(int) { setAll(table, list) })
 		}},
+		{name: "new candidates of one service, ns", cost: func(n int) float64 {
+			known := map[ident.UpstreamID]registration.Registration{}
+			for _, r := range newRegistrations(n).Registrations() {
+				known[r.Upstream] = r
+			}
+			table := selection.NewTable(ident.DataCentre(dataCentre(0)), rand.New(rand.NewPCG(1, 2)))
+			return ProcessorTime(10, func(int) { setOne(table, known, 1) })
+		}},
+		{name: "one registration in a message, bytes", cost: func(n int) float64 {
+			return float64(proto.Size(record(n, 1)))
+		}},
 		{name: "owner lookups of all registrations, ns", cost: func(n int) float64 {
 			list := newRegistrations(n).Registrations()
 			return ProcessorTime(1, func(int) {
