Repeat a feed's subscription until the owner serves it

A lost subscription was noticed only by the next keep-alive, up to 1.5 s later. Change: the client repeats the subscription, with a keep-alive, every 0.2 s until an item or a keep-alive reply shows that the feed is active.

--- a/client/feed.go
+++ b/client/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	wirepb "rosemarygate/api/wire/v1"
 )
@@ -27,6 +28,9 @@
 	last  uint64 // last sequence delivered
 	ahead map[uint64]*wirepb.FeedItem
 	ended bool
+	// active says that the owner serves the feed; until then the subscription is repeated.
+	active    bool
+	repeating bool // a repetition is planned
 }
 
 // Subscribe starts the flow's feed after the given sequence; 0 starts at the beginning.
@@ -50,7 +54,40 @@
 	return d.last
 }
 
+// subscribe asks the owner for the feed until it is active: a lost subscription would
+// otherwise be noticed only by the next keep-alive.
 func (d *Feed) subscribe() {
+	d.mu.Lock()
+	d.active = false
+	plan := !d.repeating
+	d.repeating = true
+	d.mu.Unlock()
+	d.sendSubscribe()
+	if plan {
+		time.AfterFunc(jitter(unconfirmedResend), d.repeat)
+	}
+}
+
+func (d *Feed) repeat() {
+	d.mu.Lock()
+	done := d.active || d.ended || d.flow.Err() != nil
+	d.repeating = !done
+	d.mu.Unlock()
+	if done {
+		return
+	}
+	d.sendSubscribe()
+	d.flow.send(&wirepb.Frame{Token: d.flow.currentToken(), Body: &wirepb.Frame_KeepAlive{KeepAlive: &wirepb.KeepAlive{}}})
+	time.AfterFunc(jitter(unconfirmedResend), d.repeat)
+}
+
+func (d *Feed) confirm() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.active = true
+}
+
+func (d *Feed) sendSubscribe() {
 	d.flow.send(&wirepb.Frame{Token: d.flow.currentToken(), Body: &wirepb.Frame_Subscribe{
 		Subscribe: &wirepb.Subscribe{Topic: d.topic, LastSequence: d.Last()},
 	}})
@@ -63,6 +100,7 @@
 	if feed == nil {
 		return
 	}
+	feed.confirm()
 	last := feed.accept(item)
 	f.send(&wirepb.Frame{Token: f.currentToken(), Body: &wirepb.Frame_FeedAck{FeedAck: &wirepb.FeedAck{Sequence: last}}})
 }
--- a/client/flow.go
+++ b/client/flow.go
@@ -166,7 +166,11 @@
 	f.lastReply, f.awaitReply = time.Now(), false
 	feed := f.feed
 	f.mu.Unlock()
-	if feed != nil && !feedActive {
+	switch {
+	case feed == nil:
+	case feedActive:
+		feed.confirm()
+	default:
 		feed.subscribe()
 	}
 }
