--- a/pkg/cli/load.go
+++ b/pkg/cli/load.go
@@ -51,6 +51,7 @@
 	f.BoolVar(&lf.progress, "progress", false, "report progress on standard error")
 	f.StringVar(&lf.level, "log", "error", "log level of the daemons: debug, info, warning or error")
 	addFormat(cmd, &lf.format, load.Formats...)
+	cmd.AddCommand(newLoadRelay(), newLoadFlows())
 	return cmd
 }
 
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -13,12 +13,14 @@
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/net/ipv4"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	peerpb "rosemarygate/api/peer/v1"
 	upstreampb "rosemarygate/api/upstream/v1"
 	"rosemarygate/pkg/config"
+	"rosemarygate/pkg/control/replica"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/membership"
@@ -44,8 +46,11 @@
 	sessions *sessions
 	cluster  *cluster
 	peers    *peers
-	grpcLis  net.Listener
-	httpLis  net.Listener
+	control  *control // nil when the configuration comes from a folder
+	// dialControl connects to control replicas; nil for the usual way.
+	dialControl DialControl
+	grpcLis     net.Listener
+	httpLis     net.Listener
 
 	ctx        context.Context
 	stop       context.CancelFunc
@@ -56,12 +61,15 @@
 
 // New prepares a daemon and binds its own ports, so that an address in use is reported
 // before anything starts.
+//
+// The configuration is nil when the settings name control replicas: the daemon then starts with
+// the stored copy, or without services, and takes versions from the replicas.
 func New(s *settings.Daemon, cfg *config.Config, log logrus.FieldLogger, options ...Option) (*Daemon, error) {
 	key, err := clusterKey(s)
 	if err != nil {
 		return nil, err
 	}
-	index, err := indexServices(cfg, key)
+	index, err := indexServices(initialConfig(s, cfg), key)
 	if err != nil {
 		return nil, err
 	}
@@ -85,6 +93,10 @@
 		d.closeListeners()
 		return nil, err
 	}
+	if d.control, err = newControl(d, d.dialControl); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -114,7 +126,7 @@
 		return errors.Wrap(err, "peer port cannot be bound: free it or change ports.peer")
 	}
 	_ = conn.SetReadBuffer(socketBuffer)
-	d.path = &datapath{clock: d.clock, blocked: d.blocked, key: key, peerConn: conn, counters: newPacketCounters(d.metrics)}
+	d.path = &datapath{clock: d.clock, blocked: d.blocked, key: key, peerConn: conn, peers: ipv4.NewPacketConn(conn), counters: newPacketCounters(d.metrics)}
 	if d.grpcLis, err = net.Listen("tcp", s.Address(s.Ports.GRPC).String()); err != nil {
 		return errors.Wrap(err, "gRPC port cannot be bound: free it or change ports.grpc")
 	}
@@ -140,10 +152,11 @@
 // assemble connects the parts with each other.
 func (d *Daemon) assemble(key []byte) {
 	d.peers = newPeers(append(blockable(d.blocked), d.identity.Client()))
+	d.path.receivers.New = func() any { return d.path.newReceiver() }
 	d.path.keys.Store(&keyRing{d.services.Load().keys})
 	d.path.sockets = &sockets{
 		host: d.settings.Host, byService: map[ident.ServiceID]*serviceSocket{},
-		receive: d.path.fromCaller, newRecv: d.path.newReceiver,
+		receive: d.path.fromCaller, receivers: &d.path.receivers,
 	}
 	self := membership.Member{
 		ID: ident.Daemon(d.settings.Name), Name: d.settings.Name, DataCentre: d.settings.DataCentre,
@@ -215,6 +228,7 @@
 	g.Add(func() error {
 		select {
 		case <-ctx.Done():
+			d.control.leave()
 			d.drain()
 			return nil
 		case <-d.ctx.Done():
@@ -245,6 +259,7 @@
 func (d *Daemon) addControlPlane(g *run.Group) {
 	var control run.Group
 	addActor(&control, d.ctx, d.cluster.run)
+	d.control.add(&control)
 	g.Add(control.Run, func(error) {
 		d.stop()
 		d.peers.close()
@@ -252,11 +267,12 @@
 }
 
 func (d *Daemon) addServers(g *run.Group) {
-	options := append(d.identity.RequirePeer(peerpb.Peer_ServiceDesc.ServiceName),
-		d.identity.Server(), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
+	options := append(d.identity.RequirePeer(append(controlServices(), peerpb.Peer_ServiceDesc.ServiceName)...),
+		d.identity.Server(), grpc.InitialWindowSize(replica.Window), grpc.InitialConnWindowSize(replica.Window), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
 	server := grpc.NewServer(options...)
 	upstreampb.RegisterRegistryServer(server, &registry{d: d})
 	peerpb.RegisterPeerServer(server, &peerServer{d: d})
+	d.control.register(server)
 	g.Add(func() error { return server.Serve(d.grpcLis) }, func(error) { server.Stop() })
 	web := newWebServer(d)
 	g.Add(func() error { return web.serve(d.httpLis) }, func(error) { web.stop() })
@@ -275,7 +291,7 @@
 		core := owner.NewCore(owner.Config{Self: self.ID, Incarnation: self.Incarnation, Keys: d.services.Load().keys})
 		s := &shard{
 			core: core, events: make(chan envelope, shardQueue), clock: d.clock,
-			do: d.do, release: d.path.released,
+			recv: d.path.newReceiver(), do: d.do, release: d.path.released,
 		}
 		sh.all = append(sh.all, s)
 		go s.run(d.ctx)
