Drop waiting retries of an upstream that was handed over

A shed request that waited for its next attempt was handed over as queued, and the old owner submitted it too when its wait ended: the request ran twice. The old owner also went on to expire records that belong to the new owner.

--- a/pkg/owner/handover.go
+++ b/pkg/owner/handover.go
@@ -55,7 +55,7 @@
 		c.resubscribeAll(u)
 		return
 	}
-	u.movedTo, u.held = ev.To, nil
+	u.movedTo, u.held, u.retries = ev.To, nil, nil
 	for _, f := range ordered(u.flows) {
 		if f.feed != nil {
 			c.emit(SubscribeFeed{Upstream: u.id, Flow: f.id, Unsubscribe: true})
--- a/pkg/owner/upstream.go
+++ b/pkg/owner/upstream.go
@@ -185,8 +185,8 @@
 	second := c.now.Unix()
 	for _, u := range ordered(c.upstreams) {
 		c.resendFeeds(u)
-		if u.frozen {
-			continue
+		if u.frozen || u.movedTo != 0 {
+			continue // its requests and records are the new owner's
 		}
 		c.start(u.sched.Tick(c.now))
 		c.submitRetries(u)
