Send a missing feed item again as soon as the caller reports it

Cause: feeds stalled for 0.9 s in drain and rolling-restart. A trace showed single items lost together with their first repetition: later items counted as further rounds of resends, so the second repetition waited for a backoff meant for silent callers. Change: an acknowledgement says that the next item is missing although later ones arrived; the owner sends it again after 30 ms and starts the backoff anew. An owner that handed an upstream over resends nothing for it.

--- a/client/feed.go
+++ b/client/feed.go
@@ -102,7 +102,16 @@
 	}
 	feed.confirm()
 	last := feed.accept(item)
-	f.send(&wirepb.Frame{Token: f.currentToken(), Body: &wirepb.Frame_FeedAck{FeedAck: &wirepb.FeedAck{Sequence: last}}})
+	f.send(&wirepb.Frame{Token: f.currentToken(), Body: &wirepb.Frame_FeedAck{
+		FeedAck: &wirepb.FeedAck{Sequence: last, MissingNext: feed.missesNext()},
+	}})
+}
+
+// missesNext reports whether later items have arrived but not the next one.
+func (d *Feed) missesNext() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.ahead) > 0 && d.ahead[d.last+1] == nil
 }
 
 // accept takes an item and returns the last sequence delivered. When the reader is slow,
--- a/pkg/owner/feed.go
+++ b/pkg/owner/feed.go
@@ -11,6 +11,9 @@
 	feedWindow      = 32 // items sent and not acknowledged
 	feedResendAfter = 150 * time.Millisecond
 	feedResendBatch = 8 // items resent to one caller at a time
+	// feedReorderDelay is how long an item may be overtaken by later ones before the caller
+	// reports it missing and it is sent again.
+	feedReorderDelay = 30 * time.Millisecond
 	// feedMaxBackoff is how often the time between two resends doubles for a caller that
 	// acknowledges nothing; without it many slow callers cost as much as a flood.
 	feedMaxBackoff = 4
@@ -115,6 +118,20 @@
 	}
 }
 
+// resendMissing sends the next item again when the caller reports that it was overtaken. The
+// caller takes items, so the time between resends starts anew.
+func (c *Core) resendMissing(f *flow) {
+	fd := f.feed
+	if fd == nil || len(fd.window) == 0 {
+		return
+	}
+	fd.resends = 0
+	if next := &fd.window[0]; c.now.Sub(next.sentAt) >= feedReorderDelay {
+		c.count(FeedResends, f.up.service, 0)
+		c.sendItem(f, next)
+	}
+}
+
 // resendWindow sends the first items of the window again that were sent before a time, and
 // reports whether there were any.
 func (c *Core) resendWindow(f *flow, before time.Time) bool {
@@ -131,7 +148,7 @@
 }
 
 func (c *Core) resendFeeds(u *upstream) {
-	if u.frozen {
+	if u.frozen || u.movedTo != 0 {
 		return
 	}
 	for _, f := range ordered(u.unacked) {
--- a/pkg/owner/flow.go
+++ b/pkg/owner/flow.go
@@ -193,6 +193,9 @@
 		c.subscribe(f, body.Subscribe)
 	case *wirepb.Frame_FeedAck:
 		c.feedAck(f, body.FeedAck.Sequence)
+		if body.FeedAck.MissingNext {
+			c.resendMissing(f)
+		}
 	case *wirepb.Frame_Request:
 		c.request(f, &ev.Claims, body.Request)
 	case *wirepb.Frame_AnswerAck:
