--- a/pkg/daemon/badinput_test.go
+++ b/pkg/daemon/badinput_test.go
@@ -166,6 +166,7 @@
 // Guards against bad packets that go uncounted, get a reply larger than themselves, or stop
 // the daemon.
 func TestBadPackets(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t)
 	a := newAttacker(t, f, quietPort)
 	tok := a.open(1)
@@ -238,6 +239,7 @@
 // Guards against replayed packets that get larger replies, and against those from another
 // address that take the flow over.
 func TestReplayedPackets(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t)
 	a := newAttacker(t, f, quietPort)
 	tok := a.open(1)
@@ -260,6 +262,7 @@
 
 // Guards against datagrams on the peer port that go uncounted or get a reply.
 func TestBadPeerDatagrams(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t)
 	a := newAttacker(t, f, f.Daemon(0).PeerAddr().Port())
 	for _, b := range [][]byte{{1}, make([]byte, 100), make([]byte, 9000)} {
--- a/pkg/daemon/transfer_test.go
+++ b/pkg/daemon/transfer_test.go
@@ -15,6 +15,7 @@
 // Guards against large answers that overrun the sockets on their way, or end only by the
 // resends of a caller when parts are lost.
 func TestLargeAnswersThroughDaemon(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t)
 	faults := fleet.FabricFaults{Loss: 0.02, Duplicate: 0.02, Reorder: 0.02, ReorderDelay: 5 * time.Millisecond}
 	c, err := f.Client(quietPort, faults, 1, client.Config{})
