Make the partition and traffic tests able to fail

Change: a connection that lost bytes stays dead, as TCP keeps it for minutes; the limit is what membership's 2.1 KB/s leave of 4 KB/s.

--- a/pkg/daemon/controlfleet_test.go
+++ b/pkg/daemon/controlfleet_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,7 +33,8 @@
 )
 
 // wires are the control connections of a fleet. They count bytes and can be cut: a cut
-// connection stays open and loses everything.
+// connection stays open and loses everything, also after the partition: TCP repeats its segments
+// only minutes after a long one.
 type wires struct {
 	mu    sync.Mutex
 	cut   map[string]bool  // host addresses
@@ -41,6 +43,7 @@
 
 type wire struct {
 	net.Conn
+	dead     atomic.Bool
 	w        *wires
 	from, to string
 }
@@ -90,25 +93,30 @@
 }
 
 func (c *wire) Write(b []byte) (int, error) {
-	if c.w.isCut(c.from, c.to) {
+	if c.loses() {
 		return len(b), nil
 	}
 	c.count(len(b))
 	return c.Conn.Write(b)
 }
 
-// Read loses what arrives while the hosts are cut off. A stream with a gap is useless after that,
-// as is a connection that TCP would revive minutes later.
 func (c *wire) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		if err != nil || !c.w.isCut(c.from, c.to) {
+		if err != nil || !c.loses() {
 			c.count(n)
 			return n, err
 		}
 	}
 }
 
+func (c *wire) loses() bool {
+	if c.w.isCut(c.from, c.to) {
+		c.dead.Store(true)
+	}
+	return c.dead.Load()
+}
+
 // controlFleet is a set of daemons of which the first of each data centre is a replica.
 type controlFleet struct {
 	t        *testing.T
--- a/pkg/daemon/controlload_test.go
+++ b/pkg/daemon/controlload_test.go
@@ -60,7 +60,8 @@
 	assert.Equal(t, history.GetRecords()[0].GetVersion(), version)
 }
 
-// Guards against control traffic that exceeds 4 KB/s at a daemon when nothing happens.
+// Guards against control traffic that exceeds 4 KB/s at a daemon when nothing happens. Membership
+// and registration take 2.1 KB/s of that.
 func TestIdleControlTraffic(t *testing.T) {
 	f := newControlFleet(t, sevenHosts...)
 	f.startAll()
@@ -73,6 +74,6 @@
 	for i := range f.settings {
 		rate := float64(after[f.host(i)]-before[f.host(i)]) / period.Seconds()
 		t.Logf("host %d (leader: %v): %.0f bytes/s sent and received on control connections", i, i == f.leader(), rate)
-		assert.Assert(t, rate < 4000)
+		assert.Assert(t, rate < 1900)
 	}
 }
