Put the configuration in force again when the daemon begins to serve

Cause: a version that arrived while the daemon joined could miss the owner shards or the service sockets, which are made from the version before it: callers got no answer from that daemon. Seen once in TestTotalsReachTheOperator (no answer of the upstream within 12 s). Change: when the daemon serves, its present configuration goes to shards and sockets once more, in order with new versions; a stopped daemon opens no sockets. Conclusion: the cause fits what was seen, but the failure was too rare to prove that it is gone.

--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -21,6 +21,7 @@
 	"rosemarygate/pkg/control/state"
 	"rosemarygate/pkg/control/subscription"
 	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/owner"
 	"rosemarygate/pkg/settings"
 )
 
@@ -38,6 +39,8 @@
 	replica      *replica.Replica // nil on other hosts
 	applied      *config.Config   // nil before the first version is put in force
 
+	applying sync.Mutex // held while a configuration is put in force
+
 	mu          sync.Mutex
 	dataCentres map[string]string // by daemon
 	asked       time.Time
@@ -121,6 +124,11 @@
 			cfg.TokenKeys = append(cfg.TokenKeys, config.TokenKey{ID: k.ID, Secret: hex.EncodeToString(k.Secret)})
 		}
 	}
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	if err := c.d.ctx.Err(); err != nil {
+		return err // a stopped daemon must not open sockets again
+	}
 	if err := c.d.Configure(cfg); err != nil {
 		return err
 	}
@@ -181,11 +189,31 @@
 		return
 	}
 	addActor(g, c.d.ctx, c.subscription.Run)
+	addActor(g, c.d.ctx, c.completeStart)
 	if c.replica != nil {
 		addActor(g, c.d.ctx, c.replica.Run)
 	}
 }
 
+// completeStart puts the present configuration in force again when the daemon serves. A version
+// that arrives while the daemon joins can otherwise miss the shards or sockets that are being made
+// from the version before it.
+func (c *control) completeStart(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-c.d.ready:
+	}
+	c.applying.Lock()
+	index, sh := c.d.services.Load(), c.d.shards.Load()
+	sh.broadcast(owner.ServicesChanged{Services: index.owners})
+	sh.broadcast(owner.KeysChanged{Keys: index.keys})
+	c.d.openSockets()
+	c.applying.Unlock()
+	<-ctx.Done()
+	return nil
+}
+
 // leave hands the leadership of the replicas over before a planned stop.
 func (c *control) leave() {
 	if c == nil || c.replica == nil {
