--- a/pkg/daemon/ownership_test.go
+++ b/pkg/daemon/ownership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -154,13 +155,17 @@
 }
 
 // Measures a new view of 18,000 daemons in 28 data centres in which one daemon of another data
-// centre changes, by upstreams of all data centres.
+// centre changes, and the memory of the assignment, by upstreams of all data centres.
 func BenchmarkViewChanged(b *testing.B) {
 	var states [2]*membership.View
+	var names []string
+	for i := range 28 {
+		names = append(names, fmt.Sprint(i))
+	}
 	for i := range states {
 		states[i] = &membership.View{}
 		for id := range 18_000 {
-			m := membership.Member{ID: ident.DaemonID(id + 1), DataCentre: fmt.Sprint(id % 28), Incarnation: 1, State: membership.Serving}
+			m := membership.Member{ID: ident.DaemonID(id + 1), DataCentre: names[id%28], Incarnation: 1, State: membership.Serving}
 			states[i].Members = append(states[i].Members, m)
 		}
 	}
@@ -169,12 +174,24 @@
 		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
 			a := newAssignBench()
 			a.viewChanged(a.now, states[0])
+			before := liveHeap()
 			for u := range upstreams {
-				a.hears(registration.Registration{Upstream: ident.UpstreamID(u), DataCentre: fmt.Sprint(u % 28), Incarnation: 1}, false)
+				a.hears(registration.Registration{
+					Service: ident.ServiceID(u % 24_000), Upstream: ident.UpstreamID(u), DataCentre: names[u%28], Incarnation: 1,
+				}, false)
 			}
+			held := float64(liveHeap() - before)
 			for i := 0; b.Loop(); i++ {
 				a.viewChanged(a.now, states[(i+1)%2])
 			}
+			b.ReportMetric(held, "live-bytes")
 		})
 	}
 }
+
+func liveHeap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
