--- a/client/caller.go
+++ b/client/caller.go
@@ -15,10 +15,12 @@
 
 	mu   sync.Mutex
 	flow *Flow
+	// users are the requests in progress on each flow, also on flows that were left.
+	users map[*Flow]int
 }
 
 // NewCaller returns a caller without a flow.
-func (c *Client) NewCaller() *Caller { return &Caller{client: c} }
+func (c *Client) NewCaller() *Caller { return &Caller{client: c, users: map[*Flow]int{}} }
 
 const (
 	elsewhereWait    = 20 * time.Millisecond
@@ -45,13 +47,17 @@
 		r, err := f.Do(ctx, q)
 		if err != nil {
 			c.leave(f)
+		}
+		again := err == nil && c.tryElsewhere(f, r)
+		c.release(f)
+		if err != nil {
 			if ctx.Err() != nil {
 				return attempts, err
 			}
 			continue
 		}
 		attempts = append(attempts, Attempt{Flow: f.id, Result: r})
-		if !c.tryElsewhere(f, r) {
+		if !again {
 			return attempts, nil
 		}
 		select {
@@ -84,6 +90,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.flow != nil && c.flow.Err() == nil {
+		c.users[c.flow]++
 		return c.flow, nil
 	}
 	f, err := c.client.Open(ctx)
@@ -91,26 +98,43 @@
 		return nil, err
 	}
 	c.flow = f
+	c.users[f]++
 	return f, nil
 }
 
-// leave closes a flow, so that the next request opens one at another upstream.
+// leave makes the next request open a flow at another upstream. The flow is closed when
+// its other requests have ended: closing it would leave their outcomes unknown.
 func (c *Caller) leave(f *Flow) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.flow == f {
 		c.flow = nil
 	}
+}
+
+// release ends one request's use of a flow, and closes a flow that was left.
+func (c *Caller) release(f *Flow) {
+	c.mu.Lock()
+	c.users[f]--
+	unused := c.users[f] == 0
+	if unused {
+		delete(c.users, f)
+	}
+	left := c.flow != f
 	c.mu.Unlock()
-	f.Close()
+	if unused && left {
+		f.Close()
+	}
 }
 
-// Close closes the caller's flow.
+// Close closes the caller's flow once its requests have ended.
 func (c *Caller) Close() {
 	c.mu.Lock()
 	f := c.flow
 	c.flow = nil
+	busy := c.users[f] > 0
 	c.mu.Unlock()
-	if f != nil {
+	if f != nil && !busy {
 		f.Close()
 	}
 }
