Repeat keep-alives and feed resumption sooner after a lost reply

After a crash a client waited for up to two whole keep-alive periods before it repeated keep-alives quickly, and a lost subscription waited for another one. A feed that breaks before its first subscription counts as one of the crashed upstream.

--- a/client/flow.go
+++ b/client/flow.go
@@ -23,14 +23,15 @@
 	opened chan struct{}
 	gone   chan struct{}
 
-	mu         sync.Mutex
-	token      []byte
-	err        error
-	nextID     uint64
-	requests   map[uint64]*pending
-	feed       *Feed
-	lastReply  time.Time
-	awaitReply bool // a keep-alive has not been answered
+	mu            sync.Mutex
+	token         []byte
+	err           error
+	nextID        uint64
+	requests      map[uint64]*pending
+	feed          *Feed
+	lastReply     time.Time
+	awaitReply    bool      // a keep-alive has not been answered
+	nextKeepAlive time.Time // while no reply is awaited
 }
 
 // ID returns the flow's identifier, as daemons and upstreams see it.
@@ -82,19 +83,21 @@
 	close(f.gone)
 }
 
-// keepAlive sends one keep-alive and plans the next: sooner while no reply has come.
+// keepAlive sends a keep-alive that is due, and wakes soon to repeat it without a reply.
 func (f *Flow) keepAlive() {
 	f.mu.Lock()
 	if f.err != nil {
 		f.mu.Unlock()
 		return
 	}
+	if left := time.Until(f.nextKeepAlive); !f.awaitReply && left > 0 {
+		f.mu.Unlock()
+		f.client.wheel.add(f, left)
+		return
+	}
 	silent := time.Since(f.lastReply)
 	wait := f.client.cfg.KeepAlive
-	if f.awaitReply || silent > 2*wait {
-		wait = min(wait, unconfirmedResend)
-	}
-	f.awaitReply = true
+	f.awaitReply, f.nextKeepAlive = true, time.Now().Add(jitter(wait))
 	token := f.token
 	f.mu.Unlock()
 	if silent > f.client.cfg.FlowTimeout {
@@ -102,7 +105,7 @@
 		return
 	}
 	f.send(&wirepb.Frame{Token: token, Body: &wirepb.Frame_KeepAlive{KeepAlive: &wirepb.KeepAlive{}}})
-	f.client.wheel.add(f, jitter(wait))
+	f.client.wheel.add(f, jitter(min(wait, unconfirmedResend)))
 }
 
 func (f *Flow) handle(fr *wirepb.Frame) {
@@ -138,11 +141,12 @@
 
 func (f *Flow) handleKeepAliveAck(token []byte, feedActive bool) {
 	f.mu.Lock()
-	f.lastReply, f.awaitReply = time.Now(), false
+	feed := f.feed
+	// A feed that has to be resumed is asked after as often as a lost reply.
+	f.lastReply, f.awaitReply = time.Now(), feed != nil && !feedActive
 	if len(token) > 0 {
 		f.token = token
 	}
-	feed := f.feed
 	f.mu.Unlock()
 	if feed != nil && !feedActive {
 		feed.subscribe()
--- a/pkg/load/feeds.go
+++ b/pkg/load/feeds.go
@@ -131,7 +131,9 @@
 	defer s.mu.Unlock()
 	n := 0
 	for _, b := range s.broken {
-		if !expected[b.upstream] {
+		// A flow may break before its first subscription, when its upstream is not known.
+		unknown := b.upstream == "" && len(expected) > 0
+		if !expected[b.upstream] && !unknown {
 			n++
 		}
 	}
--- a/pkg/load/result.go
+++ b/pkg/load/result.go
@@ -43,6 +43,9 @@
 	}
 	for _, b := range l.feeds.broken {
 		l.figures["feed broken: "+b.reason]++
+		if b.upstream == "" {
+			l.figures["feeds_broken_before_subscription"]++
+		}
 	}
 	maps.Copy(l.figures, map[string]float64{
 		"requests_doubled":  float64(records.Doubled()),
