--- a/client/flow.go
+++ b/client/flow.go
@@ -6,6 +6,7 @@
 
 	wirepb "rosemarygate/api/wire/v1"
 	"rosemarygate/pkg/frame"
+	"rosemarygate/pkg/refusal"
 )
 
 // FlowError says why a flow was refused or has ended.
@@ -13,7 +14,7 @@
 
 // Error names the reason and the remedy.
 func (e *FlowError) Error() string {
-	return "flow is not open (" + e.Reason.String() + "): open a new flow"
+	return "flow is not open (" + refusal.Name(e.Reason) + "): " + refusal.Remedy(e.Reason)
 }
 
 // Flow is one open flow to an upstream of the service.
@@ -30,7 +31,8 @@
 	requests      map[uint64]*pending
 	feed          *Feed
 	lastReply     time.Time
-	awaitReply    bool      // a keep-alive has not been answered
+	awaitReply    bool // a keep-alive has not been answered
+	silence       silence
 	nextKeepAlive time.Time // while no reply is awaited
 }
 
@@ -67,10 +69,24 @@
 	if err != nil {
 		return false
 	}
+	if expectsReply(fr) {
+		f.mu.Lock()
+		f.silence.sent(time.Now())
+		f.mu.Unlock()
+	}
 	_ = f.client.transport.Send(b)
 	return true
 }
 
+func expectsReply(fr *wirepb.Frame) bool {
+	switch fr.Body.(type) {
+	case *wirepb.Frame_KeepAlive, *wirepb.Frame_Request:
+		return true
+	default:
+		return false
+	}
+}
+
 // fail ends the flow, its feed and its requests.
 func (f *Flow) fail(err error) {
 	f.client.forget(f)
@@ -109,11 +125,20 @@
 }
 
 func (f *Flow) handle(fr *wirepb.Frame) {
+	f.mu.Lock()
+	if o := fr.GetOutcome(); o != nil && o.Reason == wirepb.Reason_REASON_OWNER_GONE {
+		f.silence.stale = true
+	}
+	if fr.GetKeepAliveAck() != nil && len(fr.Token) > 0 {
+		f.token = fr.Token
+	}
+	f.silence.reply(len(fr.Token) > 0)
+	f.mu.Unlock()
 	switch body := fr.Body.(type) {
 	case *wirepb.Frame_Opened:
 		f.handleOpened(fr.Token)
 	case *wirepb.Frame_KeepAliveAck:
-		f.handleKeepAliveAck(fr.Token, body.KeepAliveAck.FeedActive)
+		f.handleKeepAliveAck(body.KeepAliveAck.FeedActive)
 	case *wirepb.Frame_FeedItem:
 		f.handleFeedItem(body.FeedItem)
 	case *wirepb.Frame_Answer:
@@ -139,16 +164,16 @@
 	}
 }
 
-func (f *Flow) handleKeepAliveAck(token []byte, feedActive bool) {
+func (f *Flow) handleKeepAliveAck(feedActive bool) {
 	f.mu.Lock()
+	f.lastReply, f.awaitReply = time.Now(), false
 	feed := f.feed
-	// A feed that has to be resumed is asked after as often as a lost reply.
-	f.lastReply, f.awaitReply = time.Now(), feed != nil && !feedActive
-	if len(token) > 0 {
-		f.token = token
-	}
 	f.mu.Unlock()
-	if feed != nil && !feedActive {
+	switch {
+	case feed == nil:
+	case feedActive:
+		feed.confirm()
+	default:
 		feed.subscribe()
 	}
 }
--- a/pkg/control/replica/errors.go
+++ b/pkg/control/replica/errors.go
@@ -14,6 +14,7 @@
 var (
 	errOutcomeUnknown = errors.New("leadership ended before the change was confirmed")
 	errStopping       = status.Error(codes.Unavailable, "replica is stopping: connect to another replica")
+	errLeaderless     = status.Error(codes.Unavailable, "replica has no leader and gets no changes: watch another replica, or wait until a majority of the replicas runs")
 )
 
 // refusal returns a refusal as a gRPC error that carries it as a detail.
@@ -48,12 +49,26 @@
 
 // isRefusal reports whether an error is a decision, so that asking again does not help.
 func isRefusal(err error) bool {
+	switch refusalKind(err) {
+	case controlpb.Refusal_KIND_UNSPECIFIED, controlpb.Refusal_KIND_NO_MAJORITY, controlpb.Refusal_KIND_OUTCOME_UNKNOWN:
+		return false
+	}
+	return true
+}
+
+func refusalKind(err error) controlpb.Refusal_Kind {
 	var refused *state.RefusedError
-	return errors.As(RefusalOf(err), &refused) && refused.Refusal.GetKind() != controlpb.Refusal_KIND_NO_MAJORITY
+	if !errors.As(RefusalOf(err), &refused) {
+		return controlpb.Refusal_KIND_UNSPECIFIED
+	}
+	return refused.Refusal.GetKind()
 }
 
-// unreachable reports whether a replica did not answer.
-func unreachable(err error) bool {
+// undecided reports whether a change may have been accepted in spite of the error.
+func undecided(err error) bool {
+	if kind := refusalKind(err); kind != controlpb.Refusal_KIND_UNSPECIFIED {
+		return kind == controlpb.Refusal_KIND_OUTCOME_UNKNOWN
+	}
 	switch status.Code(err) {
 	case codes.Unavailable, codes.DeadlineExceeded:
 		return true
--- a/pkg/daemon/counters.go
+++ b/pkg/daemon/counters.go
@@ -1,14 +1,13 @@
 package daemon
 
 import (
-	"strings"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	wirepb "rosemarygate/api/wire/v1"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/owner"
+	"rosemarygate/pkg/refusal"
 	"rosemarygate/pkg/telemetry"
 )
 
@@ -28,6 +27,10 @@
 	owner.RequestsRetried: "requests_retried",
 	owner.FeedItems:       "feed_items",
 	owner.FeedResends:     "feed_resends",
+
+	owner.RequestsRepeated: "requests_repeated",
+	owner.FramesElsewhere:  "frames_other_address",
+	owner.CallersMoved:     "callers_moved",
 }
 
 // counters caches the counters of the owner cores by service and reason.
@@ -70,14 +73,9 @@
 	defer c.mu.Unlock()
 	labels := []string{"service", c.names[n.Service]}
 	if n.Reason != 0 {
-		labels = append(labels, "reason", reasonName(n.Reason))
+		labels = append(labels, "reason", refusal.Name(n.Reason))
 	}
 	counter := c.set.Counter(counterNames[n.Counter], labels...)
 	c.cache[n] = counter
 	return counter
 }
-
-// reasonName returns a reason as counters and logs show it.
-func reasonName(r wirepb.Reason) string {
-	return strings.ToLower(strings.TrimPrefix(r.String(), "REASON_"))
-}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -230,6 +230,7 @@
 		case <-ctx.Done():
 			d.control.leave()
 			d.drain()
+			d.control.leave() // it may have been elected again meanwhile
 			return nil
 		case <-d.ctx.Done():
 			return nil
@@ -268,7 +269,7 @@
 
 func (d *Daemon) addServers(g *run.Group) {
 	options := append(d.identity.RequirePeer(append(controlServices(), peerpb.Peer_ServiceDesc.ServiceName)...),
-		d.identity.Server(), grpc.InitialWindowSize(replica.Window), grpc.InitialConnWindowSize(replica.Window), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
+		d.identity.Server(), grpc.InitialWindowSize(replica.Window), grpc.InitialConnWindowSize(replica.Window), grpc.MaxRecvMsgSize(replica.MaxMessage), grpc.MaxSendMsgSize(replica.MaxMessage))
 	server := grpc.NewServer(options...)
 	upstreampb.RegisterRegistryServer(server, &registry{d: d})
 	peerpb.RegisterPeerServer(server, &peerServer{d: d})
@@ -290,8 +291,8 @@
 	for range shardCount {
 		core := owner.NewCore(owner.Config{Self: self.ID, Incarnation: self.Incarnation, Keys: d.services.Load().keys})
 		s := &shard{
-			core: core, events: make(chan envelope, shardQueue), clock: d.clock,
-			recv: d.path.newReceiver(), do: d.do, release: d.path.released,
+			core: core, events: make(chan envelope, shardQueue), packets: newFairQueue(),
+			clock: d.clock, recv: d.path.newReceiver(), do: d.do,
 		}
 		sh.all = append(sh.all, s)
 		go s.run(d.ctx)
--- a/pkg/daemon/datapath.go
+++ b/pkg/daemon/datapath.go
@@ -18,9 +18,6 @@
 	"rosemarygate/pkg/token"
 )
 
-// serviceQueueLimit bounds one service's packets between its socket and the owner cores.
-const serviceQueueLimit = shardCount * shardQueue / 4
-
 // datapath moves packets between callers, peers and owner cores.
 type datapath struct {
 	clock    func() time.Time
@@ -37,7 +34,7 @@
 	// receivers holds idle receivers.
 	receivers sync.Pool
 	// membership takes encoded membership messages; it must not block.
-	membership func(from netip.AddrPort, message []byte)
+	membership func(from netip.AddrPort, message []byte) error
 }
 
 // keyRing is one generation of token keys. A receiver builds its own codec from it.
@@ -111,25 +108,17 @@
 	d.offer(claims.Upstream, claims.Service, owner.FrameReceived{Caller: caller, Claims: *claims, Frame: fr, Hops: hops})
 }
 
-// offer gives a caller's packet to the owner core while the service's share of the queues
-// has room.
+// offer gives a caller's packet to the owner core while the service's share of its queue has
+// room.
 func (d *datapath) offer(u ident.UpstreamID, service ident.ServiceID, ev owner.Event) {
-	sock := d.sockets.find(service)
-	if sock == nil {
+	if d.sockets.find(service) == nil {
 		return
 	}
-	if sock.queued.Add(1) > serviceQueueLimit || !d.shards.offer(u, service, ev) {
-		sock.queued.Add(-1)
+	if !d.shards.offer(u, service, ev) {
 		d.counters.overload.Inc()
 	}
 }
 
-func (d *datapath) released(service ident.ServiceID) {
-	if sock := d.sockets.find(service); sock != nil {
-		sock.queued.Add(-1)
-	}
-}
-
 // forward sends a packet to another daemon.
 func (d *datapath) forward(r *receiver, to netip.AddrPort, p *relay.Packet) {
 	if p.Hops > relay.MaxHops {
@@ -138,6 +127,7 @@
 	}
 	b, ok := r.out.next(d.peers, to)
 	if !ok {
+		d.counters.badAddress.Inc()
 		return
 	}
 	r.out.put(r.sealer.Seal(relay.AppendPacket(b, p)))
@@ -173,6 +163,7 @@
 	}
 	b, ok := r.out.next(sock.batch, to)
 	if !ok {
+		d.counters.badAddress.Inc()
 		return
 	}
 	if b, err := (proto.MarshalOptions{}).MarshalAppend(b, fr); err == nil {
@@ -204,7 +195,7 @@
 		return
 	}
 	if message != nil {
-		d.membership(from, message)
+		d.counters.membershipRefused(d.membership(from, message))
 		return
 	}
 	if d.table.Load() == nil {
--- a/pkg/daemon/owner_change_test.go
+++ b/pkg/daemon/owner_change_test.go
@@ -19,7 +19,7 @@
 const testPort = 4301
 
 // startFleet runs daemons in the given data centres, with upstreams in the first one.
-func startFleet(t *testing.T, upstreams int, dataCentres ...string) *fleet.Fleet {
+func startHosts(t *testing.T, upstreams int, dataCentres ...string) *fleet.Fleet {
 	t.Helper()
 	folder, err := config.FromFiles([]config.File{{Name: "10-test.yaml", Data: []byte(`users:
   user:
@@ -54,7 +54,7 @@
 // Guards against frames that go back and forth between the owner that their token names
 // and the daemon to which it handed the upstream over, until they have no hops left.
 func TestFramesReachDaemonThatTookUpstreamsBack(t *testing.T) {
-	f := startFleet(t, 6, "dc", "dc")
+	f := startHosts(t, 6, "dc", "dc")
 	assert.NilError(t, f.StopDaemon(0))
 	c, err := f.Client(testPort, fleet.FabricFaults{}, 1, client.Config{KeepAlive: time.Hour})
 	assert.NilError(t, err)
--- a/pkg/load/model/requests.go
+++ b/pkg/load/model/requests.go
@@ -6,17 +6,24 @@
 	"rosemarygate/pkg/dispatch"
 )
 
-func (s *simulation) nextArrival(class, phase int) {
-	if s.rates[class] > 0 {
-		s.after(s.exponential(1e9/s.rates[class]), arrival, class, phase)
+// expire handles a timer: the classes' arrivals come first, then the upstreams' ends.
+func (s *simulation) expire(timer int) {
+	if n := len(s.Deployment.Classes); timer >= n {
+		s.finish(timer - n)
+		return
 	}
+	s.arrive(timer)
 }
 
-func (s *simulation) arrive(class, phase int) {
-	if phase != s.phase {
-		return // of a rate that no longer applies
+func (s *simulation) nextArrival(class int) {
+	s.stop(class)
+	if s.rates[class] > 0 {
+		s.set(class, s.exponential(1e9/s.rates[class]))
 	}
-	s.nextArrival(class, phase)
+}
+
+func (s *simulation) arrive(class int) {
+	s.nextArrival(class)
 	if len(s.live) == 0 {
 		return
 	}
@@ -25,13 +32,13 @@
 	r := s.newRequest()
 	s.requests[r] = request{
 		class:    class,
-		server:   s.flows[f].server,
+		upstream: s.flows[f].upstream,
 		entry:    s.entry(s.flows[f].dc),
 		flow:     f,
 		arrived:  s.now,
 		deadline: s.now + int64(c.Deadline),
 		work:     s.rng.ExpFloat64() * float64(c.Service),
-		phase:    phase,
+		phase:    s.phase,
 		tried:    s.requests[r].tried[:0],
 	}
 	s.class(r).Offered++
@@ -57,7 +64,7 @@
 	q := &s.requests[r]
 	q.attempts++
 	q.running = false
-	if s.servers[q.server].dc != s.daemons[q.entry] {
+	if s.upstreams[q.upstream].dc != s.daemons[q.entry] {
 		q.extra += 2 * int64(s.Deployment.Hop)
 	}
 	s.policy.submit(r)
@@ -77,7 +84,7 @@
 
 func (s *simulation) startRequest(r int) {
 	q := &s.requests[r]
-	u := s.servers[q.server]
+	u := s.upstreams[q.upstream]
 	if !u.begin(s.now, r, q.work) {
 		s.class(r).Refused["shed"]++
 		s.policy.done(r, dispatch.Shed)
@@ -88,25 +95,20 @@
 	if len(u.jobs) > u.slots {
 		s.result.Overruns++
 	}
-	s.schedule(q.server)
+	s.schedule(q.upstream)
 }
 
 // schedule plans the next end of a running request of an upstream.
 func (s *simulation) schedule(i int) {
-	u := s.servers[i]
-	u.version++
-	if d, ok := u.nextEnd(); ok {
-		s.after(d, finish, i, u.version)
+	timer := len(s.Deployment.Classes) + i
+	s.stop(timer)
+	if d, ok := s.upstreams[i].nextEnd(); ok {
+		s.set(timer, d)
 	}
 }
 
-func (s *simulation) finish(i, version int) {
-	u := s.servers[i]
-	if u.version != version {
-		return
-	}
-	r, ok := u.finished(s.now)
-	if ok {
+func (s *simulation) finish(i int) {
+	if r, ok := s.upstreams[i].finished(s.now); ok {
 		s.answered(r)
 	}
 	s.schedule(i)
--- a/pkg/load/model/sim.go
+++ b/pkg/load/model/sim.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"rosemarygate/pkg/dispatch"
@@ -16,9 +17,12 @@
 const (
 	Ours      Policy = "ours"
 	Naive     Policy = "naive"
+	Bounded   Policy = "bounded"   // naive, with short queues
 	Threshold Policy = "threshold" // ours, with spill-over by a queue-difference threshold
 )
 
+func (p Policy) isNaive() bool { return p == Naive || p == Bounded }
+
 const (
 	service        = ident.ServiceID(1)
 	tickEvery      = 10 * time.Millisecond
@@ -27,6 +31,8 @@
 	staleReport    = 5 * time.Second
 	maxAttempts    = 3
 	maxOpenHops    = 3
+	sampleEvery    = 100 * time.Millisecond // of the imbalance of flows
+	usualFlows     = 0.8                    // part of the flow limits
 )
 
 // Config is one run.
@@ -38,13 +44,14 @@
 	DCWeights  []float64     // part of the callers in each data centre; nil for even by capacity
 	Misleading bool          // a third of the reports is wrong or old
 	ColdAt     time.Duration // the last upstream joins then; 0 for at the start
+	FlowLoad   float64       // part of the flow limits in use; 0 for usualFlows
 	RealSlots  int           // slots that the upstreams really have; 0 for the declared number
 	StallAt    time.Duration // the first upstream stalls then; 0 for never
 }
 
 type request struct {
 	class    int
-	server   int
+	upstream int
 	entry    int // daemon that relayed it
 	flow     int
 	attempts int
@@ -58,31 +65,32 @@
 }
 
 type flow struct {
-	server int
-	dc     int
-	gen    int
-	pos    int // in live, -1 when closed
+	upstream int
+	dc       int
+	gen      int
+	pos      int // in live, -1 when closed
 }
 
 type simulation struct {
 	Config
 	clock
-	rng      *rand.Rand
-	servers  []*server
-	daemons  []int // data centre of each
-	policy   policy
-	requests []request
-	freeReq  []int
-	flows    []flow
-	freeFlow []int
-	live     []int
-	reports  []selection.Report
-	freeRep  []int
-	phase    int
-	rates    []float64 // arrivals per second by class
-	result   *Result
-	wrong    []distortion
-	todo     []int // requests to start, see drain
+	rng       *rand.Rand
+	upstreams []*upstream
+	daemons   []int // data centre of each
+	policy    policy
+	requests  []request
+	freeReq   []int
+	flows     []flow
+	freeFlow  []int
+	live      []int
+	reports   []selection.Report
+	freeRep   []int
+	phase     int
+	rates     []float64 // arrivals per second by class
+	result    *Result
+	wrong     []distortion
+	loads     []float64 // scratch of sampleFlows
+	todo      []int     // requests to start, see drain
 }
 
 // distortion is how the reports of an upstream mislead.
@@ -131,11 +139,12 @@
 func (s *simulation) build() {
 	d := s.Deployment
 	for i := range d.Upstreams {
-		s.servers = append(s.servers, &server{slots: s.realSlots(), dc: i % d.DataCentres})
+		s.upstreams = append(s.upstreams, &upstream{slots: s.realSlots(), dc: i % d.DataCentres})
 	}
 	for i := range d.Daemons {
 		s.daemons = append(s.daemons, i%d.DataCentres)
 	}
+	s.timer = slices.Repeat([]int64{never}, len(d.Classes)+d.Upstreams)
 	s.wrong = make([]distortion, d.Upstreams)
 	if s.Misleading {
 		kinds := []distortion{zero, scaledDown, scaledUp, constant, stale}
@@ -144,7 +153,7 @@
 		}
 	}
 	if s.ColdAt > 0 {
-		s.servers[d.Upstreams-1].absent = true
+		s.upstreams[d.Upstreams-1].absent = true
 	}
 }
 
@@ -154,10 +163,10 @@
 	d := s.Deployment
 	at := int64(0)
 	for i, p := range s.Phases {
-		s.after(at, mark, i, 0)
+		s.after(at, phaseStart, i, 0)
 		at += int64(p.Length)
 	}
-	s.after(at, mark, len(s.Phases), 0)
+	s.after(at, phaseStart, len(s.Phases), 0)
 	const fill = 2 * time.Second
 	n := s.steadyFlows()
 	for i := range n {
@@ -170,9 +179,13 @@
 	}
 }
 
-// steadyFlows returns 80% of the flow limits of the upstreams that serve.
+// steadyFlows returns the open flows of the steady state.
 func (s *simulation) steadyFlows() int {
-	return s.Deployment.FlowLimit * s.serving() * 8 / 10
+	load := s.FlowLoad
+	if load == 0 {
+		load = usualFlows
+	}
+	return int(load * float64(s.Deployment.FlowLimit*s.serving()))
 }
 
 func (s *simulation) serving() int {
@@ -186,7 +199,7 @@
 func (s *simulation) callerDC() int {
 	n := s.Deployment.DataCentres
 	if s.DCWeights == nil {
-		return s.servers[s.rng.IntN(len(s.servers))].dc
+		return s.upstreams[s.rng.IntN(len(s.upstreams))].dc
 	}
 	x := s.rng.Float64()
 	for i, w := range s.DCWeights {
@@ -218,18 +231,16 @@
 func (s *simulation) handle(e event) {
 	a, b := int(e.a), int(e.b)
 	switch e.kind {
-	case mark:
+	case phaseStart:
 		s.enter(a)
-	case arrival:
-		s.arrive(a, b)
+	case alarm:
+		s.expire(a)
 	case openFlow:
 		s.open(a, b == 1)
 	case endFlow:
 		if s.flows[a].gen == b {
 			s.close(a)
 		}
-	case finish:
-		s.finish(a, b)
 	case attempt:
 		s.submit(a)
 	case deliver:
@@ -239,10 +250,10 @@
 	}
 }
 
-// enter begins a phase and closes the books of the last one.
+// enter begins a phase and finishes the last one.
 func (s *simulation) enter(phase int) {
 	if s.phase >= 0 {
-		s.closeBooks(s.result.Phases[s.phase])
+		s.finishPhase(s.result.Phases[s.phase])
 	}
 	s.phase = phase
 	if phase >= len(s.Phases) {
@@ -250,9 +261,9 @@
 	}
 	p := s.Phases[phase]
 	s.result.Phases = append(s.result.Phases, newPhaseResult(s.Deployment, p))
-	for _, u := range s.servers {
+	for _, u := range s.upstreams {
 		u.advance(s.now)
-		u.busy, u.flowTime = 0, 0
+		u.busy = 0
 	}
 	s.rates = s.rates[:0]
 	for i, c := range s.Deployment.Classes {
@@ -261,21 +272,40 @@
 			load = p.Loads[i]
 		}
 		s.rates = append(s.rates, s.Deployment.rate(i, load, s.serving()))
-		s.nextArrival(i, phase)
+		s.nextArrival(i)
 	}
 }
 
-func (s *simulation) closeBooks(p *PhaseResult) {
-	var flows, busy []float64
-	for i, u := range s.servers {
+// current returns the measurement of the current phase.
+func (s *simulation) current() *PhaseResult { return s.result.Phases[s.phase] }
+
+// counted returns the upstreams among which load is compared: without the one that stalls
+// and the one that has not joined.
+func (s *simulation) counted() []*upstream {
+	out := s.upstreams
+	if s.StallAt > 0 {
+		out = out[1:]
+	}
+	if out[len(out)-1].absent {
+		out = out[:len(out)-1]
+	}
+	return out
+}
+
+func (s *simulation) sampleFlows() {
+	s.loads = s.loads[:0]
+	for _, u := range s.counted() {
+		s.loads = append(s.loads, float64(u.flows))
+	}
+	s.current().sample(s.loads)
+}
+
+func (s *simulation) finishPhase(p *PhaseResult) {
+	var busy []float64
+	for _, u := range s.counted() {
 		u.advance(s.now)
-		if u.absent || (i == 0 && s.StallAt > 0) {
-			continue
-		}
-		flows = append(flows, u.flowTime)
 		busy = append(busy, u.busy)
 	}
-	p.FlowImbalance = busiestOverMean(flows)
 	p.BusyImbalance = busiestOverMean(busy)
 	p.Capacity = float64(len(busy)*s.Deployment.Slots) * p.Phase.Length.Seconds()
 	if p.opened > 0 {
@@ -287,24 +317,27 @@
 // whose deadline has passed, and the planned faults.
 func (s *simulation) tick() {
 	s.after(int64(tickEvery), tick, 0, 0)
-	if s.ColdAt > 0 && s.now >= int64(s.ColdAt) && s.servers[len(s.servers)-1].absent {
-		s.servers[len(s.servers)-1].absent = false
+	if s.ColdAt > 0 && s.now >= int64(s.ColdAt) && s.upstreams[len(s.upstreams)-1].absent {
+		s.upstreams[len(s.upstreams)-1].absent = false
 		s.policy.candidates()
 	}
-	if s.StallAt > 0 && s.now >= int64(s.StallAt) && !s.servers[0].stalled {
-		s.servers[0].advance(s.now)
-		s.servers[0].stalled = true
+	if s.StallAt > 0 && s.now >= int64(s.StallAt) && !s.upstreams[0].stalled {
+		s.upstreams[0].advance(s.now)
+		s.upstreams[0].stalled = true
+	}
+	if s.now%int64(sampleEvery) == 0 {
+		s.sampleFlows()
 	}
-	for i, u := range s.servers {
-		if s.Policy != Naive || u.stalled {
-			s.giveUp(i, u)
+	for i, u := range s.upstreams {
+		if !s.Policy.isNaive() || u.stalled {
+			s.cancelExpired(i, u)
 		}
 	}
 	s.policy.tick()
 	s.drain()
 }
 
-func (s *simulation) giveUp(i int, u *server) {
+func (s *simulation) cancelExpired(i int, u *upstream) {
 	for j := 0; j < len(u.jobs); j++ {
 		r := u.jobs[j].request
 		q := &s.requests[r]
@@ -324,8 +357,8 @@
 }
 
 // reopen closes a flow at an upstream that does not answer and opens another one.
-func (s *simulation) reopen(f, server int) {
-	if s.flows[f].pos < 0 || s.flows[f].server != server {
+func (s *simulation) reopen(f, upstream int) {
+	if s.flows[f].pos < 0 || s.flows[f].upstream != upstream {
 		return
 	}
 	dc := s.flows[f].dc
--- a/pkg/owner/flow.go
+++ b/pkg/owner/flow.go
@@ -16,6 +16,7 @@
 	id        ident.FlowID
 	up        *upstream
 	caller    netip.AddrPort
+	move      *callerMove // nil unless frames come from another address
 	lastSeen  time.Time
 	confirmed bool
 	closed    bool // by its caller; kept for its request records
@@ -72,6 +73,15 @@
 }
 
 func (c *Core) sendToken(f *flow, fr *wirepb.Frame) {
+	c.sign(f, fr)
+	c.send(f, fr)
+}
+
+// sign puts the flow's id and a new token into a frame.
+func (c *Core) sign(f *flow, fr *wirepb.Frame) {
+	issued := later(c.now, f.up.since)
+	c.lastIssue = later(c.lastIssue, issued)
+	fr.FlowId = uint64(f.id)
 	fr.Token = c.codec.Append(nil, f.id, &token.Claims{
 		Service:             f.up.service,
 		DataCentre:          f.up.dataCentre,
@@ -79,9 +89,15 @@
 		UpstreamIncarnation: f.up.incarnation,
 		Owner:               c.cfg.Self,
 		OwnerIncarnation:    c.cfg.Incarnation,
-		IssuedAt:            c.now,
+		IssuedAt:            issued,
 	})
-	c.send(f, fr)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
 }
 
 // frame handles a frame with a verified token.
@@ -106,7 +122,8 @@
 		c.rejectFrame(ev, wirepb.Reason_REASON_OWNER_GONE)
 		return
 	}
-	f.lastSeen, f.caller = c.now, ev.Caller
+	f.lastSeen = c.now
+	c.checkCaller(f, ev)
 	if !f.confirmed {
 		f.confirmed = true
 		c.count(FlowsConfirmed, u.service, 0)
@@ -145,11 +162,12 @@
 // in the token made for the upstream. Tokens that this core issued before it handed the
 // upstream over, and took it back after the other owner crashed, are not covered.
 func (c *Core) holdsRecordsOf(u *upstream, cl *token.Claims) bool {
-	if u.predecessors[ownerKey{cl.Owner, cl.OwnerIncarnation}] {
+	since, ok := u.predecessors[ownerKey{cl.Owner, cl.OwnerIncarnation}]
+	if ok && !cl.IssuedAt.Before(since) {
 		return true
 	}
 	self := cl.Owner == c.cfg.Self && cl.OwnerIncarnation == c.cfg.Incarnation
-	return self && !cl.IssuedAt.Before(u.since.Truncate(time.Millisecond))
+	return self && !cl.IssuedAt.Before(u.since)
 }
 
 // rejectFrame answers a frame whose flow does not exist here.
@@ -170,9 +188,7 @@
 func (c *Core) flowFrame(f *flow, ev FrameReceived) {
 	switch body := ev.Frame.Body.(type) {
 	case *wirepb.Frame_KeepAlive:
-		c.sendToken(f, &wirepb.Frame{Body: &wirepb.Frame_KeepAliveAck{KeepAliveAck: &wirepb.KeepAliveAck{
-			FeedActive: f.feed != nil,
-		}}})
+		c.keepAlive(f, ev.Caller)
 	case *wirepb.Frame_Subscribe:
 		c.subscribe(f, body.Subscribe)
 	case *wirepb.Frame_FeedAck:
@@ -201,6 +217,16 @@
 	}
 }
 
+// breakFlow ends a flow that cannot go on and tells its caller.
+func (c *Core) breakFlow(f *flow, reason wirepb.Reason) {
+	c.count(FlowsBroken, f.up.service, reason)
+	c.send(f, &wirepb.Frame{Body: &wirepb.Frame_FlowStatus{
+		FlowStatus: &wirepb.FlowStatus{Reason: reason, Gone: true},
+	}})
+	f.closed = true
+	c.closeFlow(f)
+}
+
 func (c *Core) removeFlow(f *flow) {
 	f.gone = true
 	delete(f.up.flows, f.id)
--- a/pkg/owner/request.go
+++ b/pkg/owner/request.go
@@ -52,6 +52,9 @@
 	id := ident.RequestID(q.RequestId)
 	c.dropEnded(f, ident.RequestID(q.EndedBelow))
 	if r := f.records[id]; r != nil {
+		if r.state != stateAssembling {
+			c.count(RequestsRepeated, f.up.service, 0)
+		}
 		c.repeatedRequest(r, q)
 		return
 	}
@@ -59,7 +62,9 @@
 		c.replyOutcome(f, id, wirepb.Outcome_OUTCOME_UNKNOWN, wirepb.Reason_REASON_RECORD_EXPIRED)
 		return
 	}
-	if !q.Idempotent && !c.holdsRecordsOf(f.up, cl) {
+	if !c.holdsRecordsOf(f.up, cl) {
+		// Also an idempotent request must not run: a refusal as not run whose record is
+		// lost would become false. Its caller sends it again as a new request.
 		c.count(RequestsUnknown, f.up.service, wirepb.Reason_REASON_OWNER_GONE)
 		c.replyOutcome(f, id, wirepb.Outcome_OUTCOME_UNKNOWN, wirepb.Reason_REASON_OWNER_GONE)
 		return
@@ -242,6 +247,10 @@
 func (c *Core) finishCall(r *record, ev ExecuteDone) {
 	switch ev.Result {
 	case Answered:
+		if len(ev.Payload) > frame.MaxPayload {
+			c.finishUnknown(r, wirepb.Reason_REASON_LIMIT)
+			return
+		}
 		r.state, r.answer, r.payload = stateAnswered, ev.Payload, nil
 		r.account()
 		c.budget(r.flow.up.service).Success()
