--- a/client/flow.go
+++ b/client/flow.go
@@ -24,15 +24,16 @@
 	opened chan struct{}
 	gone   chan struct{}
 
-	mu         sync.Mutex
-	token      []byte
-	err        error
-	nextID     uint64
-	requests   map[uint64]*pending
-	feed       *Feed
-	lastReply  time.Time
-	awaitReply bool // a keep-alive has not been answered
-	silence    silence
+	mu            sync.Mutex
+	token         []byte
+	err           error
+	nextID        uint64
+	requests      map[uint64]*pending
+	feed          *Feed
+	lastReply     time.Time
+	awaitReply    bool // a keep-alive has not been answered
+	silence       silence
+	nextKeepAlive time.Time // while no reply is awaited
 }
 
 // ID returns the flow's identifier, as daemons and upstreams see it.
@@ -98,19 +99,21 @@
 	close(f.gone)
 }
 
-// keepAlive sends one keep-alive and plans the next: sooner while no reply has come.
+// keepAlive sends a keep-alive that is due, and wakes soon to repeat it without a reply.
 func (f *Flow) keepAlive() {
 	f.mu.Lock()
 	if f.err != nil {
 		f.mu.Unlock()
 		return
 	}
+	if left := time.Until(f.nextKeepAlive); !f.awaitReply && left > 0 {
+		f.mu.Unlock()
+		f.client.wheel.add(f, left)
+		return
+	}
 	silent := time.Since(f.lastReply)
 	wait := f.client.cfg.KeepAlive
-	if f.awaitReply || silent > 2*wait {
-		wait = min(wait, unconfirmedResend)
-	}
-	f.awaitReply = true
+	f.awaitReply, f.nextKeepAlive = true, time.Now().Add(jitter(wait))
 	token := f.token
 	f.mu.Unlock()
 	if silent > f.client.cfg.FlowTimeout {
@@ -118,7 +121,7 @@
 		return
 	}
 	f.send(&wirepb.Frame{Token: token, Body: &wirepb.Frame_KeepAlive{KeepAlive: &wirepb.KeepAlive{}}})
-	f.client.wheel.add(f, jitter(wait))
+	f.client.wheel.add(f, jitter(min(wait, unconfirmedResend)))
 }
 
 func (f *Flow) handle(fr *wirepb.Frame) {
