Connect to upstreams whose service is configured later

Cause: a daemon that learned a registration before the configuration of its service skipped the connection and never tried again. Change: a new configuration connects every upstream that the daemon holds.

--- a/pkg/daemon/glue.go
+++ b/pkg/daemon/glue.go
@@ -264,6 +264,8 @@
 		d.openSockets()
 	default:
 	}
+	// Registrations may have come before the configuration of their service.
+	go d.cluster.call(d.ctx, func(time.Time) { d.cluster.assign.connectHeld() })
 	events.ConfigInForce.Log(d.log, logrus.Fields{"version": index.version, "digest": index.digest})
 	return nil
 }
--- a/pkg/daemon/ownership.go
+++ b/pkg/daemon/ownership.go
@@ -256,6 +256,13 @@
 	a.connect(reg)
 }
 
+// connectHeld asks for a connection to every upstream of this daemon again.
+func (a *assignment) connectHeld() {
+	for u := range a.held {
+		a.connect(a.known[u])
+	}
+}
+
 func (a *assignment) predecessorLives(reg registration.Registration) bool {
 	if a.previous == nil {
 		return false
--- a/pkg/daemon/ownership_test.go
+++ b/pkg/daemon/ownership_test.go
@@ -195,3 +195,14 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// Guards against an upstream that is never connected because its registration came before
+// the configuration of its service.
+func TestHeldUpstreamsAreConnectedAgain(t *testing.T) {
+	b := newAssignBench()
+	b.view(membership.Serving, membership.Serving)
+	b.learn(ownedBy(1), true)
+	b.learn(ownedBy(otherDaemon), true)
+	b.connectHeld()
+	assert.Equal(t, len(b.connects), 2, "the own upstream twice, the other never")
+}
