--- a/pkg/daemon/ownership_test.go
+++ b/pkg/daemon/ownership_test.go
@@ -201,8 +201,8 @@
 func TestHeldUpstreamsAreConnectedAgain(t *testing.T) {
 	b := newAssignBench()
 	b.view(membership.Serving, membership.Serving)
-	b.learn(ownedBy(1), true)
-	b.learn(ownedBy(otherDaemon), true)
+	b.hears(ownedBy(1), true)
+	b.hears(ownedBy(otherDaemon), true)
 	b.connectHeld()
 	assert.Equal(t, len(b.connects), 2, "the own upstream twice, the other never")
 }
