Share one table type for reasons; show refusals in status

Cause: dispatch, retry and selection each had the same code for names and remedies of reasons (duplicates named the pairs); status showed no refusals; an open refused because every upstream was full was reported as no upstream; retries that the budget refused had no counter. Change: pkg/reason; counters with a reason in status; flows_full for such opens; rosemarygate_retries_refused_total by reason.

--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -72,6 +72,12 @@
 	for _, u := range st.Upstreams {
 		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\n", u.Name, u.Service, u.DataCentre, u.Owner, upstreamState(u), upstreamLoad(u))
 	}
+	if len(st.Refusals) > 0 {
+		fmt.Fprintln(tw, "\nSERVICE\tCOUNTER\tREASON\tCOUNT")
+	}
+	for _, r := range st.Refusals {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\n", r.Service, r.Counter, r.Reason, r.Count)
+	}
 	return tw.Flush()
 }
 
--- a/pkg/daemon/counters.go
+++ b/pkg/daemon/counters.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,6 +27,7 @@
 	owner.RequestsNotRun:  "requests_refused",
 	owner.RequestsUnknown: "requests_unknown",
 	owner.RequestsRetried: "requests_retried",
+	owner.RetriesRefused:  "retries_refused",
 	owner.FeedItems:       "feed_items",
 	owner.FeedResends:     "feed_resends",
 
@@ -79,3 +82,23 @@
 	c.cache[n] = counter
 	return counter
 }
+
+// refusals returns the counters that have a reason, for status.
+func (c *counters) refusals() []RefusalStatus {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var out []RefusalStatus
+	for n, counter := range c.cache {
+		if n.Reason == 0 {
+			continue
+		}
+		out = append(out, RefusalStatus{
+			Service: c.names[n.Service], Counter: counterNames[n.Counter],
+			Reason: refusal.Name(n.Reason), Count: counter.Get(),
+		})
+	}
+	slices.SortFunc(out, func(a, b RefusalStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Counter, b.Counter), cmp.Compare(a.Reason, b.Reason))
+	})
+	return out
+}
--- a/pkg/daemon/opener.go
+++ b/pkg/daemon/opener.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	wirepb "rosemarygate/api/wire/v1"
 	"rosemarygate/pkg/frame"
 	"rosemarygate/pkg/ident"
@@ -41,7 +43,7 @@
 	defer o.mu.Unlock()
 	picked, err := o.table.Pick(o.path.clock(), service, tried)
 	if err != nil {
-		o.refuse(r, caller, service, flow, reason)
+		o.refuse(r, caller, service, flow, openReason(err, reason))
 		return
 	}
 	decision := o.path.table.Load().Owner(picked.DataCentre, picked.Upstream)
@@ -57,6 +59,15 @@
 	}
 }
 
+// openReason says why an open is refused: what the last upstream said, unless none was asked.
+func openReason(err error, last wirepb.Reason) wirepb.Reason {
+	var none *selection.Error
+	if last == wirepb.Reason_REASON_NO_UPSTREAM && errors.As(err, &none) && none.Reason == selection.ReasonFull {
+		return wirepb.Reason_REASON_FLOWS_FULL
+	}
+	return last
+}
+
 func (o *opener) forward(r *receiver, to, caller netip.AddrPort, service ident.ServiceID, flow ident.FlowID, u ident.UpstreamID, tried []ident.UpstreamID) {
 	b, err := frame.Encode(nil, &wirepb.Frame{FlowId: uint64(flow), Body: &wirepb.Frame_Open{Open: &wirepb.Open{}}})
 	if err != nil {
--- a/pkg/daemon/web.go
+++ b/pkg/daemon/web.go
@@ -50,6 +50,17 @@
 	Digest      string           `json:"config_digest"`
 	Members     []MemberStatus   `json:"members"`
 	Upstreams   []UpstreamStatus `json:"upstreams"`
+	// Refusals counts refusals, retries and broken flows by reason since the last
+	// configuration.
+	Refusals []RefusalStatus `json:"refusals"`
+}
+
+// RefusalStatus is one counter with a reason.
+type RefusalStatus struct {
+	Service string `json:"service"`
+	Counter string `json:"counter"`
+	Reason  string `json:"reason"`
+	Count   uint64 `json:"count"`
 }
 
 // MemberStatus is one daemon in the member list.
@@ -81,6 +92,7 @@
 	st := Status{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		UptimeS: time.Since(d.started).Seconds(), Version: x.version, Digest: x.digest,
+		Refusals: d.counters.refusals(),
 	}
 	loads := map[string]UpstreamStatus{}
 	if sh := d.shards.Load(); sh != nil {
--- a/pkg/dispatch/reason.go
+++ b/pkg/dispatch/reason.go
@@ -1,6 +1,6 @@
 package dispatch
 
-import "fmt"
+import "rosemarygate/pkg/reason"
 
 // Reason tells why a request was refused. A refused request did not run.
 type Reason uint8
@@ -24,39 +24,21 @@
 	ReasonClassRemoved
 )
 
-type reasonText struct{ name, remedy string }
-
-var reasonTexts = [...]reasonText{
-	ReasonQueueFull:    {"queue_full", "retry on another upstream, raise queue_limit of the class or add upstreams"},
-	ReasonDeadline:     {"deadline_cannot_be_met", "retry on another upstream or allow a longer deadline"},
-	ReasonExpired:      {"deadline_passed_in_queue", "allow a longer deadline or add upstreams"},
-	ReasonDraining:     {"draining", "open a flow on another upstream"},
-	ReasonUnknownClass: {"unknown_class", "use a class that the service's configuration declares"},
-	ReasonDuplicate:    {"duplicate", "wait for the outcome of the first request or use a new request id"},
-	ReasonClassRemoved: {"class_removed", "use a class that the service's configuration declares"},
+var reasonTexts = reason.Table[Reason]{
+	ReasonQueueFull:    {Name: "queue_full", Remedy: "retry on another upstream, raise queue_limit of the class or add upstreams"},
+	ReasonDeadline:     {Name: "deadline_cannot_be_met", Remedy: "retry on another upstream or allow a longer deadline"},
+	ReasonExpired:      {Name: "deadline_passed_in_queue", Remedy: "allow a longer deadline or add upstreams"},
+	ReasonDraining:     {Name: "draining", Remedy: "open a flow on another upstream"},
+	ReasonUnknownClass: {Name: "unknown_class", Remedy: "use a class that the service's configuration declares"},
+	ReasonDuplicate:    {Name: "duplicate", Remedy: "wait for the outcome of the first request or use a new request id"},
+	ReasonClassRemoved: {Name: "class_removed", Remedy: "use a class that the service's configuration declares"},
 }
 
 // Reasons returns every reason, for registering one counter each.
-func Reasons() []Reason {
-	out := make([]Reason, 0, len(reasonTexts)-1)
-	for r := ReasonQueueFull; int(r) < len(reasonTexts); r++ {
-		out = append(out, r)
-	}
-	return out
-}
+func Reasons() []Reason { return reasonTexts.All() }
 
 // String returns the name of the reason as counters and logs show it.
-func (r Reason) String() string {
-	if r == 0 || int(r) >= len(reasonTexts) {
-		return fmt.Sprintf("reason_%d", uint8(r))
-	}
-	return reasonTexts[r].name
-}
+func (r Reason) String() string { return reasonTexts.Name(r) }
 
 // Remedy tells a caller or operator what to do about the refusal; it is empty for an unknown reason.
-func (r Reason) Remedy() string {
-	if int(r) >= len(reasonTexts) {
-		return ""
-	}
-	return reasonTexts[r].remedy
-}
+func (r Reason) Remedy() string { return reasonTexts.Remedy(r) }
--- a/pkg/load/collector.go
+++ b/pkg/load/collector.go
@@ -3,14 +3,13 @@
 import (
 	"bytes"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	wirepb "rosemarygate/api/wire/v1"
 	"rosemarygate/client"
+	"rosemarygate/pkg/refusal"
 	"rosemarygate/pkg/standin"
 )
 
@@ -63,9 +62,9 @@
 			continue
 		}
 		c.notRun = append(c.notRun, standin.RunKey{Flow: a.Flow, Request: a.Result.ID})
-		k.Reasons[reasonName(a.Result.Reason)]++
+		k.Reasons[refusal.Name(a.Result.Reason)]++
 		if i < len(attempts)-1 {
-			c.retries[reasonName(a.Result.Reason)]++
+			c.retries[refusal.Name(a.Result.Reason)]++
 		}
 	}
 	if len(attempts) == 0 {
@@ -96,7 +95,7 @@
 
 func (c *collector) unanswered(kind string, offered, now time.Time, a client.Attempt) {
 	c.unknown = append(c.unknown, interval{offered, now})
-	c.reasons[kind+reasonName(a.Result.Reason)]++
+	c.reasons[kind+refusal.Name(a.Result.Reason)]++
 }
 
 // unknownOutside counts unanswered requests whose lifetime overlaps none of the intervals.
@@ -152,7 +151,3 @@
 	}
 	return out
 }
-
-func reasonName(r wirepb.Reason) string {
-	return strings.ToLower(strings.TrimPrefix(r.String(), "REASON_"))
-}
--- a/pkg/owner/action.go
+++ b/pkg/owner/action.go
@@ -101,6 +101,7 @@
 	RequestsRepeated // copies of requests that have a record
 	FramesElsewhere  // frames from an address other than the flow's
 	CallersMoved     // flows that moved to another address
+	RetriesRefused   // (reason)
 )
 
 // Count adds one to a counter.
--- a/pkg/owner/retry.go
+++ b/pkg/owner/retry.go
@@ -34,6 +34,9 @@
 		Attempts: r.attempts, MaxAttempts: maxAttempts, Deadline: r.deadline,
 	}, c.budget(u.service))
 	if !d.Retry {
+		if reason, ok := retryRefusals[d.Reason]; ok {
+			c.count(RetriesRefused, u.service, reason)
+		}
 		return false
 	}
 	r.state, r.retryAt = stateQueued, c.now.Add(d.Wait)
@@ -43,6 +46,13 @@
 	return true
 }
 
+// retryRefusals are the reasons for which a retry that the request's kind allows is refused.
+var retryRefusals = map[retry.Reason]wirepb.Reason{
+	retry.ReasonAttempts: wirepb.Reason_REASON_LIMIT,
+	retry.ReasonDeadline: wirepb.Reason_REASON_DEADLINE,
+	retry.ReasonBudget:   wirepb.Reason_REASON_RETRY_BUDGET,
+}
+
 func retryReason(r ExecuteResult) wirepb.Reason {
 	if r == NotBegun {
 		return wirepb.Reason_REASON_UPSTREAM_SHED
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -4,8 +4,9 @@
 package retry
 
 import (
-	"fmt"
 	"time"
+
+	"rosemarygate/pkg/reason"
 )
 
 const (
@@ -91,40 +92,24 @@
 	ReasonInProgress
 )
 
-var reasonTexts = [...]struct{ name, remedy string }{
-	ReasonNotRun:     {"not_run", "none: the request is retried"},
-	ReasonIdempotent: {"idempotent", "none: the request is retried"},
-	ReasonMayHaveRun: {"may_have_run", "check at the service whether the request took effect before sending it as a new one"},
-	ReasonAttempts:   {"attempts_used", "send the request again later as a new one"},
-	ReasonDeadline:   {"deadline", "allow a longer deadline"},
-	ReasonBudget:     {"budget_used", "add upstreams, or wait until the service answers again"},
-	ReasonInProgress: {"in_progress", "wait for the outcome of the running attempt"},
+var reasonTexts = reason.Table[Reason]{
+	ReasonNotRun:     {Name: "not_run", Remedy: "none: the request is retried"},
+	ReasonIdempotent: {Name: "idempotent", Remedy: "none: the request is retried"},
+	ReasonMayHaveRun: {Name: "may_have_run", Remedy: "check at the service whether the request took effect before sending it as a new one"},
+	ReasonAttempts:   {Name: "attempts_used", Remedy: "send the request again later as a new one"},
+	ReasonDeadline:   {Name: "deadline", Remedy: "allow a longer deadline"},
+	ReasonBudget:     {Name: "budget_used", Remedy: "add upstreams, or wait until the service answers again"},
+	ReasonInProgress: {Name: "in_progress", Remedy: "wait for the outcome of the running attempt"},
 }
 
 // Reasons returns every reason, for registering one counter each.
-func Reasons() []Reason {
-	out := make([]Reason, 0, len(reasonTexts)-1)
-	for r := ReasonNotRun; int(r) < len(reasonTexts); r++ {
-		out = append(out, r)
-	}
-	return out
-}
+func Reasons() []Reason { return reasonTexts.All() }
 
 // String returns the name of the reason as counters and logs show it.
-func (r Reason) String() string {
-	if r == 0 || int(r) >= len(reasonTexts) {
-		return fmt.Sprintf("reason_%d", uint8(r))
-	}
-	return reasonTexts[r].name
-}
+func (r Reason) String() string { return reasonTexts.Name(r) }
 
 // Remedy tells a caller or operator what to do; it is empty for an unknown reason.
-func (r Reason) Remedy() string {
-	if int(r) >= len(reasonTexts) {
-		return ""
-	}
-	return reasonTexts[r].remedy
-}
+func (r Reason) Remedy() string { return reasonTexts.Remedy(r) }
 
 // Attempt describes the last attempt of a request.
 type Attempt struct {
--- a/pkg/selection/errors.go
+++ b/pkg/selection/errors.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/reason"
 )
 
 // Reason tells why no upstream was selected.
@@ -20,30 +21,20 @@
 	ReasonAllTried
 )
 
-var reasonTexts = [...]struct{ name, remedy string }{
-	ReasonNoUpstream: {"no_upstream", "start an upstream of the service, or check that its announcements are accepted"},
-	ReasonFull:       {"flow_limit", "raise flow_limit of the service or add upstreams"},
-	ReasonAllTried:   {"all_tried", "open the flow again later or add upstreams"},
+var reasonTexts = reason.Table[Reason]{
+	ReasonNoUpstream: {Name: "no_upstream", Remedy: "start an upstream of the service, or check that its announcements are accepted"},
+	ReasonFull:       {Name: "flow_limit", Remedy: "raise flow_limit of the service or add upstreams"},
+	ReasonAllTried:   {Name: "all_tried", Remedy: "open the flow again later or add upstreams"},
 }
 
 // Reasons returns every reason, for registering one counter each.
-func Reasons() []Reason { return []Reason{ReasonNoUpstream, ReasonFull, ReasonAllTried} }
+func Reasons() []Reason { return reasonTexts.All() }
 
 // String returns the name of the reason as counters and logs show it.
-func (r Reason) String() string {
-	if r == 0 || int(r) >= len(reasonTexts) {
-		return fmt.Sprintf("reason_%d", uint8(r))
-	}
-	return reasonTexts[r].name
-}
+func (r Reason) String() string { return reasonTexts.Name(r) }
 
 // Remedy tells a caller or operator what to do; it is empty for an unknown reason.
-func (r Reason) Remedy() string {
-	if int(r) >= len(reasonTexts) {
-		return ""
-	}
-	return reasonTexts[r].remedy
-}
+func (r Reason) Remedy() string { return reasonTexts.Remedy(r) }
 
 // Error is returned by Table.Pick.
 type Error struct{ Reason Reason }
