End new work when an upstream's load report says that it drains

Cause: owners probed the health of upstreams but never asked for their load, so a drain was known only from the next announcement. Change: the probe also reads the load report and takes its drain flag; its other figures stay unused, because the owner counts exactly and reports may mislead.

--- a/pkg/daemon/session.go
+++ b/pkg/daemon/session.go
@@ -41,6 +41,7 @@
 
 	healthy   atomic.Bool
 	connected atomic.Bool
+	draining  atomic.Bool // the upstream's own report says so
 	wg        sync.WaitGroup
 
 	mu       sync.Mutex
@@ -94,12 +95,24 @@
 	return s.reg
 }
 
+// probeDrain ends new work as soon as the upstream's load report says that it drains, which
+// may be before its next announcement.
+func (s *session) probeDrain(ctx context.Context) {
+	load, err := s.client.Load(ctx, &upstreampb.LoadRequest{})
+	if err != nil {
+		return
+	}
+	if s.draining.Swap(load.Draining) != load.Draining && s.connected.Load() {
+		s.announceUp()
+	}
+}
+
 func (s *session) announceUp() {
 	reg := s.registration()
 	s.shards.post(reg.Upstream, owner.UpstreamUp{
 		Service: reg.Service, Upstream: reg.Upstream, Incarnation: reg.Incarnation,
 		DataCentre: ident.DataCentre(reg.DataCentre),
-		Slots:      reg.Slots, FlowLimit: reg.FlowLimit, Draining: reg.Draining,
+		Slots:      reg.Slots, FlowLimit: reg.FlowLimit, Draining: reg.Draining || s.draining.Load(),
 	})
 }
 
@@ -262,15 +275,17 @@
 	}
 }
 
-// probe asks for the upstream's health through grpc.health.v1.
+// probe asks for the upstream's health through grpc.health.v1, and whether it drains. Its
+// other load figures are not used: the owner counts them itself, and they may mislead.
 func (s *session) probe() {
 	defer s.wg.Done()
 	client := healthpb.NewHealthClient(s.conn)
 	for {
 		ctx, cancel := context.WithTimeout(s.ctx, healthPeriod)
 		reply, err := client.Check(ctx, &healthpb.HealthCheckRequest{})
-		cancel()
 		s.healthy.Store(err == nil && reply.Status == healthpb.HealthCheckResponse_SERVING)
+		s.probeDrain(ctx)
+		cancel()
 		select {
 		case <-time.After(healthPeriod):
 		case <-s.ctx.Done():
