--- a/pkg/daemon/session_test.go
+++ b/pkg/daemon/session_test.go
@@ -50,7 +50,7 @@
 	sh := &shards{all: []*shard{{events: make(chan envelope, shardQueue)}}, stopped: t.Context().Done()}
 	s, err := newSession(t.Context(), registration.Registration{
 		Upstream: 1, Addr: netip.MustParseAddrPort(lis.Addr().String()), Slots: 1, FlowLimit: 1,
-	}, "user/service", sh, log, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	}, "user/service", sh, log, []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())})
 	assert.NilError(t, err)
 	t.Cleanup(s.close)
 	deadline := time.After(5 * time.Second)
