Choose upstreams of near data centres like local ones

Each daemon gave its opens to its own data centre, and the fabric brings 43% of the opens to the one with 3 daemons, which has a third of the upstreams. The model did not show it, because its callers arrive evenly at data centres. Change: near_data_centres in the settings; their upstreams form one group with the own ones, and load samples also ride on messages between data centres.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -163,7 +163,7 @@
 		Incarnation: ident.Incarnation(time.Now().UnixMilli()),
 		PeerAddr:    addrPort(d.path.peerConn.LocalAddr()), GRPCAddr: addrPort(d.grpcLis.Addr()),
 	}
-	d.path.opener = newOpener(d.path, self, d.openRefused)
+	d.path.opener = newOpener(d.path, self, d.settings.NearDataCentres, d.openRefused)
 	d.sessions = &sessions{ctx: d.ctx, log: d.log, dial: append(blockable(d.blocked), grpc.WithTransportCredentials(insecure.NewCredentials())), all: map[ident.UpstreamID]*session{}}
 	d.cluster = newCluster(d.clock, d.log, d.path.peerConn, key, self, d.settings.Seeds)
 	d.cluster.assign = newAssignment(self, nil)
--- a/pkg/daemon/datapath_test.go
+++ b/pkg/daemon/datapath_test.go
@@ -49,7 +49,7 @@
 	}
 	v := &membership.View{Members: members}
 	d.table.Store(relay.NewTable(members[0], v, ownership.NewTable(v, nil)))
-	d.opener = newOpener(d, members[0], func(ident.ServiceID, wirepb.Reason) {})
+	d.opener = newOpener(d, members[0], nil, func(ident.ServiceID, wirepb.Reason) {})
 	return d
 }
 
--- a/pkg/daemon/glue.go
+++ b/pkg/daemon/glue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -171,7 +172,7 @@
 	d.path.table.Store(relay.NewTable(self, v, t))
 	serving := 0
 	for _, m := range v.Members {
-		if m.State == membership.Serving && m.DataCentre == self.DataCentre {
+		if m.State == membership.Serving && d.nearOrOwn(m.DataCentre) {
 			serving++
 		}
 	}
@@ -186,6 +187,11 @@
 	}
 }
 
+// nearOrOwn reports whether the upstreams of a data centre are chosen like local ones.
+func (d *Daemon) nearOrOwn(dataCentre string) bool {
+	return dataCentre == d.settings.DataCentre || slices.Contains(d.settings.NearDataCentres, dataCentre)
+}
+
 func (d *Daemon) openSockets() {
 	if err := d.path.sockets.set(d.services.Load().ports); err != nil {
 		events.SocketFailed.Log(d.log, logrus.Fields{"error": err})
@@ -305,9 +311,15 @@
 	return running == 0 && d.completing.Load() == 0
 }
 
-func newOpener(p *datapath, self membership.Member, refused func(ident.ServiceID, wirepb.Reason)) *opener {
+func newOpener(p *datapath, self membership.Member, near []string, refused func(ident.ServiceID, wirepb.Reason)) *opener {
 	rng := rand.New(rand.NewPCG(uint64(self.ID), uint64(self.Incarnation)))
-	return &opener{path: p, refused: refused, table: selection.NewTable(ident.DataCentre(self.DataCentre), rng)}
+	table := selection.NewTable(ident.DataCentre(self.DataCentre), rng)
+	nearIDs := make([]ident.DataCentreID, 0, len(near))
+	for _, name := range near {
+		nearIDs = append(nearIDs, ident.DataCentre(name))
+	}
+	table.SetNear(nearIDs)
+	return &opener{path: p, refused: refused, table: table}
 }
 
 // Done is closed when the daemon has stopped.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,6 +105,9 @@
 		Ports: settings.Ports{Peer: peerPort, GRPC: grpcPort, HTTP: httpPort},
 	}
 	for j, other := range f.hosts {
+		if other.DataCentre != h.DataCentre && !slices.Contains(s.NearDataCentres, other.DataCentre) {
+			s.NearDataCentres = append(s.NearDataCentres, other.DataCentre)
+		}
 		if j != i {
 			s.Seeds = append(s.Seeds, netip.AddrPortFrom(other.Addr, peerPort))
 		}
--- a/pkg/registration/spread.go
+++ b/pkg/registration/spread.go
@@ -62,6 +62,7 @@
 	room := budget
 	if to.DataCentre != c.cfg.DataCentre {
 		room -= c.putCentreDigests(now, to.DataCentre, u, room)
+		c.loads.put(now, u, min(room, loadBudget), c.rng)
 	} else {
 		room -= c.putQueued(now, u, room)
 		c.loads.put(now, u, min(room, loadBudget), c.rng)
--- a/pkg/selection/selection.go
+++ b/pkg/selection/selection.go
@@ -51,6 +51,7 @@
 // concurrent use.
 type Table struct {
 	local    ident.DataCentreID
+	near     map[ident.DataCentreID]bool
 	rng      *rand.Rand
 	peers    float64
 	services map[ident.ServiceID]*pool
@@ -61,6 +62,19 @@
 	return &Table{local: local, rng: rng, peers: 1, services: make(map[ident.ServiceID]*pool)}
 }
 
+// SetNear names other data centres whose upstreams are chosen like local ones. Without
+// them, a data centre with more entry hosts than its part of the upstreams gets more flows
+// an upstream than the others, because the fabric spreads callers over hosts. It counts
+// from the next Set on.
+func (t *Table) SetNear(dataCentres []ident.DataCentreID) {
+	t.near = make(map[ident.DataCentreID]bool, len(dataCentres))
+	for _, dc := range dataCentres {
+		t.near[dc] = true
+	}
+}
+
+func (t *Table) isLocal(dc ident.DataCentreID) bool { return dc == t.local || t.near[dc] }
+
 // SetPeers sets the number of serving daemons that open flows to the same upstreams,
 // including this one. The model counts every own pick that many times, because the
 // fabric spreads callers evenly. A value below what the reports show is corrected.
@@ -206,7 +220,7 @@
 			u.Candidate = c
 		}
 	}
-	u.remote = c.DataCentre != p.table.local
+	u.remote = !p.table.isLocal(c.DataCentre)
 	p.index[c.Upstream] = int32(len(p.upstreams))
 	p.upstreams = append(p.upstreams, u)
 }
--- a/pkg/selection/spill.go
+++ b/pkg/selection/spill.go
@@ -38,7 +38,7 @@
 }
 
 func (p *pool) groupOf(u *upstream) *group {
-	if u.DataCentre == p.table.local {
+	if !u.remote {
 		return &p.local
 	}
 	return p.remotes[u.DataCentre]
@@ -68,7 +68,7 @@
 			continue
 		}
 		g := &p.local
-		if u.DataCentre != p.table.local {
+		if u.remote {
 			g = p.remoteGroup(u.DataCentre)
 		}
 		g.add(int32(i), u.weight())
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -15,6 +15,9 @@
 	// Name is unique in the fleet.
 	Name       string `yaml:"name" required:"true"`
 	DataCentre string `yaml:"data_centre" required:"true"`
+	// NearDataCentres are other data centres whose upstreams get new flows like those of the
+	// own one. Without them the own data centre comes first.
+	NearDataCentres []string `yaml:"near_data_centres"`
 	// Host is the IP address that every socket binds to.
 	Host  netip.Addr `yaml:"host" required:"true"`
 	Ports Ports      `yaml:"ports"`
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -42,7 +42,7 @@
 	replica := "name: a\ndata_centre: x\nhost: 127.1.0.1\n"
 	for _, c := range []struct{ in, want string }{
 		{"name: A\ndata_centre: x\nhost: 127.1.0.1\nconfig_dir: conf\n", `:1: name: daemon name "A" is not valid: use 1 to 63 lower-case letters, digits and dashes, with no dash at either end`},
-		{valid + "hots: 1\n", `:5: key "hots" is unknown: the keys here are cluster_key, config_dir, control, data_centre, data_dir, host, name, ports, seeds, tls`},
+		{valid + "hots: 1\n", `:5: key "hots" is unknown: the keys here are cluster_key, config_dir, control, data_centre, data_dir, host, name, near_data_centres, ports, seeds, tls`},
 		{strings.Replace(valid, "127.1.0.1", "127.1.0.1:80", 1), `:3: host: "127.1.0.1:80" is not an IP address: write one such as 127.1.0.1, without a port`},
 		{strings.Replace(valid, "127.1.0.1", "0.0.0.0", 1) + "tls: {certificate: c, key: k, authority: a}\ncluster_key: f\n", `:3: host: 0.0.0.0 is not the address of one host: write the address at which other daemons reach this one`},
 		{strings.Replace(valid, "127.1.0.1", "10.0.0.1", 1) + "cluster_key: f\n", `:3: host: 10.0.0.1 is not a loopback address and tls is not set: name the files tls.certificate, tls.key and tls.authority`},
