Send load samples between data centres once a second

Cause: load samples on every message between data centres took 7 idle daemons in 4 data centres from 2.2 to 3.3 KB/s, too much beside the control connections. Change: at most one message a second carries them to each other data centre.

--- a/pkg/registration/spread.go
+++ b/pkg/registration/spread.go
@@ -20,6 +20,8 @@
 	syncAgain = 200 * time.Millisecond
 	// digestEvery is how often digests go to one other data centre by this daemon.
 	digestEvery = time.Second
+	// loadsAbroadEvery is how often load samples go to one other data centre by this daemon.
+	loadsAbroadEvery = time.Second
 
 	bucketCount = 64
 	bucketShift = 58
@@ -62,7 +64,7 @@
 	room := budget
 	if to.DataCentre != c.cfg.DataCentre {
 		room -= c.putCentreDigests(now, to.DataCentre, u, room)
-		c.loads.put(now, u, min(room, loadBudget), c.rng)
+		c.putLoadsAbroad(now, to.DataCentre, u, room)
 	} else {
 		room -= c.putQueued(now, u, room)
 		c.loads.put(now, u, min(room, loadBudget), c.rng)
@@ -70,6 +72,18 @@
 	return encode(u)
 }
 
+// putLoadsAbroad adds load samples to a message to another data centre, seldom enough that
+// they cost a daemon little: with every message they took 7 daemons in 4 data centres from
+// 2.2 to 3.3 KB/s.
+func (c *Core) putLoadsAbroad(now time.Time, remote string, u *peerpb.RegistrationUpdate, room int) {
+	other := c.centreOf(remote)
+	if now.Before(other.nextLoads) {
+		return
+	}
+	other.nextLoads = now.Add(loadsAbroadEvery)
+	c.loads.put(now, u, min(room, loadBudget), c.rng)
+}
+
 func encode(u *peerpb.RegistrationUpdate) []byte {
 	data, err := proto.Marshal(u)
 	if err != nil || len(data) == 0 {
--- a/pkg/registration/view.go
+++ b/pkg/registration/view.go
@@ -17,6 +17,7 @@
 
 	owners     uint64 // signature of the members that own its upstreams
 	nextDigest time.Time
+	nextLoads  time.Time
 }
 
 // bucket holds the registrations whose identifiers begin with the same bits.
