Encode callers' addresses with one piece of code

Cause: the relay and the handover each had an encoder and a decoder of the same form, 4 or 16 bytes of IP and 2 of port. Change: pkg/frame holds both; relay and owner call it. Conclusion: behaviour is the same.

--- a/pkg/owner/handover.go
+++ b/pkg/owner/handover.go
@@ -2,14 +2,13 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
 	peerpb "rosemarygate/api/peer/v1"
 	wirepb "rosemarygate/api/wire/v1"
+	"rosemarygate/pkg/frame"
 	"rosemarygate/pkg/ident"
 )
 
@@ -118,7 +117,7 @@
 
 func (c *Core) encodeFlow(f *flow) *peerpb.FlowState {
 	s := &peerpb.FlowState{
-		FlowId: uint64(f.id), Caller: EncodeAddr(f.caller),
+		FlowId: uint64(f.id), Caller: frame.AppendAddr(nil, f.caller),
 		Confirmed: f.confirmed, DroppedRequestId: uint64(f.droppedBelow),
 	}
 	if f.feed != nil {
@@ -213,7 +212,7 @@
 	id := ident.FlowID(s.FlowId)
 	f := u.flows[id]
 	if f == nil {
-		f = c.addFlow(u, id, DecodeAddr(s.Caller))
+		f = c.addFlow(u, id, frame.DecodeAddr(s.Caller))
 	}
 	f.confirmed = f.confirmed || s.Confirmed
 	f.droppedBelow = max(f.droppedBelow, ident.RequestID(s.DroppedRequestId))
@@ -305,21 +304,3 @@
 	c.start(u.sched.SetLimits(c.now, c.limits(u)))
 	c.submitHeld(u)
 }
-
-// EncodeAddr encodes a caller's address: 4 or 16 bytes of IP and 2 of port, big endian.
-func EncodeAddr(a netip.AddrPort) []byte {
-	b := a.Addr().Unmap().AsSlice()
-	return binary.BigEndian.AppendUint16(b, a.Port())
-}
-
-// DecodeAddr decodes what EncodeAddr made; other input gives an invalid address.
-func DecodeAddr(b []byte) netip.AddrPort {
-	if len(b) < 2 {
-		return netip.AddrPort{}
-	}
-	ip, ok := netip.AddrFromSlice(b[:len(b)-2])
-	if !ok {
-		return netip.AddrPort{}
-	}
-	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[len(b)-2:]))
-}
--- a/pkg/relay/datagram.go
+++ b/pkg/relay/datagram.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"rosemarygate/pkg/frame"
 	"rosemarygate/pkg/ident"
 )
 
@@ -91,17 +92,9 @@
 func AppendPacket(b []byte, p *Packet) []byte {
 	b = protowire.AppendTag(b, fieldRelay, protowire.BytesType)
 	b = protowire.AppendVarint(b, uint64(packetSize(p)))
-	addr := p.Caller.Addr().Unmap()
 	b = protowire.AppendTag(b, fieldCaller, protowire.BytesType)
-	b = protowire.AppendVarint(b, uint64(addr.BitLen()/8+2))
-	if addr.Is4() {
-		ip := addr.As4()
-		b = append(b, ip[:]...)
-	} else {
-		ip := addr.As16()
-		b = append(b, ip[:]...)
-	}
-	b = append(b, byte(p.Caller.Port()>>8), byte(p.Caller.Port()))
+	b = protowire.AppendVarint(b, uint64(frame.AddrSize(p.Caller)))
+	b = frame.AppendAddr(b, p.Caller)
 	b = protowire.AppendTag(b, fieldService, protowire.Fixed64Type)
 	b = protowire.AppendFixed64(b, uint64(p.Service))
 	b = protowire.AppendTag(b, fieldHops, protowire.VarintType)
@@ -122,7 +115,7 @@
 }
 
 func packetSize(p *Packet) int {
-	size := 1 + 1 + p.Caller.Addr().Unmap().BitLen()/8 + 2
+	size := 1 + 1 + frame.AddrSize(p.Caller)
 	size += 1 + 8
 	size += 1 + protowire.SizeVarint(uint64(p.Hops))
 	if p.Upstream != 0 {
@@ -185,7 +178,7 @@
 	switch {
 	case num == fieldCaller && typ == protowire.BytesType:
 		v, n := protowire.ConsumeBytes(b)
-		p.Caller = decodeAddr(v)
+		p.Caller = frame.DecodeAddr(v)
 		return n
 	case num == fieldService && typ == protowire.Fixed64Type:
 		v, n := protowire.ConsumeFixed64(b)
@@ -220,14 +213,3 @@
 		v = v[8:]
 	}
 }
-
-func decodeAddr(b []byte) netip.AddrPort {
-	switch len(b) {
-	case 6:
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), uint16(b[4])<<8|uint16(b[5]))
-	case 18:
-		return netip.AddrPortFrom(netip.AddrFrom16([16]byte(b[:16])), uint16(b[16])<<8|uint16(b[17]))
-	default:
-		return netip.AddrPort{}
-	}
-}
