Let daemons and requests leave a leader whose disk stalls

Cause: a sync that does not return blocks the replica's loop. The replica then still named itself leader, its daemons stayed with it for 10 s, and a request that was passed to it waited 2 s even when another leader had been elected.

Change: a replica whose loop did not finish a pass for 3 s counts as stalled: it ends the watches of its daemons and does not take requests as leader. A forwarded request is given up when a new leader is known, and sent to that one with the same change id.

--- a/pkg/control/replica/change.go
+++ b/pkg/control/replica/change.go
@@ -80,10 +80,10 @@
 	for ctx.Err() == nil {
 		var reply *controlpb.Reply
 		err := errNotHere
-		if st := r.Status(); st.Role == agreement.Leader {
+		if st := r.Status(); st.Role == agreement.Leader && !r.stalled() {
 			reply, err = local(ctx)
 		} else if address, ok := r.leaderAddress(ctx, st.Leader); ok {
-			reply, err = r.forward(ctx, address, remote)
+			reply, err = r.forward(ctx, st.Leader, address, remote)
 		} else if forwarded(ctx) {
 			return nil, noMajority() // the sender looks for the leader
 		}
@@ -105,15 +105,16 @@
 // remoteCall makes a change at another replica.
 type remoteCall func(context.Context, controlpb.OperatorClient) (*controlpb.Reply, error)
 
-// forward makes a change at the leader. A connection on which nothing was answered is made anew,
-// since TCP may need minutes after a partition.
-func (r *Replica) forward(ctx context.Context, address string, remote remoteCall) (*controlpb.Reply, error) {
+// forward makes a change at the leader, until another one is elected. A connection on which
+// nothing was answered is made anew, since TCP may need minutes after a partition.
+func (r *Replica) forward(ctx context.Context, leader agreement.Replica, address string, remote remoteCall) (*controlpb.Reply, error) {
 	conn, err := r.transport.conn(address)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
+	go r.cancelOnNewLeader(ctx, leader, cancel)
 	reply, err := remote(metadata.AppendToOutgoingContext(ctx, forwardedKey, r.cfg.Name), controlpb.NewOperatorClient(conn))
 	if ctx.Err() != nil {
 		r.transport.drop(address)
@@ -121,6 +122,23 @@
 	return reply, err
 }
 
+// cancelOnNewLeader ends the wait for a leader that was replaced meanwhile.
+func (r *Replica) cancelOnNewLeader(ctx context.Context, leader agreement.Replica, cancel context.CancelFunc) {
+	ticker := time.NewTicker(leaderPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if now := r.Status().Leader; now != agreement.None && now != leader {
+				cancel()
+				return
+			}
+		}
+	}
+}
+
 // forwarded reports whether another replica passed the request on.
 func forwarded(ctx context.Context) bool {
 	in, _ := metadata.FromIncomingContext(ctx)
--- a/pkg/control/replica/core.go
+++ b/pkg/control/replica/core.go
@@ -65,7 +65,7 @@
 func (r *Replica) runOnce(ctx context.Context) error {
 	dir := filepath.Join(r.cfg.Dir, walFolder)
 	self := agreement.Replica{ID: r.id, Incarnation: ident.Incarnation(time.Now().UnixNano())}
-	store, st, err := storage.Open(storage.OS{}, dir, storage.Options{Self: self})
+	store, st, err := storage.Open(r.cfg.FS, dir, storage.Options{Self: self})
 	if err != nil {
 		return err
 	}
@@ -253,6 +253,7 @@
 // report publishes what other goroutines need.
 func (c *core) report() {
 	st := c.node.Status()
+	c.r.passed.Store(time.Now().UnixNano())
 	if st.Leader != agreement.None {
 		c.r.led.Store(time.Now().UnixNano())
 	}
--- a/pkg/control/replica/errors.go
+++ b/pkg/control/replica/errors.go
@@ -70,7 +70,7 @@
 		return kind == controlpb.Refusal_KIND_OUTCOME_UNKNOWN
 	}
 	switch status.Code(err) {
-	case codes.Unavailable, codes.DeadlineExceeded:
+	case codes.Unavailable, codes.DeadlineExceeded, codes.Canceled:
 		return true
 	}
 	return errors.Is(err, context.DeadlineExceeded)
--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -21,6 +21,7 @@
 	"rosemarygate/pkg/control/totals"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/storage"
 )
 
 const (
@@ -30,7 +31,10 @@
 	queueLength    = 1024
 	// leaderless is how long a replica without a leader keeps its daemons. After that they look
 	// for a replica that gets changes; this one's disk or connection may have failed.
-	leaderless    = 10 * time.Second
+	leaderless = 10 * time.Second
+	// stallLimit is how long a disk may keep the replica from its work before its daemons look for
+	// another replica. Waiting for leaderless instead, they got a change after 10.7 s.
+	stallLimit    = 3 * time.Second
 	retryPeriod   = 2 * time.Second
 	walFolder     = "agreement"
 	totalsFile    = "totals"
@@ -48,6 +52,8 @@
 	// Dial holds the options of connections to other replicas.
 	Dial []grpc.DialOption
 	Log  logrus.FieldLogger
+	// FS keeps the log and the snapshots; nil stands for the operating system's file system.
+	FS storage.FS
 }
 
 // Replica is one control replica. Run runs it; Register makes its services available.
@@ -64,6 +70,7 @@
 	status    atomic.Pointer[Status]
 	identity  atomic.Pointer[controlpb.IdentifyReply]
 	led       atomic.Int64 // Unix nanoseconds when a leader was known last
+	passed    atomic.Int64 // Unix nanoseconds when the loop of the core last had nothing left to sync
 	driving   atomic.Bool  // a replacement or the first entries are being worked on
 
 	addrMu    sync.Mutex
@@ -89,6 +96,9 @@
 		calls: make(chan func(*core), queueLength), incoming: make(chan agreement.Message, queueLength),
 		addresses: map[ident.DaemonID]*controlpb.ReplicaHost{},
 	}
+	if r.cfg.FS == nil {
+		r.cfg.FS = storage.OS{}
+	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.publish = newDistributor(cfg.Name, state.New(r.rules).View())
 	r.status.Store(&Status{})
@@ -116,7 +126,13 @@
 
 // connected reports whether the replica's group has had a leader lately, so that it gets changes.
 func (r *Replica) connected() bool {
-	return r.Status().Loaded && time.Since(time.Unix(0, r.led.Load())) < leaderless
+	return r.Status().Loaded && !r.stalled() && time.Since(time.Unix(0, r.led.Load())) < leaderless
+}
+
+// stalled reports whether a sync has kept the replica from its work for long. What Status says of
+// its role may then be out of date.
+func (r *Replica) stalled() bool {
+	return time.Since(time.Unix(0, r.passed.Load())) > stallLimit
 }
 
 // Run runs the replica until ctx ends. Faults of the disk are logged and the folder is opened
--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -23,6 +23,7 @@
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/owner"
 	"rosemarygate/pkg/settings"
+	"rosemarygate/pkg/storage"
 )
 
 const (
@@ -55,6 +56,11 @@
 	return func(d *Daemon) { d.dialControl = dial }
 }
 
+// WithControlFS makes the daemon's control replica keep its files in fs, for tests of disk faults.
+func WithControlFS(fs storage.FS) Option {
+	return func(d *Daemon) { d.controlFS = fs }
+}
+
 // initialConfig returns the configuration before the first accepted version is put in force.
 func initialConfig(s *settings.Daemon, cfg *config.Config) *config.Config {
 	if cfg == nil || len(s.Control.Replicas) > 0 {
@@ -85,7 +91,7 @@
 	log := d.log
 	if s.Control.Replica {
 		c.replica, err = replica.New(replica.Config{
-			Name: s.Name, DataCentre: s.DataCentre, Replicas: hosts, Dir: s.DataDir, Dial: options, Log: log,
+			Name: s.Name, DataCentre: s.DataCentre, Replicas: hosts, Dir: s.DataDir, Dial: options, Log: log, FS: d.controlFS,
 		})
 		if err != nil {
 			return nil, err
--- a/pkg/daemon/controlfleet_test.go
+++ b/pkg/daemon/controlfleet_test.go
@@ -24,6 +24,7 @@
 	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/daemon"
 	"rosemarygate/pkg/settings"
+	"rosemarygate/pkg/storage"
 )
 
 const (
@@ -146,6 +147,7 @@
 	cancel   []context.CancelFunc
 	done     []chan error
 	log      logrus.FieldLogger
+	disks    []storage.FS // nil entries stand for the operating system's file system
 	// credentials are those of operators.
 	credentials grpc.DialOption
 }
@@ -186,6 +188,7 @@
 		s.Seeds = seeds
 	}
 	f.daemons = make([]*daemon.Daemon, len(f.settings))
+	f.disks = make([]storage.FS, len(f.settings))
 	f.cancel = make([]context.CancelFunc, len(f.settings))
 	f.done = make([]chan error, len(f.settings))
 	t.Cleanup(f.close)
@@ -195,7 +198,7 @@
 func (f *controlFleet) start(hosts ...int) {
 	for _, i := range hosts {
 		s := f.settings[i]
-		d, err := daemon.New(s, nil, f.log, daemon.WithControlDialer(f.wires.dialer(s.Host.String())))
+		d, err := daemon.New(s, nil, f.log, daemon.WithControlDialer(f.wires.dialer(s.Host.String())), daemon.WithControlFS(f.disks[i]))
 		assert.NilError(f.t, err)
 		ctx, cancel := context.WithCancel(context.Background())
 		f.daemons[i], f.cancel[i], f.done[i] = d, cancel, make(chan error, 1)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"rosemarygate/pkg/owner"
 	"rosemarygate/pkg/security"
 	"rosemarygate/pkg/settings"
+	"rosemarygate/pkg/storage"
 	"rosemarygate/pkg/telemetry"
 )
 
@@ -49,6 +50,7 @@
 	control  *control // nil when the configuration comes from a folder
 	// dialControl connects to control replicas; nil for the usual way.
 	dialControl DialControl
+	controlFS   storage.FS // nil for the operating system's
 	grpcLis     net.Listener
 	httpLis     net.Listener
 
