Recover a replica group from one copy; tell removed replicas

A group whose majority is lost for good could not accept a change again, a replica that was removed while it was cut off kept campaigning, and a request to join named no group.

Requests to join carry the group. A leader answers the vote request of a replica that no committed membership has with MsgRemoved, after which that replica neither campaigns nor asks to join until a leader sends to it again.

--- a/pkg/agreement/checker_test.go
+++ b/pkg/agreement/checker_test.go
@@ -1,6 +1,7 @@
 package agreement_test
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math"
 	"time"
@@ -46,6 +47,15 @@
 	r.position[id] = len(r.list)
 }
 
+// encode returns the list as the data of a snapshot.
+func (r *register) encode() []byte {
+	var data []byte
+	for _, id := range r.list {
+		data = binary.BigEndian.AppendUint64(data, id)
+	}
+	return data
+}
+
 func (r *register) digest() digest {
 	var d digest
 	for _, id := range r.list {
--- a/pkg/agreement/doc.go
+++ b/pkg/agreement/doc.go
@@ -16,6 +16,10 @@
 //     at most one voter, and the next one waits until it is committed.
 //   - A read is released only after a majority has confirmed the leader after the read arrived.
 //     Clocks play no part in that.
+//   - A replica that a leader tells of its removal neither campaigns nor asks to join until a leader
+//     sends to it as a member again.
+//   - Messages between groups are refused, requests to join included, so replicas of a group that
+//     was recovered from one copy (RecoveredState) and those of the group before it never meet.
 //   - A replica with state that hears from a leader refuses vote requests for an election timeout,
 //     and a candidate first asks whether it would win, without raising its term. So a replica that
 //     was isolated does not force the leader out when it returns.
@@ -42,7 +46,8 @@
 // found a group because its folder is empty: after a lost disk it would start a second group.
 //
 // The group tolerates the loss of fewer than half of its voters, where a learner counts as a voter
-// from the moment it has caught up. Beyond that it accepts no change any more.
+// from the moment it has caught up. Beyond that it accepts no change any more until the operator
+// recovers it from one surviving copy, which may lose what that copy does not hold.
 //
 // Duplicates of a proposal are distinct entries; the layer above recognises them by its change id.
 package agreement
--- a/pkg/agreement/faults_test.go
+++ b/pkg/agreement/faults_test.go
@@ -59,7 +59,7 @@
 	})
 	t.Logf("%d schedules: %+v", seeds, total)
 	if seeds >= defaultSeeds {
-		assert.Assert(t, total.lostDisks > 1000 && total.promotions > 1000 && total.answered > 20000 && total.reads > 10000,
+		assert.Assert(t, total.lostDisks > 1000 && total.promotions > 1000 && total.answered > 20000 && total.reads > 10000 && total.readded > 50,
 			"the schedules are too weak: %+v", total)
 	}
 }
@@ -72,6 +72,7 @@
 	s.reads += o.reads
 	s.promotions += o.promotions
 	s.removals += o.removals
+	s.readded += o.readded
 	s.terms += o.terms
 }
 
--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -179,6 +179,9 @@
 	if n.role != Leader || n.cfg.ManualRepair || m.From.ID == n.self.ID {
 		return nil
 	}
+	if m.Group != 0 && m.Group != n.group {
+		return ErrOtherGroup
+	}
 	if n.membership().Contains(m.From) {
 		return nil
 	}
@@ -188,24 +191,21 @@
 		return ErrStaleReplica
 	}
 	if !known && !slices.Contains(n.cfg.Peers, m.From.ID) {
+		if m.Group != 0 {
+			n.sayRemoved(m.From)
+		}
 		return ErrUnknownMember
 	}
 	_, err := n.ProposeChange(Change{Kind: AddLearner, Replica: m.From})
 	return err
 }
 
-// removed reports whether the log shows that this replica was a member and is no longer one.
-func (n *Node) removed() bool {
-	was := slices.ContainsFunc(n.log.confs, func(c confAt) bool { return c.membership.Contains(n.self) })
-	return was && !n.log.membershipAt(n.log.committed).Contains(n.self) && !n.membership().Contains(n.self)
-}
-
 // requestJoin asks every configured peer to add this replica as a learner. A replica that already
 // holds entries asks again, because the change that added it may not have been committed.
 func (n *Node) requestJoin() {
 	for _, id := range n.cfg.Peers {
 		if id != n.self.ID {
-			n.msgs = append(n.msgs, Message{Kind: MsgJoin, From: n.self, To: Replica{ID: id}})
+			n.msgs = append(n.msgs, Message{Kind: MsgJoin, From: n.self, To: Replica{ID: id}, Group: n.group})
 		}
 	}
 }
--- a/pkg/agreement/node.go
+++ b/pkg/agreement/node.go
@@ -81,6 +81,7 @@
 	msgs            []Message
 	readStates      []ReadState
 	superseded      bool
+	toldRemoved     bool // by a leader, since this replica last heard from one as a member
 	diverged        bool
 }
 
@@ -111,7 +112,7 @@
 	return Status{
 		Self: n.self, Role: n.role, Leader: n.leader, Term: n.term,
 		Commit: n.log.committed, Applied: n.log.applied, LastIndex: n.log.lastIndex(),
-		Membership: n.membership(), Superseded: n.superseded,
+		Membership: n.membership(), Superseded: n.superseded, Removed: n.removed(),
 	}
 }
 
@@ -135,9 +136,10 @@
 	n.resetElectionTimeout()
 	n.leader = None
 	switch {
+	case n.removed():
 	case n.mayCampaign():
 		n.campaign(false)
-	case !n.removed():
+	default:
 		n.requestJoin()
 	}
 }
@@ -151,6 +153,9 @@
 	if m.Kind == MsgJoin {
 		return n.stepJoin(m)
 	}
+	if n.tellRemoved(m) {
+		return nil
+	}
 	if m.To != n.self {
 		n.superseded = n.superseded || m.To.ID == n.self.ID && m.To.Incarnation > n.self.Incarnation
 		return ErrOtherReplica
@@ -161,6 +166,10 @@
 	if !m.valid() {
 		return ErrInvalidMessage
 	}
+	if m.Kind == MsgRemoved {
+		n.stepRemoved(m)
+		return nil
+	}
 	if m.Term != n.term && !n.acceptTerm(m) {
 		return nil
 	}
--- a/pkg/agreement/replication.go
+++ b/pkg/agreement/replication.go
@@ -175,6 +175,7 @@
 		n.becomeFollower(n.term, m.From)
 	}
 	n.electionElapsed = 0
+	n.toldRemoved = false
 	switch m.Kind {
 	case MsgHeartbeat:
 		n.commitTo(min(m.Commit, n.log.lastIndex()))
--- a/pkg/agreement/schedule_test.go
+++ b/pkg/agreement/schedule_test.go
@@ -199,7 +199,8 @@
 	}
 	index, err := h.node.ProposeChange(agreement.Change{Kind: agreement.Remove, Replica: target.self})
 	if err == nil {
-		target.removed = true
+		target.removed, target.gone = true, false
+		target.keeps = s.rng.IntN(2) == 0
 		s.check.proposed = append(s.check.proposed, confIndex{index, h.node.Status().Membership})
 	}
 }
@@ -217,10 +218,30 @@
 	return true
 }
 
+// readdRemoved adds a host whose removal was committed again, with its files, when it has learned
+// that it was removed. The learner of a replacement that was cancelled and started again is one.
+func (s *sim) readdRemoved(h *host) {
+	_, member := s.check.committed.membership.Find(h.id)
+	if h.gone && member {
+		h.removed, h.gone = false, false
+		s.stats.readded++
+	}
+	if !h.removed || !h.keeps || member {
+		return
+	}
+	h.gone = true
+	if leader := s.leader(); leader != nil && h.alive() && h.node.Status().Removed {
+		index, err := leader.node.ProposeChange(agreement.Change{Kind: agreement.AddLearner, Replica: h.self})
+		if err == nil {
+			s.check.proposed = append(s.check.proposed, confIndex{index, leader.node.Status().Membership})
+		}
+	}
+}
+
 // replaceRemoved empties the folder of a host whose removal was committed; it then joins again.
 func (s *sim) replaceRemoved(h *host) {
 	_, member := s.check.committed.membership.Find(h.id)
-	if !h.removed || member || !s.mayLose(h) {
+	if !h.removed || h.keeps || member || !s.mayLose(h) {
 		return
 	}
 	h.removed = false
@@ -240,6 +261,7 @@
 	}
 	for _, h := range s.hosts {
 		s.replaceRemoved(h)
+		s.readdRemoved(h)
 		if !h.alive() && s.round >= h.restartAt {
 			s.open(h, nil)
 		}
--- a/pkg/agreement/sim_test.go
+++ b/pkg/agreement/sim_test.go
@@ -30,9 +30,11 @@
 	reads     map[uint64]uint64 // released reads by context: index
 	snapIndex uint64
 	restartAt int
-	pausedTo  int // no ticks before this round
-	frozenTo  int // the process does nothing before this round
-	removed   bool
+	pausedTo  int  // no ticks before this round
+	frozenTo  int  // the process does nothing before this round
+	removed   bool // the operator proposed to remove it
+	keeps     bool // it keeps its files after the removal and is added again later
+	gone      bool // the removal of a host that keeps its files is committed
 }
 
 func (h *host) alive() bool { return h.node != nil }
@@ -63,7 +65,7 @@
 }
 
 type stats struct {
-	crashes, lostDisks, partitions, answered, reads, promotions, removals, terms int
+	crashes, lostDisks, partitions, answered, reads, promotions, removals, readded, terms int
 }
 
 func newSim(seed uint64, off switches) *sim {
@@ -306,11 +308,7 @@
 	if h.reg.applied < h.snapIndex+compactEvery {
 		return nil
 	}
-	var data []byte
-	for _, id := range h.reg.list {
-		data = binary.BigEndian.AppendUint64(data, id)
-	}
-	snap, err := h.node.Compact(h.reg.applied, data)
+	snap, err := h.node.Compact(h.reg.applied, h.reg.encode())
 	if err != nil {
 		s.check.fail(brokenReplay, "compact at %d: %v", h.reg.applied, err)
 		return err
--- a/pkg/agreement/types.go
+++ b/pkg/agreement/types.go
@@ -91,6 +91,7 @@
 	MsgReadIndexReply MessageKind = 12
 	MsgJoin           MessageKind = 13
 	MsgJoinRefused    MessageKind = 14
+	MsgRemoved        MessageKind = 15 // tells a replica that it is no member any more
 )
 
 // Message is one message between replicas. Messages may be lost, duplicated and reordered.
@@ -99,7 +100,7 @@
 	From, To Replica
 	Term     uint64
 	Group    uint64
-	Index    uint64 // entry before Entries, last entry of a candidate, acknowledged entry, or read index
+	Index    uint64 // entry before Entries, last entry of a candidate, acknowledged entry, read index, or commit index of a removal
 	LogTerm  uint64 // term of the entry at Index, or at Hint in a rejected append
 	Commit   uint64
 	Entries  []Entry
@@ -112,7 +113,7 @@
 
 // valid reports whether the parts of a message fit together.
 func (m *Message) valid() bool {
-	if m.From == None || m.Term == 0 || m.Kind < MsgPreVote || m.Kind > MsgJoinRefused {
+	if m.From == None || m.Term == 0 || m.Kind < MsgPreVote || m.Kind > MsgRemoved {
 		return false
 	}
 	for i := range m.Entries {
@@ -170,4 +171,6 @@
 	// Superseded is true if the group has a later incarnation of this replica. It cannot take part
 	// any more: the remedy is an empty data folder and a larger incarnation.
 	Superseded bool
+	// Removed is true if the group has removed this replica, by its log or by the leader's word.
+	Removed bool
 }
--- a/pkg/storage/load.go
+++ b/pkg/storage/load.go
@@ -96,21 +96,28 @@
 		return agreement.State{}, files, &CorruptError{Path: path, Reason: "snapshot without a log"}
 	}
 	var st agreement.State
+	var recovered *controlpb.SegmentHeader
 	if n := len(files.snapshots); n > 0 {
 		snap, err := loadSnapshot(fs, filepath.Join(dir, snapshotName(files.snapshots[n-1])))
 		if err != nil {
 			return st, files, err
 		}
-		st.Snapshot = *snap
+		st.Snapshot = *agreement.SnapshotFromProto(snap)
+		recovered = snap.GetRecovered()
 	}
 	segments, err := loadSegments(fs, dir, files.segments)
 	if err != nil {
 		return st, files, err
 	}
+	if startsGroup(recovered, segments) {
+		st.Self = agreement.ReplicaFromProto(recovered.GetSelf())
+		st.HardState = agreement.HardStateFromProto(recovered.GetHardState())
+		return st, files, nil
+	}
 	return st, files, replay(&st, segments)
 }
 
-func loadSnapshot(fs FS, path string) (*agreement.Snapshot, error) {
+func loadSnapshot(fs FS, path string) (*controlpb.LogSnapshot, error) {
 	data, err := fs.ReadFile(path)
 	if err != nil {
 		return nil, err
@@ -123,7 +130,7 @@
 	if err := proto.Unmarshal(payload, &p); err != nil {
 		return nil, &CorruptError{Path: path, Reason: err.Error()}
 	}
-	return agreement.SnapshotFromProto(&p), nil
+	return &p, nil
 }
 
 // loadSegments reads the segments from the last one with a reset header on.
