Add the operators' commands that repair a replica group

Three repairs were missing: a group whose majority lost its disks stayed without changes for good, a replacement by a host that never answers could not be given up, and a replica that was removed while it was cut off went on as a source of changes for its daemons.

"replicas recover" makes a stopped replica's copy the only voter of a new group. The folder is locked by a running replica (agreement.lock). Content, keys, replies to change ids and history stay; versions go on at the next multiple of a billion, and a push based on a lost version is refused.

A daemon that takes the first version of a recovered group keeps its copy beside it and logs event 4021.

A replica that was told of its removal logs event 4020, refuses watches and shows it in the status, which now has the state of the control replica.

--- a/pkg/agreement/recovery.go
+++ b/pkg/agreement/recovery.go
@@ -12,6 +12,15 @@
 // LastIndex returns the index of the last entry of a state.
 func (st *State) LastIndex() uint64 { return st.Snapshot.Index + uint64(len(st.Entries)) }
 
+// LastTerm returns the term of the last entry. Of two copies the one with the larger last term is
+// newer, and with equal ones that with the larger last index.
+func (st *State) LastTerm() uint64 {
+	if n := len(st.Entries); n > 0 {
+		return st.Entries[n-1].Term
+	}
+	return st.Snapshot.Term
+}
+
 // LatestMembership returns the membership in effect: the latest one, committed or not.
 func (st *State) LatestMembership() Membership {
 	m := st.Snapshot.Membership
--- a/pkg/cli/base.go
+++ b/pkg/cli/base.go
@@ -89,6 +89,18 @@
 
 // writeAccepted writes the accepted files byte for byte, and the base.
 func writeAccepted(dir string, reply *controlpb.ShowReply) error {
+	if err := writeFiles(dir, reply.GetFiles()); err != nil {
+		return err
+	}
+	b := &base{Version: reply.GetVersion(), Sums: map[string]string{}}
+	for _, f := range reply.GetFiles() {
+		b.Sums[f.GetName()] = sum(f.GetData())
+	}
+	return b.write(dir)
+}
+
+// writeFiles writes files byte for byte into a new folder.
+func writeFiles(dir string, files []*controlpb.File) error {
 	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return errors.WithStack(err)
 	}
@@ -101,15 +113,13 @@
 			return usageError(errors.Errorf("folder %s is not empty (%s): name a new folder", dir, e.Name()))
 		}
 	}
-	b := &base{Version: reply.GetVersion(), Sums: map[string]string{}}
-	for _, f := range reply.GetFiles() {
+	for _, f := range files {
 		if filepath.Base(f.GetName()) != f.GetName() {
-			return errors.Errorf("replica sent the file name %q, which leaves the folder: do not use this replica", f.GetName())
+			return errors.Errorf("file name %q leaves the folder: do not use this source", f.GetName())
 		}
 		if err := renameio.WriteFile(filepath.Join(dir, f.GetName()), f.GetData(), fileMode); err != nil {
 			return errors.WithStack(err)
 		}
-		b.Sums[f.GetName()] = sum(f.GetData())
 	}
-	return b.write(dir)
+	return nil
 }
--- a/pkg/cli/config.go
+++ b/pkg/cli/config.go
@@ -23,7 +23,8 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	cmd.AddCommand(newConfigCheck(), newConfigShow(), newConfigDiff(), newConfigPush(), newConfigHistory())
+	cmd.AddCommand(newConfigCheck(), newConfigShow(), newConfigDiff(), newConfigPush(), newConfigHistory(),
+		newConfigExport())
 	return cmd
 }
 
--- a/pkg/cli/control.go
+++ b/pkg/cli/control.go
@@ -120,10 +120,14 @@
 
 // addOperator adds the flags that a change carries.
 func addOperator(cmd *cobra.Command, operator, changeID *string) {
+	addOperatorName(cmd, operator)
+	cmd.Flags().StringVar(changeID, "change-id", "", "name of this change; a change that is sent again with its id is made once")
+}
+
+func addOperatorName(cmd *cobra.Command, operator *string) {
 	name := "unknown"
 	if u, err := user.Current(); err == nil {
 		name = u.Username
 	}
 	cmd.Flags().StringVar(operator, "operator", name, "name of the operator in the history")
-	cmd.Flags().StringVar(changeID, "change-id", "", "name of this change; a change that is sent again with its id is made once")
 }
--- a/pkg/cli/push.go
+++ b/pkg/cli/push.go
@@ -23,6 +23,7 @@
 	changeID, operator, summary string
 	remove                      []string
 	wait                        time.Duration
+	replaceNewer                bool
 }
 
 func newConfigPush() *cobra.Command {
@@ -51,6 +52,7 @@
 	f := cmd.Flags()
 	f.StringVar(&o.summary, "summary", "", "one line for the history")
 	f.StringSliceVar(&o.remove, "remove", nil, "file to remove from the accepted folder; it must not lie in DIR any more")
+	f.BoolVar(&o.replaceNewer, "replace-newer", false, "push although daemons have a newer version than the replicas after a recovery; the push replaces it")
 	f.DurationVar(&o.wait, "wait", defaultWait, "how long to wait for all daemons")
 	return cmd
 }
@@ -90,6 +92,7 @@
 	}
 	q := &controlpb.PushRequest{
 		ChangeId: o.changeID, Operator: o.operator, Summary: o.summary, Push: p, WaitMs: uint32(o.wait.Milliseconds()),
+		ReplaceNewer: o.replaceNewer,
 	}
 	return call(ctx, &o.control, o.wait, func(ctx context.Context, c controlpb.OperatorClient) (*controlpb.PushReply, error) {
 		return c.Push(ctx, q)
--- a/pkg/cli/replicas.go
+++ b/pkg/cli/replicas.go
@@ -68,12 +68,13 @@
 }
 
 func newReplicas() *cobra.Command {
-	return group("replicas", "Replace control replicas", newReplicasReplace())
+	return group("replicas", "Replace and recover control replicas", newReplicasReplace(), newReplicasRecover())
 }
 
 func newReplicasReplace() *cobra.Command {
 	var c controlFlags
 	var operator, id, joining, address string
+	var cancel bool
 	cmd := &cobra.Command{
 		Use:   "replace LEAVING",
 		Short: "Replace a control replica by another host",
@@ -81,10 +82,16 @@
 			"leaving one. The joining daemon has to run with control.replica set and with its own entry in\n" +
 			"control.replicas. The leader carries the replacement out; config history shows its end.\n" +
 			"A replica that only lost its disk comes back by itself and needs no replacement.\n\n" +
+			"With --cancel it gives up the replacement in progress, for example of a joining host that never\n" +
+			"answers. That is refused once the leaving replica was removed.\n\n" +
 			"Exit codes: 0 accepted, 1 refused, 2 wrong arguments.",
-		Example: "  rosemarygate replicas replace perth-b-1 --by perth-b-2 --address 127.1.0.5:7901 --replica 127.1.0.1:7901",
-		Args:    cobra.ExactArgs(1),
+		Example: `  rosemarygate replicas replace perth-b-1 --by perth-b-2 --address 127.1.0.5:7901 --replica 127.1.0.1:7901
+  rosemarygate replicas replace perth-b-1 --cancel --replica 127.1.0.1:7901`,
+		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if cancel {
+				return cancelReplacement(cmd, &c, ownID(id, "cancel"), operator, args[0])
+			}
 			if _, err := netip.ParseAddrPort(address); err != nil {
 				return usageError(errors.Errorf("address %q is not IP:port: write the gRPC address of the joining daemon", address))
 			}
@@ -100,10 +107,19 @@
 	}
 	c.add(cmd)
 	addOperator(cmd, &operator, &id)
-	cmd.Flags().StringVar(&joining, "by", "", "name of the joining daemon (required)")
-	cmd.Flags().StringVar(&address, "address", "", "gRPC address of the joining daemon (required)")
-	// The flags exist, so these cannot fail.
-	_ = cmd.MarkFlagRequired("by")
-	_ = cmd.MarkFlagRequired("address")
+	cmd.Flags().StringVar(&joining, "by", "", "name of the joining daemon")
+	cmd.Flags().StringVar(&address, "address", "", "gRPC address of the joining daemon")
+	cmd.Flags().BoolVar(&cancel, "cancel", false, "give up the replacement of LEAVING that is in progress")
+	cmd.MarkFlagsOneRequired("by", "cancel")
+	cmd.MarkFlagsMutuallyExclusive("by", "cancel")
+	cmd.MarkFlagsRequiredTogether("by", "address")
 	return cmd
 }
+
+func cancelReplacement(cmd *cobra.Command, c *controlFlags, id, operator, leaving string) error {
+	q := &controlpb.CancelReplacementRequest{ChangeId: id, Operator: operator, Leaving: leaving}
+	reply, err := call(cmd.Context(), c, 0, func(ctx context.Context, client controlpb.OperatorClient) (*controlpb.ChangeReply, error) {
+		return client.CancelReplacement(ctx, q)
+	})
+	return printChange(cmd, reply, err)
+}
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -63,6 +63,9 @@
 func printStatus(w io.Writer, st *daemon.Status) error {
 	fmt.Fprintf(w, "daemon %s (%s) %s, up %.0f s, configuration version %d\n\n",
 		st.Name, st.DataCentre, st.State, st.UptimeS, st.Version)
+	if r := st.Replica; r != nil {
+		fmt.Fprintf(w, "control replica: %s\n\n", replicaState(r))
+	}
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tw, "DAEMON\tDATA CENTRE\tSTATE")
 	for _, m := range st.Members {
@@ -81,6 +84,20 @@
 	return tw.Flush()
 }
 
+func replicaState(r *daemon.ReplicaStatus) string {
+	switch {
+	case r.Leader:
+		return fmt.Sprintf("%s and leader, version %d", r.Membership, r.Version)
+	case r.Membership == "removed":
+		return "removed from the group: its files stay, and daemons get no changes from it"
+	case r.Membership == "superseded":
+		return "superseded by a later incarnation: remove the folder agreement in the data folder and start the daemon again"
+	case r.Membership == "none":
+		return "without state: event 4003 or 4007 in the daemon's log names the reason"
+	}
+	return fmt.Sprintf("%s, version %d", r.Membership, r.Version)
+}
+
 func upstreamState(u daemon.UpstreamStatus) string {
 	switch {
 	case u.Draining:
--- a/pkg/control/distribution/progress.go
+++ b/pkg/control/distribution/progress.go
@@ -32,6 +32,15 @@
 	return out
 }
 
+// Newest returns the latest version that a daemon of a replica has in force, 0 for none.
+func Newest(p *controlpb.Progress) uint64 {
+	newest := uint64(0)
+	for _, c := range p.GetCounts() {
+		newest = max(newest, c.GetVersion())
+	}
+	return newest
+}
+
 // InForce returns how many daemons of all replicas have the version or a later one in
 // force. A daemon that changes its replica may be counted at both for one exchange.
 func InForce(version uint64, all []*controlpb.Progress) (inForce, daemons int) {
--- a/pkg/control/distribution/publisher.go
+++ b/pkg/control/distribution/publisher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rosemarygate/api/control/v1"
+	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/control/folder"
 	"rosemarygate/pkg/control/state"
 )
@@ -145,12 +146,14 @@
 }
 
 // NewUpdate returns the difference from a version to the view, or a snapshot if the version
-// is 0, if the difference is not known, or if it would not be smaller.
+// is 0, if the difference is not known, or if it would not be smaller. A version from before a recovery
+// of the replicas may be one that they lost, so no difference from it is known.
 func NewUpdate(view *state.View, from uint64) *controlpb.Update {
 	digest := view.Digest()
 	u := &controlpb.Update{Version: view.Version, Digest: digest[:], FromVersion: from}
 	changed, removed, ok := view.Folder.Difference(from)
-	if from == 0 || !ok || len(changed) == len(view.Folder.Files()) {
+	recovered := agreement.Epoch(from) != agreement.Epoch(view.Version)
+	if from == 0 || !ok || recovered || len(changed) == len(view.Folder.Files()) {
 		u.FromVersion = 0
 		changed, removed = view.Folder.Files(), nil
 	}
--- a/pkg/control/distribution/store.go
+++ b/pkg/control/distribution/store.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"fmt"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -20,6 +21,8 @@
 	Load() (*controlpb.Copy, error)
 	// Save returns when the copy is durable.
 	Save(*controlpb.Copy) error
+	// Keep keeps the present copy beside later ones and returns its path.
+	Keep() (string, error)
 }
 
 const (
@@ -103,6 +106,32 @@
 	return syncDir(dir)
 }
 
+// ReadCopy reads the copy of another daemon's store, for its export.
+func ReadCopy(path string) (*controlpb.Copy, error) {
+	c, err := (&FileStore{path}).Load()
+	if err == nil && c == nil {
+		err = errors.Errorf("%s does not exist: name the file accepted.copy in a daemon's data folder", path)
+	}
+	if err != nil {
+		return nil, err
+	}
+	_, err = NewReceiver(c) // checks the digest
+	return c, err
+}
+
+// Keep links the copy under a name with its version.
+func (s *FileStore) Keep() (string, error) {
+	c, err := s.Load()
+	if err != nil || c == nil {
+		return "", err
+	}
+	path := fmt.Sprintf("%s.%d", s.path, c.GetVersion())
+	if err := os.Link(s.path, path); err != nil && !errors.Is(err, fs.ErrExist) {
+		return "", errors.WithStack(err)
+	}
+	return path, syncDir(filepath.Dir(path))
+}
+
 // syncDir makes the renaming durable.
 func syncDir(dir string) error {
 	d, err := os.Open(dir)
--- a/pkg/control/replica/core.go
+++ b/pkg/control/replica/core.go
@@ -53,6 +53,7 @@
 	confirmed   []confirmedRead
 	role        agreement.Role
 	superseded  bool
+	removed     bool
 	refused     logLimiter
 }
 
@@ -268,6 +269,10 @@
 		events.ReplicaSuperseded.Log(c.r.log, nil)
 	}
 	c.superseded = st.Superseded
+	if st.Removed && !c.removed {
+		events.ReplicaRemoved.Log(c.r.log, nil)
+	}
+	c.removed = st.Removed
 	if len(st.Membership) > 0 {
 		c.reportMembers(st)
 	}
--- a/pkg/control/replica/distributor.go
+++ b/pkg/control/replica/distributor.go
@@ -138,6 +138,19 @@
 	return distribution.InForce(version, all)
 }
 
+// newest returns the latest version that any daemon has in force.
+func (d *distributor) newest() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	newest := distribution.Newest(d.core.Progress(d.name))
+	for _, h := range d.progress {
+		if time.Since(h.at) < progressLifetime {
+			newest = max(newest, distribution.Newest(h.progress))
+		}
+	}
+	return newest
+}
+
 func (r *Replica) tickDistribution(ctx context.Context) error {
 	ticker := time.NewTicker(distributionTick)
 	defer ticker.Stop()
@@ -163,7 +176,7 @@
 		return status.Errorf(codes.InvalidArgument, "daemon name has to have 1 to %d bytes: correct the daemon's settings", maxDaemonName)
 	}
 	if !s.r.connected() {
-		return errLeaderless
+		return s.r.unconnected()
 	}
 	if err := stream.SendHeader(nil); err != nil { // tells the daemon that the watch began
 		return err
@@ -180,7 +193,7 @@
 			return errStopping
 		case <-check.C:
 			if !s.r.connected() {
-				return errLeaderless
+				return s.r.unconnected()
 			}
 		case u := <-updates:
 			if err := stream.Send(u); err != nil {
--- a/pkg/control/replica/errors.go
+++ b/pkg/control/replica/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc/codes"
@@ -14,6 +15,7 @@
 var (
 	errOutcomeUnknown = errors.New("leadership ended before the change was confirmed")
 	errStopping       = status.Error(codes.Unavailable, "replica is stopping: connect to another replica")
+	errRemoved        = status.Error(codes.Unavailable, "replica was removed from its group and gets no changes: watch another replica, and correct control.replicas in the daemon's settings")
 	errLeaderless     = status.Error(codes.Unavailable, "replica has no leader and gets no changes: watch another replica, or wait until a majority of the replicas runs")
 )
 
@@ -26,6 +28,13 @@
 	return st.Err()
 }
 
+func daemonsAhead(newest, current uint64) error {
+	return refusal(codes.FailedPrecondition, &controlpb.Refusal{
+		Kind: controlpb.Refusal_KIND_DAEMONS_AHEAD, CurrentVersion: current,
+		Detail: fmt.Sprintf("daemons have version %d in force", newest),
+	})
+}
+
 func noMajority() error {
 	return refusal(codes.Unavailable, &controlpb.Refusal{Kind: controlpb.Refusal_KIND_NO_MAJORITY})
 }
--- a/pkg/control/replica/lead.go
+++ b/pkg/control/replica/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -66,6 +65,9 @@
 // promotes it when it has caught up, then the leaving one is removed and the outcome entered.
 func (r *Replica) replace(ctx context.Context, x *controlpb.Replacement) {
 	defer time.Sleep(leaderPoll)
+	if x.GetCancelled() && r.cancel(ctx, x) {
+		return
+	}
 	joining := ident.Daemon(x.GetJoining().GetName())
 	leaving := ident.Daemon(x.GetLeaving())
 	answer := r.identify(ctx, x.GetJoining())
@@ -76,6 +78,7 @@
 		old, present := members.Find(leaving)
 		switch {
 		case answer == nil:
+		case answer.GetGroup() != 0 && answer.GetGroup() != c.group: // its files are those of another group
 		case !known || uint64(m.Replica.Incarnation) < answer.GetIncarnation():
 			added := agreement.Replica{ID: joining, Incarnation: ident.Incarnation(answer.GetIncarnation())}
 			_, _ = c.node.ProposeChange(agreement.Change{Kind: agreement.AddLearner, Replica: added})
@@ -92,9 +95,5 @@
 	if err != nil || !ended {
 		return
 	}
-	outcome := &controlpb.ReplacementOutcome{Joining: x.GetJoining().GetName(), Completed: true}
-	r.changeOwn(ctx, &controlpb.Entry{
-		ChangeId: fmt.Sprintf("replaced %s by %s at %d", x.GetLeaving(), outcome.GetJoining(), time.Now().UnixNano()),
-		Summary:  "replacement completed", Body: &controlpb.Entry_Outcome{Outcome: outcome},
-	})
+	r.enterOutcome(ctx, x, true)
 }
--- a/pkg/control/replica/operator.go
+++ b/pkg/control/replica/operator.go
@@ -29,6 +29,9 @@
 // Push proposes a change of files and waits until it is in force.
 func (o *operator) Push(ctx context.Context, q *controlpb.PushRequest) (*controlpb.PushReply, error) {
 	reply, err := o.r.atLeader(ctx, func(ctx context.Context) (*controlpb.Reply, error) {
+		if err := o.r.checkDaemons(ctx, q.GetReplaceNewer()); err != nil {
+			return nil, err
+		}
 		return decided(o.r.change(ctx, &controlpb.Entry{
 			ChangeId: q.GetChangeId(), Operator: q.GetOperator(), Summary: q.GetSummary(),
 			Body: &controlpb.Entry_Push{Push: q.GetPush()},
@@ -36,6 +39,7 @@
 	}, func(ctx context.Context, c controlpb.OperatorClient) (*controlpb.Reply, error) {
 		reply, err := c.Push(ctx, &controlpb.PushRequest{
 			ChangeId: q.GetChangeId(), Operator: q.GetOperator(), Summary: q.GetSummary(), Push: q.GetPush(),
+			ReplaceNewer: q.GetReplaceNewer(),
 		})
 		return reply.GetReply(), err
 	})
@@ -45,6 +49,27 @@
 	return o.r.awaitInForce(ctx, reply, time.Duration(q.GetWaitMs())*time.Millisecond), nil
 }
 
+// checkDaemons refuses a change of the configuration while daemons have a version in force that the
+// replicas do not have, unless the operator knows of it: the change would undo that version. A daemon
+// has only accepted versions, so this happens only after replicas lost some of them.
+func (r *Replica) checkDaemons(ctx context.Context, replaceNewer bool) error {
+	newest := r.publish.newest()
+	if replaceNewer || newest <= r.Status().Version {
+		return nil
+	}
+	if err := r.current(ctx); err != nil {
+		return noMajority()
+	}
+	var version uint64
+	if err := r.do(ctx, func(c *core) { version = c.machine.View().Version }); err != nil {
+		return noMajority()
+	}
+	if newest <= version {
+		return nil
+	}
+	return daemonsAhead(newest, version)
+}
+
 // decided turns a refusal into a gRPC error.
 func decided(reply *controlpb.Reply, err error) (*controlpb.Reply, error) {
 	if err == nil && reply.GetRefusal() != nil {
@@ -128,6 +153,9 @@
 // RotateKeys adds a token key.
 func (o *operator) RotateKeys(ctx context.Context, q *controlpb.RotateKeysRequest) (*controlpb.ChangeReply, error) {
 	reply, err := o.r.atLeader(ctx, func(ctx context.Context) (*controlpb.Reply, error) {
+		if err := o.r.checkDaemons(ctx, false); err != nil {
+			return nil, err
+		}
 		return decided(o.r.change(ctx, rotation(q.GetChangeId(), q.GetOperator())))
 	}, func(ctx context.Context, c controlpb.OperatorClient) (*controlpb.Reply, error) {
 		reply, err := c.RotateKeys(ctx, q)
@@ -158,3 +186,21 @@
 	})
 	return &controlpb.ChangeReply{Reply: reply}, err
 }
+
+// CancelReplacement gives up the replacement in progress; the leader takes the joining replica out
+// again. It is refused once the leaving one was removed: the group would lose both.
+func (o *operator) CancelReplacement(ctx context.Context, q *controlpb.CancelReplacementRequest) (*controlpb.ChangeReply, error) {
+	reply, err := o.r.atLeader(ctx, func(ctx context.Context) (*controlpb.Reply, error) {
+		if err := o.r.checkCancellation(ctx, q.GetLeaving()); err != nil {
+			return nil, err
+		}
+		return decided(o.r.change(ctx, &controlpb.Entry{
+			ChangeId: q.GetChangeId(), Operator: q.GetOperator(), Summary: "cancel the replacement of " + q.GetLeaving(),
+			Body: &controlpb.Entry_Cancellation{Cancellation: &controlpb.Cancellation{Leaving: q.GetLeaving()}},
+		}))
+	}, func(ctx context.Context, c controlpb.OperatorClient) (*controlpb.Reply, error) {
+		reply, err := c.CancelReplacement(ctx, q)
+		return reply.GetReply(), err
+	})
+	return &controlpb.ChangeReply{Reply: reply}, err
+}
--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -116,7 +117,16 @@
 
 // connected reports whether the replica's group has had a leader lately, so that it gets changes.
 func (r *Replica) connected() bool {
-	return r.Status().Loaded && time.Since(time.Unix(0, r.led.Load())) < leaderless
+	st := r.Status()
+	return st.Loaded && !st.Removed && time.Since(time.Unix(0, r.led.Load())) < leaderless
+}
+
+// unconnected returns why the replica is not connected.
+func (r *Replica) unconnected() error {
+	if r.Status().Removed {
+		return errRemoved
+	}
+	return errLeaderless
 }
 
 // Run runs the replica until ctx ends. Faults of the disk are logged and the folder is opened
@@ -136,8 +146,16 @@
 }
 
 func (r *Replica) runCore(ctx context.Context) error {
+	var lock *os.File
+	defer func() { lock.Close() }()
 	for ctx.Err() == nil {
-		err := r.runOnce(ctx)
+		var err error
+		if lock == nil {
+			lock, err = lockFolder(r.cfg.Dir)
+		}
+		if err == nil {
+			err = r.runOnce(ctx)
+		}
 		r.status.Store(&Status{}) // it neither leads nor serves daemons meanwhile
 		if ctx.Err() != nil {
 			break
--- a/pkg/control/state/push.go
+++ b/pkg/control/state/push.go
@@ -61,6 +61,9 @@
 // checkBase refuses a push that could be a resent one whose reply was dropped, or whose
 // base is not an accepted version.
 func (m *Machine) checkBase(base uint64) *controlpb.Reply {
+	if m.lost(base) {
+		return lostBase(m.view.Version)
+	}
 	r := &controlpb.Refusal{CurrentVersion: m.view.Version}
 	switch {
 	case base > m.view.Version:
--- a/pkg/control/state/refused.go
+++ b/pkg/control/state/refused.go
@@ -38,11 +38,17 @@
 	case controlpb.Refusal_KIND_BASE_TOO_OLD:
 		return fmt.Sprintf("base version is too old to tell whether the change was sent before; the current version is %d: fetch the folder, look for the change in the history, and make it again", r.GetCurrentVersion())
 	case controlpb.Refusal_KIND_BASE_UNKNOWN:
+		if r.GetDetail() != "" {
+			return fmt.Sprintf("base version is unknown, since %s; the current version is %d: fetch the folder and make the change again", r.GetDetail(), r.GetCurrentVersion())
+		}
 		return fmt.Sprintf("base version is newer than the current version %d: fetch the folder from this system", r.GetCurrentVersion())
 	case controlpb.Refusal_KIND_ROTATION_TOO_SOON:
 		return fmt.Sprintf("last key rotation is too recent for all flows to have a new token: rotate again after %s", time.UnixMilli(r.GetNotBeforeUnixMs()).UTC().Format(time.RFC3339))
 	case controlpb.Refusal_KIND_REPLACEMENT_CONFLICT:
 		return "replica cannot be replaced: " + r.GetDetail()
+	case controlpb.Refusal_KIND_DAEMONS_AHEAD:
+		return fmt.Sprintf("%s, newer than the current version %d, which comes from an older copy: write a daemon's copy into a folder with "+
+			"\"config export\", compare it with the accepted folder, and push with --replace-newer", r.GetDetail(), r.GetCurrentVersion())
 	case controlpb.Refusal_KIND_NO_MAJORITY:
 		return "no majority of the control replicas can be reached; nothing was changed and daemons serve on: " +
 			"repair the connection to the other replicas, or send the request to a replica on the side that has the majority"
--- a/pkg/control/state/replicas.go
+++ b/pkg/control/state/replicas.go
@@ -35,7 +35,7 @@
 	case badReplica(joining):
 		return nil, malformed("", "the joining replica needs a name and an address")
 	case m.replacement != nil:
-		return nil, replacementConflict("replica " + m.replacement.GetLeaving() + " is being replaced: wait until that has ended")
+		return nil, replacementConflict("replica " + m.replacement.GetLeaving() + " is being replaced: wait until that has ended, or cancel it")
 	case m.replica(body.GetLeaving()) == nil:
 		return nil, replacementConflict(body.GetLeaving() + " is not a replica: name one of the present replicas")
 	case m.replica(joining.GetName()) != nil && joining.GetName() != body.GetLeaving():
@@ -47,6 +47,22 @@
 	}, accepted(index)
 }
 
+// evaluateCancellation gives up the replacement in progress. The leader then takes the joining
+// replica out again and enters the outcome.
+func (m *Machine) evaluateCancellation(index uint64, e *controlpb.Entry, body *controlpb.Cancellation) (func(), *controlpb.Reply) {
+	switch {
+	case m.replacement == nil || m.replacement.GetLeaving() != body.GetLeaving():
+		return nil, replacementConflict("no replacement of " + body.GetLeaving() + " is in progress: config history shows how the last one ended")
+	case m.replacement.GetCancelled():
+		return nil, replacementConflict("the replacement of " + body.GetLeaving() + " is being cancelled already: config history shows its end")
+	}
+	return func() {
+		m.replacement = proto.CloneOf(m.replacement)
+		m.replacement.Cancelled = true
+		m.record(index, e, &controlpb.HistoryRecord{})
+	}, accepted(index)
+}
+
 // evaluateOutcome ends the replacement in progress.
 func (m *Machine) evaluateOutcome(index uint64, e *controlpb.Entry, body *controlpb.ReplacementOutcome) (func(), *controlpb.Reply) {
 	if m.replacement.GetJoining().GetName() != body.GetJoining() {
--- a/pkg/control/state/replies.go
+++ b/pkg/control/state/replies.go
@@ -87,6 +87,8 @@
 	case *controlpb.Entry_Replacement:
 		b = appendField(append(b, 'r'), []byte(body.Replacement.GetLeaving()))
 		b = appendReplica(b, body.Replacement.GetJoining())
+	case *controlpb.Entry_Cancellation:
+		b = appendField(append(b, 'c'), []byte(body.Cancellation.GetLeaving()))
 	case *controlpb.Entry_Outcome:
 		b = appendField(append(b, 'o'), []byte(body.Outcome.GetJoining()))
 		b = appendBool(b, body.Outcome.GetCompleted())
--- a/pkg/control/state/snapshot.go
+++ b/pkg/control/state/snapshot.go
@@ -30,6 +30,7 @@
 		Replacement:        m.replacement,
 		RemovedHorizon:     m.view.Folder.Horizon(),
 		KeysVersion:        m.view.KeysVersion,
+		Recoveries:         m.recoveries,
 	}
 	for _, f := range m.view.Folder.Files() {
 		s.Files = append(s.Files, &controlpb.StoredFile{Name: f.Name, Data: f.Data, CreatedVersion: f.Created, ChangedVersion: f.Changed})
@@ -70,6 +71,7 @@
 	m.history.truncated = s.GetHistoryTruncated()
 	m.replicas = s.GetReplicas()
 	m.replacement = s.GetReplacement()
+	m.recoveries = s.GetRecoveries()
 	m.view = newView(s.GetVersion(), restoreFolder(&s), s.GetKeys(), s.GetKeysVersion())
 	return m.restoreReplies(&s)
 }
--- a/pkg/control/state/state.go
+++ b/pkg/control/state/state.go
@@ -51,6 +51,7 @@
 	replies     replies
 	replicas    []*controlpb.ReplicaHost
 	replacement *controlpb.Replacement
+	recoveries  []*controlpb.Recovery // oldest first
 }
 
 // New returns an empty machine.
@@ -155,6 +156,8 @@
 		return m.evaluateRotation(index, e, body.Rotation)
 	case *controlpb.Entry_Replacement:
 		return m.evaluateReplacement(index, e, body.Replacement)
+	case *controlpb.Entry_Cancellation:
+		return m.evaluateCancellation(index, e, body.Cancellation)
 	case *controlpb.Entry_Outcome:
 		return m.evaluateOutcome(index, e, body.Outcome)
 	default:
--- a/pkg/control/subscription/subscription.go
+++ b/pkg/control/subscription/subscription.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	controlpb "rosemarygate/api/control/v1"
+	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/control/distribution"
 	"rosemarygate/pkg/control/replica"
 	"rosemarygate/pkg/events"
@@ -297,6 +298,7 @@
 // receive accepts an update, writes it to the disk and puts it in force. A copy that cannot be
 // written does not keep the configuration from being put in force.
 func (s *Subscription) receive(u *controlpb.Update) error {
+	before := s.receiver.Held()
 	held, err := s.receiver.Receive(u)
 	var refused *distribution.UpdateError
 	if errors.As(err, &refused) && refused.Kind == distribution.Stale {
@@ -307,6 +309,9 @@
 		events.UpdateRefused.Log(s.cfg.Log, logrus.Fields{"error": err})
 		return err
 	}
+	if before.Version > 0 && agreement.Epoch(before.Version) < agreement.Epoch(held.Version) {
+		s.keepBefore(before, held)
+	}
 	if s.cfg.Store != nil {
 		if err := s.cfg.Store.Save(held.Copy()); err != nil {
 			events.CopyNotSaved.Log(s.cfg.Log, logrus.Fields{"error": err})
@@ -316,6 +321,20 @@
 	return nil
 }
 
+// keepBefore keeps the copy of a version that a recovered group may not have had, so that its files
+// can still be exported.
+func (s *Subscription) keepBefore(before, held *distribution.Held) {
+	fields := logrus.Fields{"before": before.Version, "version": held.Version}
+	if s.cfg.Store != nil {
+		path, err := s.cfg.Store.Keep()
+		fields["kept"] = path
+		if err != nil {
+			fields["error"] = err
+		}
+	}
+	events.ConfigOfRecovery.Log(s.cfg.Log, fields)
+}
+
 // report tells the version in force, and every few seconds the counters.
 func (x *session) report(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/pkg/control/subscription/subscription_test.go
+++ b/pkg/control/subscription/subscription_test.go
@@ -23,6 +23,7 @@
 
 func (m *memory) Load() (*controlpb.Copy, error) { return m.copy, m.err }
 func (m *memory) Save(c *controlpb.Copy) error   { m.copy = c; return m.err }
+func (m *memory) Keep() (string, error)          { return "", nil }
 func (m *memory) hold(h *distribution.Held)      { m.copy = h.Copy() }
 func quiet() logrus.FieldLogger                  { l := logrus.New(); l.SetOutput(io.Discard); return l }
 func noDataCentre(string) string                 { return "" }
--- a/pkg/daemon/web.go
+++ b/pkg/daemon/web.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/membership"
 )
 
@@ -48,6 +49,7 @@
 	UptimeS     float64          `json:"uptime_s"`
 	Version     uint64           `json:"config_version"`
 	Digest      string           `json:"config_digest"`
+	Replica     *ReplicaStatus   `json:"control_replica,omitempty"` // unset on daemons that are none
 	Members     []MemberStatus   `json:"members"`
 	Upstreams   []UpstreamStatus `json:"upstreams"`
 	// Refusals counts refusals, retries and broken flows by reason since the last
@@ -55,6 +57,39 @@
 	Refusals []RefusalStatus `json:"refusals"`
 }
 
+// ReplicaStatus is the state of the daemon's control replica.
+type ReplicaStatus struct {
+	// Membership is voter, learner, joining, removed, superseded or none.
+	Membership string `json:"membership"`
+	Leader     bool   `json:"leader"`
+	Version    uint64 `json:"version"` // last accepted version that the replica has
+}
+
+// replicaStatus returns the state of the control replica, nil if there is none.
+func (d *Daemon) replicaStatus() *ReplicaStatus {
+	r := d.Control()
+	if r == nil {
+		return nil
+	}
+	st := r.Status()
+	out := &ReplicaStatus{Leader: st.Role == agreement.Leader, Version: st.Version}
+	switch {
+	case !st.Loaded:
+		out.Membership = "none"
+	case st.Superseded:
+		out.Membership = "superseded"
+	case st.Removed:
+		out.Membership = "removed"
+	case st.Membership.IsVoter(st.Self):
+		out.Membership = "voter"
+	case st.Membership.Contains(st.Self):
+		out.Membership = "learner"
+	default:
+		out.Membership = "joining"
+	}
+	return out
+}
+
 // RefusalStatus is one counter with a reason.
 type RefusalStatus struct {
 	Service string `json:"service"`
@@ -92,7 +127,7 @@
 	st := Status{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		UptimeS: time.Since(d.started).Seconds(), Version: x.version, Digest: x.digest,
-		Refusals: d.counters.refusals(),
+		Refusals: d.counters.refusals(), Replica: d.replicaStatus(),
 	}
 	loads := map[string]UpstreamStatus{}
 	if sh := d.shards.Load(); sh != nil {
