Tell removed replicas over a fresh stream; check the others before a recovery

A removed replica was not told within 12 s in one of the first two runs of TestRemovedReplicaIsTold: the leader had sent it nothing since the partition, so the answer went over a stream that the partition had broken, and the replica's own requests made the peer look alive.

Which replicas are added when they ask to join comes from the replicated state and no longer from the settings of the leader's host: those may still list a replica that was replaced, or already one whose addition was cancelled, and it would have been added again.

"replicas recover" refuses while another replica of the settings runs with its state. A replica without a leader logs event 4022 when another one belongs to another group, as after a recovery.

--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -174,6 +174,11 @@
 	}
 }
 
+// SetJoinable names the replicas that are added when they ask to join; at first those are Peers. The
+// layer above knows better than the settings of one host, which may still list a replica that was
+// replaced, or already one whose addition was cancelled.
+func (n *Node) SetJoinable(ids []ident.DaemonID) { n.joinable = ids }
+
 // stepJoin handles the request of a replica without state to become a learner.
 func (n *Node) stepJoin(m Message) error {
 	if n.role != Leader || n.cfg.ManualRepair || m.From.ID == n.self.ID {
@@ -190,7 +195,7 @@
 		n.send(Message{Kind: MsgJoinRefused, To: m.From})
 		return ErrStaleReplica
 	}
-	if !known && !slices.Contains(n.cfg.Peers, m.From.ID) {
+	if !known && !slices.Contains(n.joinable, m.From.ID) {
 		if m.Group != 0 {
 			n.sayRemoved(m.From)
 		}
--- a/pkg/agreement/node.go
+++ b/pkg/agreement/node.go
@@ -24,7 +24,7 @@
 	MaxMessageBytes     int              // bytes of entries in one message and of data in one proposal
 	MaxUncommittedBytes int              // bytes of proposals that are not yet committed
 	RetainEntries       uint64           // entries kept in memory before a snapshot for slow followers
-	Peers               []ident.DaemonID // configured replicas; one without state asks them to join, others may join
+	Peers               []ident.DaemonID // configured replicas; one without state asks them to join, and they may join until SetJoinable
 	// ManualRepair leaves adding and promoting learners to ProposeChange.
 	ManualRepair bool
 
@@ -59,6 +59,8 @@
 	rng  *rand.Rand
 	self Replica
 
+	joinable []ident.DaemonID // added when they ask to join
+
 	term   uint64
 	vote   Replica
 	group  uint64
@@ -99,7 +101,7 @@
 		return nil, err
 	}
 	n := &Node{
-		cfg: cfg, rng: rng, self: st.Self, log: log,
+		cfg: cfg, rng: rng, self: st.Self, log: log, joinable: cfg.Peers,
 		term: st.HardState.Term, vote: st.HardState.Vote, group: st.HardState.Group,
 		saved: st.HardState,
 	}
--- a/pkg/agreement/recovery_test.go
+++ b/pkg/agreement/recovery_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"rosemarygate/pkg/agreement"
+	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/storage"
 )
 
@@ -146,4 +147,7 @@
 	assert.ErrorIs(t, leader.Step(join), agreement.ErrUnknownMember)
 	sent := leader.Ready().Messages
 	assert.Equal(t, sent[len(sent)-1].Kind, agreement.MsgRemoved)
+	leader.SetJoinable([]ident.DaemonID{9})
+	assert.NilError(t, leader.Step(join))
+	assert.Assert(t, leader.Status().Membership.Contains(join.From))
 }
--- a/pkg/cli/recover.go
+++ b/pkg/cli/recover.go
@@ -1,14 +1,19 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+	"google.golang.org/grpc"
 
+	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/control/replica"
+	"rosemarygate/pkg/security"
 	"rosemarygate/pkg/settings"
 )
 
@@ -36,7 +41,7 @@
 			if !s.Control.Replica {
 				return usageError(errors.Errorf("%s is of a daemon that is no control replica: name the settings of a replica that still has its disk", path))
 			}
-			return recoverReplica(cmd.OutOrStdout(), s, operator, confirmed)
+			return recoverReplica(cmd, s, operator, confirmed)
 		},
 	}
 	addOperatorName(cmd, &operator)
@@ -47,7 +52,8 @@
 	return cmd
 }
 
-func recoverReplica(out io.Writer, s *settings.Daemon, operator string, confirmed bool) error {
+func recoverReplica(cmd *cobra.Command, s *settings.Daemon, operator string, confirmed bool) error {
+	out := cmd.OutOrStdout()
 	x, err := replica.OpenRecovery(s.Name, s.DataDir)
 	if err != nil {
 		return &exitError{code: ExitFailure, err: err}
@@ -58,6 +64,9 @@
 		_, err := fmt.Fprintln(out, "nothing to do: this replica is the only voter of its group already; start its daemon")
 		return errors.WithStack(err)
 	}
+	if err := checkOthers(cmd.Context(), s); err != nil {
+		return err
+	}
 	printConsequences(out, x)
 	if !confirmed {
 		return &exitError{code: ExitFailure, err: errors.New("nothing was changed: run the command again with --yes to recover from this copy")}
@@ -69,6 +78,25 @@
 	return errors.WithStack(err)
 }
 
+// checkOthers refuses the recovery while another replica of the settings runs with its state.
+func checkOthers(ctx context.Context, s *settings.Daemon) error {
+	identity, err := security.Load(s.TLS)
+	if err != nil {
+		return usageError(err)
+	}
+	var hosts []*controlpb.ReplicaHost
+	for _, r := range s.Control.Replicas {
+		hosts = append(hosts, &controlpb.ReplicaHost{Name: r.Name, Address: r.Address.String()})
+	}
+	running := replica.Running(ctx, s.Name, hosts, []grpc.DialOption{identity.Client()})
+	if len(running) == 0 {
+		return nil
+	}
+	return &exitError{code: ExitFailure, err: errors.Errorf("replica %s still runs with its state, so nothing was changed: "+
+		"if a majority can run again, start it instead; otherwise stop every replica, compare the copies, and recover the newest one",
+		strings.Join(running, " and "))}
+}
+
 func printCopy(out io.Writer, x *replica.Recovery) {
 	members := x.State.LatestMembership()
 	fmt.Fprintf(out, "replica %s, data folder %s\n", x.Name, x.Dir)
--- a/pkg/control/replica/core.go
+++ b/pkg/control/replica/core.go
@@ -86,12 +86,8 @@
 }
 
 func (r *Replica) newCore(store *storage.Store, st agreement.State) (*core, error) {
-	var peers []ident.DaemonID
-	for _, h := range r.cfg.Replicas {
-		peers = append(peers, ident.Daemon(h.GetName()))
-	}
 	cfg := agreement.Config{
-		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Peers: peers,
+		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Peers: idsOf(r.cfg.Replicas),
 		MaxMessageBytes: maxEntryBytes, MaxInflightBytes: 2 * maxEntryBytes, MaxUncommittedBytes: 4 * maxEntryBytes,
 	}
 	node, err := agreement.New(cfg, st, newRand())
@@ -115,6 +111,14 @@
 	return c, nil
 }
 
+func idsOf(hosts []*controlpb.ReplicaHost) []ident.DaemonID {
+	ids := make([]ident.DaemonID, len(hosts))
+	for i, h := range hosts {
+		ids[i] = ident.Daemon(h.GetName())
+	}
+	return ids
+}
+
 func (c *core) loop(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -277,6 +281,9 @@
 		c.reportMembers(st)
 	}
 	c.r.know(c.machine.Replicas())
+	if hosts := c.machine.Replicas(); len(hosts) > 0 {
+		c.node.SetJoinable(idsOf(hosts))
+	}
 	if x := c.machine.Replacement(); x != nil {
 		c.r.know([]*controlpb.ReplicaHost{x.GetJoining()})
 	}
--- a/pkg/control/replica/recover.go
+++ b/pkg/control/replica/recover.go
@@ -1,20 +1,28 @@
 package replica
 
 import (
+	"context"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
 
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/control/state"
+	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/storage"
 )
 
+// groupPeriod is how often a replica without a leader asks the others for their group.
+const groupPeriod = 2 * time.Second
+
 // Recovery is the data folder of a stopped replica whose group has lost a majority for good. It
 // keeps the folder locked until Close.
 type Recovery struct {
@@ -31,6 +39,54 @@
 	lock    *os.File
 }
 
+// Running returns the names of the other replicas of the settings that answer and belong to a group.
+// A group is recovered only while none of them runs.
+func Running(ctx context.Context, name string, hosts []*controlpb.ReplicaHost, dial []grpc.DialOption) []string {
+	r := &Replica{cfg: Config{Name: name, Replicas: hosts}}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.transport = newTransport(ctx, nil, r.address, dial)
+	var running []string
+	for _, answer := range r.identifyOthers(ctx) {
+		if answer.GetGroup() == 0 {
+			continue
+		}
+		i := slices.IndexFunc(hosts, func(h *controlpb.ReplicaHost) bool {
+			return uint64(ident.Daemon(h.GetName())) == answer.GetId()
+		})
+		running = append(running, hosts[i].GetName())
+	}
+	return running
+}
+
+// watchGroups logs that this replica was left behind by a recovery: it has no leader, because the
+// others belong to a later group.
+func (r *Replica) watchGroups(ctx context.Context) error {
+	ticker := time.NewTicker(groupPeriod)
+	defer ticker.Stop()
+	var told logLimiter
+	for without := 0; ; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		without++
+		group, st := r.identity.Load().GetGroup(), r.Status()
+		if !st.Loaded || st.Leader != agreement.None || group == 0 {
+			without = 0
+		}
+		if without < 2 { // one alone may be an election
+			continue
+		}
+		for _, answer := range r.identifyOthers(ctx) {
+			if other := answer.GetGroup(); other != 0 && other != group && told.due() {
+				events.OtherGroup.Log(r.log, logrus.Fields{"replica": ident.DaemonID(answer.GetId()), "group": group, "other": other})
+			}
+		}
+	}
+}
+
 // OpenRecovery reads the data folder of a stopped replica and changes nothing. It refuses the folder
 // of a running one.
 func OpenRecovery(name, dir string) (*Recovery, error) {
--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -142,6 +142,7 @@
 	add(r.share)
 	add(r.keepBook)
 	add(r.tickDistribution)
+	add(r.watchGroups)
 	return g.Run()
 }
 
--- a/pkg/control/replica/transport.go
+++ b/pkg/control/replica/transport.go
@@ -141,8 +141,8 @@
 		case <-t.ctx.Done():
 			return
 		case m := <-p.queue:
-			if address, ok := t.resolve(id); ok {
-				t.stream(address, p, m)
+			for m != nil && t.ctx.Err() == nil {
+				m = t.sendFrom(id, p, m)
 			}
 		}
 		select {
@@ -152,11 +152,24 @@
 	}
 }
 
-// stream sends messages over one stream until it fails or the peer stays silent.
-func (t *transport) stream(address string, p *peer, m *controlpb.AgreementMessage) {
+// sendFrom sends messages from m on to a peer whose address is known, and returns the first one that
+// needs a new stream, nil if there is none.
+func (t *transport) sendFrom(id ident.DaemonID, p *peer, m *controlpb.AgreementMessage) *controlpb.AgreementMessage {
+	address, ok := t.resolve(id)
+	if !ok {
+		return nil
+	}
+	return t.stream(address, p, m)
+}
+
+// stream sends messages over one stream until it fails, the peer stays silent, or nothing was sent
+// for a while. It returns the message that it did not send in the last two cases. An idle connection
+// may have been lost meanwhile without notice, though the peer is heard over its own: a replica that
+// was removed during a partition was never told, because the answer went over the old stream.
+func (t *transport) stream(address string, p *peer, m *controlpb.AgreementMessage) *controlpb.AgreementMessage {
 	conn, err := grpc.NewClient(address, t.options...)
 	if err != nil {
-		return
+		return nil
 	}
 	defer conn.Close()
 	ctx, cancel := context.WithCancel(t.ctx)
@@ -165,7 +178,7 @@
 	limit := time.AfterFunc(dialTimeout, cancel)
 	stream, err := controlpb.NewAgreementClient(conn).Exchange(ctx, grpc.WaitForReady(true))
 	if !limit.Stop() || err != nil {
-		return
+		return nil
 	}
 	opened := time.Now()
 	for {
@@ -173,16 +186,18 @@
 		err := stream.Send(m)
 		limit.Stop()
 		if err != nil {
-			return
+			return nil
 		}
+		sent := time.Now()
 		select {
 		case <-stream.Context().Done():
-			return
+			return nil
 		case m = <-p.queue:
 		}
 		heard := time.Unix(0, p.heard.Load())
-		if time.Since(opened) > silence && time.Since(heard) > silence {
-			return
+		silent := time.Since(opened) > silence && time.Since(heard) > silence
+		if silent || time.Since(sent) > silence {
+			return m
 		}
 	}
 }
--- a/pkg/daemon/controlrecovery_test.go
+++ b/pkg/daemon/controlrecovery_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
+	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -51,6 +52,13 @@
 	return replica.OpenRecovery(f.settings[i].Name, f.settings[i].DataDir)
 }
 
+// logged returns whether an event was logged.
+func logged(hook *logtest.Hook, event events.Event) func() bool {
+	return func() bool {
+		return slices.ContainsFunc(hook.AllEntries(), func(e *logrus.Entry) bool { return e.Data["event"] == event.Number })
+	}
+}
+
 // recover makes host 0's copy the only voter of a new group, twice.
 func (f *controlFleet) recover(version uint64) {
 	x, err := f.recovery(0)
@@ -72,6 +80,7 @@
 func TestRecoverFromOneCopy(t *testing.T) {
 	t.Parallel()
 	f := newControlFleet(t, "a", "b", "c", "c")
+	hook := logtest.NewLocal(f.log.(*logrus.Logger))
 	f.settings[3].DataDir = filepath.Join(t.TempDir(), "data")
 	f.startAll()
 	first := change("first", 0, "10-acme.yaml", serviceFile(1), 0)
@@ -81,6 +90,13 @@
 	assert.ErrorContains(t, err, "in use by a running replica")
 
 	f.kill(0)
+	var hosts []*controlpb.ReplicaHost
+	for _, r := range f.settings[0].Control.Replicas {
+		hosts = append(hosts, &controlpb.ReplicaHost{Name: r.Name, Address: r.Address.String()})
+	}
+	running := replica.Running(f.context(), f.settings[0].Name, hosts, []grpc.DialOption{f.credentials})
+	slices.Sort(running)
+	assert.DeepEqual(t, running, []string{f.settings[1].Name, f.settings[2].Name})
 	newer := f.mustPush(1, change("second", version, "10-acme.yaml", serviceFile(2), 0))
 	f.await("the newer version at the daemons left", f.allAt(newer))
 	f.kill(1)
@@ -88,7 +104,7 @@
 	f.recover(version)
 	f.start(0, 1) // host 1 with the files of the old group
 	f.await("the recovered replica leads", func() bool { return f.daemons[0].Control().Status().Role == agreement.Leader })
-	time.Sleep(2 * time.Second)
+	f.await("the replica of the old group knows", logged(hook, events.OtherGroup))
 	assert.Equal(t, len(f.daemons[0].Control().Status().Membership), 1)
 	f.kill(1)
 	for _, i := range []int{1, 2} {
@@ -186,8 +202,7 @@
 	took := f.await("the removed replica knows", func() bool { return removed.Control().Status().Removed })
 	t.Logf("a removed replica knew of it after %s", took)
 	assert.Equal(t, removed.Status().Replica.Membership, "removed")
-	logged := slices.ContainsFunc(hook.AllEntries(), func(e *logrus.Entry) bool { return e.Data["event"] == events.ReplicaRemoved.Number })
-	assert.Assert(t, logged)
+	assert.Assert(t, logged(hook, events.ReplicaRemoved)())
 	next := f.mustPush(0, change("second", version, "10-acme.yaml", serviceFile(2), 0))
 	f.await("the next version everywhere", f.allAt(next))
 	files, err := os.ReadDir(f.wal(2))
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -78,6 +78,7 @@
 	CopyUnusable         = add(Event{4017, logrus.WarnLevel, "stored copy of the configuration cannot be used", "read the error field; the daemon fetches the configuration from a replica"})
 	ReplicaRemoved       = add(Event{4020, logrus.WarnLevel, "the group has removed this replica; its files stay and daemons get no changes from it", "set control.replica to false, or stop the daemon and remove the folder agreement before it joins again; see docs/operators/configuration.md"})
 	ConfigOfRecovery     = add(Event{4021, logrus.WarnLevel, "configuration of a recovered replica group replaces the one before it", "compare the kept copy that the log line names with the accepted folder if changes are missing"})
+	OtherGroup           = add(Event{4022, logrus.ErrorLevel, "replica has no leader, and another replica belongs to another group", "if the replicas were recovered from one copy, stop this daemon, remove the folder agreement in its data folder and start it again; its files are of the group before"})
 	LeadershipKept       = add(Event{4019, logrus.WarnLevel, "leadership was not handed over before the stop", ""})
 	CountersDropped      = add(Event{4018, logrus.WarnLevel, "daily counters were dropped unreported", "repair the connection to the control replicas"})
 )
