--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -174,11 +174,19 @@
 	}
 }
 
+// SetJoinable names the replicas that are added when they ask to join; at first those are Peers. The
+// layer above knows better than the settings of one host, which may still list a replica that was
+// replaced, or already one whose addition was cancelled.
+func (n *Node) SetJoinable(ids []ident.DaemonID) { n.joinable = ids }
+
 // stepJoin handles the request of a replica without state to become a learner.
 func (n *Node) stepJoin(m Message) error {
 	if n.role != Leader || n.cfg.ManualRepair || m.From.ID == n.self.ID {
 		return nil
 	}
+	if m.Group != 0 && m.Group != n.group {
+		return ErrOtherGroup
+	}
 	if n.membership().Contains(m.From) {
 		return nil
 	}
@@ -187,25 +195,22 @@
 		n.send(Message{Kind: MsgJoinRefused, To: m.From})
 		return ErrStaleReplica
 	}
-	if !known && !slices.Contains(n.cfg.Peers, m.From.ID) {
+	if !known && !slices.Contains(n.joinable, m.From.ID) {
+		if m.Group != 0 {
+			n.sayRemoved(m.From)
+		}
 		return ErrUnknownMember
 	}
 	_, err := n.ProposeChange(Change{Kind: AddLearner, Replica: m.From})
 	return err
 }
 
-// removed reports whether the log shows that this replica was a member and is no longer one.
-func (n *Node) removed() bool {
-	was := slices.ContainsFunc(n.log.confs, func(c confAt) bool { return c.membership.Contains(n.self) })
-	return was && !n.log.membershipAt(n.log.committed).Contains(n.self) && !n.membership().Contains(n.self)
-}
-
 // requestJoin asks every configured peer to add this replica as a learner. A replica that already
 // holds entries asks again, because the change that added it may not have been committed.
 func (n *Node) requestJoin() {
 	for _, id := range n.cfg.Peers {
 		if id != n.self.ID {
-			n.msgs = append(n.msgs, Message{Kind: MsgJoin, From: n.self, To: Replica{ID: id}})
+			n.msgs = append(n.msgs, Message{Kind: MsgJoin, From: n.self, To: Replica{ID: id}, Group: n.group})
 		}
 	}
 }
--- a/pkg/agreement/node.go
+++ b/pkg/agreement/node.go
@@ -24,7 +24,7 @@
 	MaxMessageBytes     int              // bytes of entries in one message and of data in one proposal
 	MaxUncommittedBytes int              // bytes of proposals that are not yet committed
 	RetainEntries       uint64           // entries kept in memory before a snapshot for slow followers
-	Peers               []ident.DaemonID // configured replicas; one without state asks them to join, others may join
+	Peers               []ident.DaemonID // configured replicas; one without state asks them to join, and they may join until SetJoinable
 	// ManualRepair leaves adding and promoting learners to ProposeChange.
 	ManualRepair bool
 
@@ -59,6 +59,8 @@
 	rng  *rand.Rand
 	self Replica
 
+	joinable []ident.DaemonID // added when they ask to join
+
 	term   uint64
 	vote   Replica
 	group  uint64
@@ -81,6 +83,7 @@
 	msgs            []Message
 	readStates      []ReadState
 	superseded      bool
+	toldRemoved     bool // by a leader, since this replica last heard from one as a member
 	diverged        bool
 }
 
@@ -98,7 +101,7 @@
 		return nil, err
 	}
 	n := &Node{
-		cfg: cfg, rng: rng, self: st.Self, log: log,
+		cfg: cfg, rng: rng, self: st.Self, log: log, joinable: cfg.Peers,
 		term: st.HardState.Term, vote: st.HardState.Vote, group: st.HardState.Group,
 		saved: st.HardState,
 	}
@@ -111,7 +114,7 @@
 	return Status{
 		Self: n.self, Role: n.role, Leader: n.leader, Term: n.term,
 		Commit: n.log.committed, Applied: n.log.applied, LastIndex: n.log.lastIndex(),
-		Membership: n.membership(), Superseded: n.superseded,
+		Membership: n.membership(), Superseded: n.superseded, Removed: n.removed(),
 	}
 }
 
@@ -135,9 +138,10 @@
 	n.resetElectionTimeout()
 	n.leader = None
 	switch {
+	case n.removed():
 	case n.mayCampaign():
 		n.campaign(false)
-	case !n.removed():
+	default:
 		n.requestJoin()
 	}
 }
@@ -151,6 +155,9 @@
 	if m.Kind == MsgJoin {
 		return n.stepJoin(m)
 	}
+	if n.tellRemoved(m) {
+		return nil
+	}
 	if m.To != n.self {
 		n.superseded = n.superseded || m.To.ID == n.self.ID && m.To.Incarnation > n.self.Incarnation
 		return ErrOtherReplica
@@ -161,6 +168,10 @@
 	if !m.valid() {
 		return ErrInvalidMessage
 	}
+	if m.Kind == MsgRemoved {
+		n.stepRemoved(m)
+		return nil
+	}
 	if m.Term != n.term && !n.acceptTerm(m) {
 		return nil
 	}
--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -126,7 +127,8 @@
 
 // connected reports whether the replica's group has had a leader lately, so that it gets changes.
 func (r *Replica) connected() bool {
-	return r.Status().Loaded && !r.stalled() && time.Since(time.Unix(0, r.led.Load())) < leaderless
+	st := r.Status()
+	return st.Loaded && !st.Removed && !r.stalled() && time.Since(time.Unix(0, r.led.Load())) < leaderless
 }
 
 // stalled reports whether a sync has kept the replica from its work for long. What Status says of
@@ -135,6 +137,17 @@
 	return time.Since(time.Unix(0, r.passed.Load())) > stallLimit
 }
 
+// unconnected returns why the replica is not connected.
+func (r *Replica) unconnected() error {
+	switch {
+	case r.Status().Removed:
+		return errRemoved
+	case r.stalled():
+		return errStalled
+	}
+	return errLeaderless
+}
+
 // Run runs the replica until ctx ends. Faults of the disk are logged and the folder is opened
 // again, so that the daemon serves callers all the same.
 func (r *Replica) Run(ctx context.Context) error {
@@ -148,12 +161,21 @@
 	add(r.share)
 	add(r.keepBook)
 	add(r.tickDistribution)
+	add(r.watchGroups)
 	return g.Run()
 }
 
 func (r *Replica) runCore(ctx context.Context) error {
+	var lock *os.File
+	defer func() { lock.Close() }()
 	for ctx.Err() == nil {
-		err := r.runOnce(ctx)
+		var err error
+		if lock == nil {
+			lock, err = lockFolder(r.cfg.Dir)
+		}
+		if err == nil {
+			err = r.runOnce(ctx)
+		}
 		r.status.Store(&Status{}) // it neither leads nor serves daemons meanwhile
 		if ctx.Err() != nil {
 			break
