--- a/pkg/capacity/control_test.go
+++ b/pkg/capacity/control_test.go
@@ -231,7 +231,7 @@
 }
 
 // Measures daily totals at a daemon and at a replica by the counters of a daemon, and the book of
-// one day by daemons with 30 counters each.
+// one day, its file and a query of it by daemons with 30 counters each.
 func TestTotals(t *testing.T) {
 	skipUnlessMeasuring(t)
 	report := func(daemon, counters int) *controlpb.ReportRequest {
@@ -242,7 +242,7 @@
 		return a.Report(1)
 	}
 	book := func(daemons int) *totals.Book {
-		b := totals.NewBook(62)
+		b := totals.NewBook("host", 62)
 		for i := range daemons {
 			b.Report(start, report(i, 30))
 		}
@@ -251,7 +251,7 @@
 	byCounters := []series{
 		{name: "report, bytes, by counters that changed", cost: func(n int) float64 { return float64(proto.Size(report(1, n))) }},
 		{name: "replica: merge of a report, ns, by counters", cost: func(n int) float64 {
-			b, r := totals.NewBook(62), report(1, n)
+			b, r := totals.NewBook("host", 62), report(1, n)
 			return ProcessorTime(50, func(int) { b.Report(start, r) })
 		}},
 		{name: "daemon: counters of a day, live bytes", cost: func(n int) float64 {
@@ -264,22 +264,27 @@
 				return []any{a, c}
 			})
 		}},
-		{name: "replica: a closed day, live bytes, by counters", cost: func(n int) float64 {
-			return Live(func() any {
-				b := totals.NewBook(400)
-				b.Report(start, report(1, n))
-				b.Compact(start.Add(6 * 24 * time.Hour))
-				return b
-			})
-		}},
 	}
 	for _, s := range byCounters {
 		s.sizes, s.target = []int{30, 300, 3000}, 30
 		s.run(t)
 	}
-	s := series{name: "replica: book of a day, live bytes, by daemons", sizes: localSizes, target: TargetPerCentre}
-	s.cost = func(n int) float64 { return Live(func() any { return book(n) }) }
-	s.run(t)
+	byDaemons := []series{
+		{name: "replica: book of a day, live bytes, by daemons", cost: func(n int) float64 { return Live(func() any { return book(n) }) }},
+		{name: "replica: file of a day, bytes", cost: func(n int) float64 { return float64(proto.Size(book(n).Day(totals.DayOf(start)))) }},
+		{name: "replica: its part of a query of a day, ns", cost: func(n int) float64 {
+			b := book(n)
+			return ProcessorTime(5, func(int) { b.Choose(b.Day(totals.DayOf(start)), totals.Query{}) })
+		}},
+		{name: "replica: sum of a day over the answers of 3 replicas, ns", cost: func(n int) float64 {
+			t := book(n).Day(totals.DayOf(start))
+			return ProcessorTime(5, func(int) { totals.Combine(totals.DayOf(start), []*controlpb.DayTotals{t, t, t}) })
+		}},
+	}
+	for _, s := range byDaemons {
+		s.sizes, s.target = localSizes, TargetPerCentre
+		s.run(t)
+	}
 }
 
 // group is a set of replicas whose messages arrive at once and whose storage is instant.
--- a/pkg/cli/totals.go
+++ b/pkg/cli/totals.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -10,6 +11,10 @@
 	"rosemarygate/pkg/control/totals"
 )
 
+// totalsWait is how much longer than for other commands the answer may take: the replica collects
+// the days from all others.
+const totalsWait = 30 * time.Second
+
 func newTotals() *cobra.Command {
 	var c controlFlags
 	var day, to, user, format string
@@ -36,7 +41,7 @@
 				}
 			}
 			q := &controlpb.TotalsRequest{FromDay: day, ToDay: to, User: user}
-			reply, err := call(cmd.Context(), &c, 0, func(ctx context.Context, client controlpb.OperatorClient) (*controlpb.TotalsReply, error) {
+			reply, err := call(cmd.Context(), &c, totalsWait, func(ctx context.Context, client controlpb.OperatorClient) (*controlpb.TotalsReply, error) {
 				return client.Totals(ctx, q)
 			})
 			if err != nil {
@@ -60,10 +65,10 @@
 func printTotals(cmd *cobra.Command, reply *controlpb.TotalsReply, format string) error {
 	rows := totals.Rows(reply.GetDays())
 	if format == "text" {
-		return totals.WriteText(cmd.OutOrStdout(), rows, reply.GetMissingDataCentres())
+		return totals.WriteText(cmd.OutOrStdout(), rows, reply.GetMissingReplicas())
 	}
-	for _, name := range reply.GetMissingDataCentres() {
-		fmt.Fprintf(cmd.ErrOrStderr(), "incomplete: replica %s does not answer, and counts that only it has are missing\n", name)
+	if line := totals.Incomplete(reply.GetMissingReplicas()); line != "" {
+		fmt.Fprintln(cmd.ErrOrStderr(), line)
 	}
 	return totals.WriteCSV(cmd.OutOrStdout(), rows)
 }
--- a/pkg/control/replica/distributor.go
+++ b/pkg/control/replica/distributor.go
@@ -19,7 +19,7 @@
 	distributionTick = time.Second
 	updateQueue      = 4
 	// progressLifetime is how long the progress of a silent replica counts.
-	progressLifetime = 15 * time.Second
+	progressLifetime = 20 * time.Second
 	maxDaemonName    = 128 // bytes
 )
 
@@ -139,16 +139,7 @@
 }
 
 func (r *Replica) tickDistribution(ctx context.Context) error {
-	ticker := time.NewTicker(distributionTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			r.publish.tick()
-		}
-	}
+	return every(ctx, distributionTick, r.publish.tick)
 }
 
 // distributionServer serves the daemons.
@@ -193,6 +184,8 @@
 // Report takes the version in force and the counters of a daemon.
 func (s *distributionServer) Report(_ context.Context, q *controlpb.ReportRequest) (*controlpb.ReportReply, error) {
 	s.r.publish.acknowledge(q.GetDaemon(), q.GetVersionInForce())
-	s.r.book.report(q)
+	if err := s.r.book.report(q, time.Now()); err != nil {
+		return nil, s.r.unreadable(err)
+	}
 	return &controlpb.ReportReply{Sequence: q.GetSequence()}, nil
 }
--- a/pkg/control/replica/operator.go
+++ b/pkg/control/replica/operator.go
@@ -100,8 +100,8 @@
 	return reply, err
 }
 
-// Totals returns daily counters. It names the replicas that have not answered this one lately.
-func (o *operator) Totals(_ context.Context, q *controlpb.TotalsRequest) (*controlpb.TotalsReply, error) {
+// Totals returns daily counters of all replicas. It names those that did not answer.
+func (o *operator) Totals(ctx context.Context, q *controlpb.TotalsRequest) (*controlpb.TotalsReply, error) {
 	from, to := totals.Day(math.MinInt32), totals.Day(math.MaxInt32)
 	for _, bound := range []struct {
 		text string
@@ -116,13 +116,8 @@
 		}
 		*bound.day = day
 	}
-	reply := &controlpb.TotalsReply{Days: o.r.book.totals(from, to, q.GetUser())}
-	for _, h := range o.r.others() {
-		if o.r.book.silent(h.GetName()) {
-			reply.MissingDataCentres = append(reply.MissingDataCentres, h.GetName())
-		}
-	}
-	return reply, nil
+	days, missing := o.r.collect(ctx, totals.Query{From: from, To: to, User: q.GetUser()})
+	return &controlpb.TotalsReply{Days: days, MissingReplicas: missing}, nil
 }
 
 // RotateKeys adds a token key.
--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -18,7 +18,6 @@
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/control/state"
-	"rosemarygate/pkg/control/totals"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 )
@@ -33,7 +32,7 @@
 	leaderless    = 10 * time.Second
 	retryPeriod   = 2 * time.Second
 	walFolder     = "agreement"
-	totalsFile    = "totals"
+	totalsFolder  = "totals"
 	retentionDays = 400 // of totals: a year can be compared with the one before
 )
 
@@ -43,6 +42,8 @@
 	DataCentre string
 	// Replicas are all replicas by the settings, this one included.
 	Replicas []*controlpb.ReplicaHost
+	// DataCentreOf returns the data centre of another replica by its name, empty if it is unknown.
+	DataCentreOf func(name string) string
 	// Dir is the data folder of the daemon.
 	Dir string
 	// Dial holds the options of connections to other replicas.
@@ -94,7 +95,7 @@
 	r.status.Store(&Status{})
 	r.identity.Store(&controlpb.IdentifyReply{})
 	r.know(cfg.Replicas)
-	book, err := newLedger(filepath.Join(cfg.Dir, totalsFile), totals.NewBook(retentionDays))
+	book, err := newLedger(cfg.Name, filepath.Join(cfg.Dir, totalsFolder), retentionDays, time.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -131,6 +132,7 @@
 	add(r.runCore)
 	add(r.share)
 	add(r.keepBook)
+	add(r.keepRestored)
 	add(r.tickDistribution)
 	return g.Run()
 }
--- a/pkg/control/totals/book.go
+++ b/pkg/control/totals/book.go
@@ -1,6 +1,8 @@
 package totals
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"rosemarygate/api/control/v1"
@@ -13,53 +15,56 @@
 	// MaxCounters is the number of counters that a report may carry and that an incarnation
 	// may have on one day.
 	MaxCounters = 10_000
+	// MaxIncarnations is the number of incarnations of one daemon and day, one every four
+	// seconds. Counters of further ones are refused.
+	MaxIncarnations = 20_000
 	// maxNameSize is the length of a user, service or reason in bytes.
 	maxNameSize = 128
 )
 
 // incarnation holds the counters of one incarnation of a daemon on one day.
 type incarnation struct {
-	updated time.Time
-	counts  Counts
+	number uint64
+	counts packed
 }
 
 // daemonDay holds the counters of one daemon on one day.
 type daemonDay struct {
-	through uint64 // incarnations up to this one are summed in folded
-	folded  Counts
-	open    map[uint64]*incarnation
-	changed uint64 // the book's change number
+	takenBy      []string      // replicas that took counters from the daemon, sorted
+	incarnations []incarnation // by number
+	reported     uint64        // the book's change number of the last report
 }
 
 // dayBook holds the counters of one day.
 type dayBook struct {
-	daemons map[string]*daemonDay
-	closed  bool
-	sum     Counts // of all daemons once closed
-	changed uint64 // the book's change number of the sum
+	daemons  map[string]*daemonDay
+	changed  uint64 // the book's change number
+	reported uint64 // the book's change number of the last report
+	saved    uint64 // the book's change number when the day was saved
 }
 
-// Book merges the counters that daemons report to a replica. Every value in it is at most
-// the true count, and merging never lowers a value. It is not safe for concurrent use.
+// Book holds the counters that daemons reported to a replica, and copies of those that they
+// reported to others. Merging keeps the maximum for each daemon, incarnation, day and
+// counter, so it can be repeated and reordered. It is not safe for concurrent use.
 type Book struct {
+	replica   string
 	retention int // days
 	days      map[Day]*dayBook
-	latest    map[string]uint64 // latest incarnation of each daemon that was seen
 	changes   uint64
 	refused   Refused
 }
 
 // Refused counts the counters that were not merged, by reason.
 type Refused struct {
-	Folded    uint64 // the incarnation was summed already
-	Closed    uint64 // the day was closed or is older than the retention
+	Old       uint64 // the day is older than the retention
 	Future    uint64 // the day lies in the future
 	Malformed uint64 // a name is empty or too long, or the report is too large
+	OverLimit uint64 // more than MaxIncarnations of a day, or MaxCounters of an incarnation
 }
 
-// NewBook returns a book that keeps a number of days.
-func NewBook(retentionDays int) *Book {
-	return &Book{retention: retentionDays, days: map[Day]*dayBook{}, latest: map[string]uint64{}}
+// NewBook returns the book of a replica; it keeps a number of days.
+func NewBook(replica string, retentionDays int) *Book {
+	return &Book{replica: replica, retention: retentionDays, days: map[Day]*dayBook{}}
 }
 
 // Refused returns how many counters were not merged.
@@ -72,12 +77,14 @@
 		b.refused.Malformed++
 		return
 	}
-	b.latest[r.GetDaemon()] = max(b.latest[r.GetDaemon()], r.GetIncarnation())
 	left := MaxCounters
 	for _, d := range r.GetDays() {
 		counts := b.wellFormed(d.GetServices(), &left)
-		if b.acceptDay(now, Day(d.GetDay()), uint64(len(counts))) {
-			b.merge(now, Day(d.GetDay()), r.GetDaemon(), r.GetIncarnation(), counts)
+		if day := Day(d.GetDay()); len(counts) > 0 && b.acceptDay(now, day, uint64(len(counts))) {
+			taken := &daemonDay{takenBy: []string{b.replica}, incarnations: []incarnation{{r.GetIncarnation(), pack(counts)}}}
+			if d := b.day(day); b.merge(d, r.GetDaemon(), taken) {
+				d.daemons[r.GetDaemon()].reported, d.reported = b.changes, b.changes
+			}
 		}
 	}
 }
@@ -107,32 +114,74 @@
 	switch {
 	case day > today+futureDays:
 		b.refused.Future += counters
-	case int(today-day) > b.retention, b.days[day] != nil && b.days[day].closed, today-day > closeDays:
-		b.refused.Closed += counters
+	case day < b.Oldest(now):
+		b.refused.Old += counters
 	default:
 		return true
 	}
 	return false
 }
 
-func (b *Book) merge(now time.Time, day Day, daemon string, number uint64, counts Counts) {
-	d := b.day(day).daemon(daemon)
-	if number <= d.through {
-		b.refused.Folded += uint64(len(counts))
-		return
-	}
-	i := d.incarnation(number)
-	i.updated = now
-	for k := range counts {
-		if _, known := i.counts[k]; !known && len(i.counts)+len(counts) > MaxCounters {
-			b.refused.Malformed++
-			delete(counts, k)
-		}
+// Oldest returns the oldest day that is kept.
+func (b *Book) Oldest(now time.Time) Day { return DayOf(now.UTC()) - Day(b.retention) }
+
+// merge merges counters of a daemon into a day and reports whether anything changed.
+func (b *Book) merge(d *dayBook, daemon string, other *daemonDay) bool {
+	mine := d.daemons[daemon]
+	if mine == nil {
+		mine = &daemonDay{}
+		d.daemons[daemon] = mine
 	}
-	if i.counts.keepMax(counts) {
+	changed, refused := mine.join(other)
+	b.refused.OverLimit += refused
+	if changed {
 		b.changes++
 		d.changed = b.changes
 	}
+	return changed
+}
+
+// join merges other counters of the same daemon and day. It reports whether anything changed,
+// and how many counters belong to too many incarnations.
+func (d *daemonDay) join(other *daemonDay) (changed bool, refused uint64) {
+	for _, name := range other.takenBy {
+		if i, found := slices.BinarySearch(d.takenBy, name); !found {
+			d.takenBy = slices.Insert(d.takenBy, i, name)
+			changed = true
+		}
+	}
+	for _, o := range other.incarnations {
+		i, found := d.find(o.number)
+		if !found && len(d.incarnations) >= MaxIncarnations {
+			refused += uint64(len(o.counts))
+			continue
+		}
+		if !found {
+			d.incarnations = slices.Insert(d.incarnations, i, incarnation{number: o.number})
+		}
+		mine := &d.incarnations[i].counts
+		merged, raised := mine.keepMax(o.counts)
+		if len(merged) > MaxCounters {
+			known := o.counts.only(*mine)
+			refused += uint64(len(o.counts) - len(known))
+			merged, raised = mine.keepMax(known)
+		}
+		*mine = merged
+		changed = changed || raised
+	}
+	return changed, refused
+}
+
+func (d *daemonDay) find(number uint64) (int, bool) {
+	return slices.BinarySearchFunc(d.incarnations, number, func(i incarnation, n uint64) int {
+		switch {
+		case i.number < n:
+			return -1
+		case i.number > n:
+			return 1
+		}
+		return 0
+	})
 }
 
 func (b *Book) day(day Day) *dayBook {
@@ -144,65 +193,23 @@
 	return d
 }
 
-func (d *dayBook) daemon(name string) *daemonDay {
-	found := d.daemons[name]
-	if found == nil {
-		found = &daemonDay{folded: Counts{}, open: map[uint64]*incarnation{}}
-		d.daemons[name] = found
-	}
-	return found
-}
-
-func (d *daemonDay) incarnation(number uint64) *incarnation {
-	i := d.open[number]
-	if i == nil {
-		i = &incarnation{counts: Counts{}}
-		d.open[number] = i
-	}
-	return i
-}
-
-// total returns the counters of all incarnations.
-func (d *daemonDay) total() Counts {
-	out := Counts{}
-	out.add(d.folded)
-	for _, i := range d.open {
-		out.add(i.counts)
-	}
-	return out
-}
+func newDayBook() *dayBook { return &dayBook{daemons: map[string]*daemonDay{}} }
 
-// total returns the counters of all daemons.
+// total returns the sum over all daemons and their incarnations.
 func (d *dayBook) total() Counts {
 	out := Counts{}
-	out.add(d.sum)
 	for _, daemon := range d.daemons {
-		out.add(daemon.total())
-	}
-	return out
-}
-
-// Totals returns the counters of the days from one to another, inclusive; of all users if
-// user is empty.
-func (b *Book) Totals(from, to Day, user string) []*controlpb.DayCounters {
-	var out []*controlpb.DayCounters
-	for _, day := range b.sortedDays() {
-		if day < from || day > to {
-			continue
-		}
-		counts := b.days[day].total()
-		for k := range counts {
-			if user != "" && k.User != user {
-				delete(counts, k)
+		for _, i := range daemon.incarnations {
+			for _, c := range i.counts {
+				out[c.key.Value()] += c.value
 			}
 		}
-		if len(counts) > 0 {
-			out = append(out, &controlpb.DayCounters{Day: int32(day), Services: counts.encode()})
-		}
 	}
 	return out
 }
 
-func newDayBook() *dayBook {
-	return &dayBook{daemons: map[string]*daemonDay{}, sum: Counts{}}
-}
+// Days returns the days in the book, sorted.
+func (b *Book) Days() []Day { return slices.Sorted(maps.Keys(b.days)) }
+
+// Holds reports whether a day is in the book.
+func (b *Book) Holds(day Day) bool { return b.days[day] != nil }
--- a/pkg/control/totals/counts.go
+++ b/pkg/control/totals/counts.go
@@ -39,12 +39,6 @@
 	return changed
 }
 
-func (c Counts) add(other Counts) {
-	for k, v := range other {
-		c[k] += v
-	}
-}
-
 func (c Counts) sortedKeys() []Key {
 	keys := make([]Key, 0, len(c))
 	for k := range c {
--- a/pkg/control/totals/day.go
+++ b/pkg/control/totals/day.go
@@ -5,15 +5,15 @@
 // replica merges them in a Book by keeping the maximum, so a report that is sent twice,
 // late or to two replicas counts once.
 //
-// The counters do not pass through the replicated log: taking a maximum needs no order, so
-// the replicas of a group exchange their books instead. A group is a set of replicas to
-// which a daemon may report; each daemon reports to the replicas of one group only. With 30
-// counters and a report a minute, 640 daemons cost the two replicas of a data centre
-// 7.2 KB/s of exchange. In the log, 18,000 daemons would cost each replica 203 KB/s, also
-// when a replica batches the reports of a minute into one entry.
+// The counters do not pass through the replicated log: taking a maximum needs no order. In the
+// log, 18,000 daemons with 30 counters and a report a minute would cost each replica 203 KB/s,
+// also when a replica batches the reports of a minute into one entry. Instead the replica that
+// took counters copies them to a few others (Holders), and a query collects the counters of all
+// replicas and merges them. Every replica keeps the counters of each incarnation apart: sums of
+// different replicas could not be merged, since a daemon may report to several of them.
 //
-// What is lost: counts after the last report of a daemon that crashes; the increase that a
-// report brings after its incarnation was folded (FoldAfter) or its day was closed.
+// What is lost: counts after the last report of a daemon that crashes; counters of a daemon with
+// more than MaxIncarnations a day.
 package totals
 
 import (
--- a/pkg/control/totals/export.go
+++ b/pkg/control/totals/export.go
@@ -25,29 +25,6 @@
 // columns are the columns of both exports. New ones are only ever appended.
 var columns = []string{"day", "user", "service", "counter", "reason", "count"}
 
-// Combine returns the totals of the whole system from the answers of replicas by group.
-// The replicas of one group count the same daemons, so the larger value of each counter is
-// taken; the groups count different daemons, so their values are added.
-func Combine(groups map[string][][]*controlpb.DayCounters) []*controlpb.DayCounters {
-	sum := map[Day]Counts{}
-	for _, answers := range groups {
-		group := map[Day]Counts{}
-		for _, days := range answers {
-			for _, d := range days {
-				countsOf(group, Day(d.GetDay())).keepMax(decode(d.GetServices()))
-			}
-		}
-		for day, counts := range group {
-			countsOf(sum, day).add(counts)
-		}
-	}
-	var out []*controlpb.DayCounters
-	for _, day := range slices.Sorted(maps.Keys(sum)) {
-		out = append(out, &controlpb.DayCounters{Day: int32(day), Services: sum[day].encode()})
-	}
-	return out
-}
-
 func countsOf(days map[Day]Counts, day Day) Counts {
 	if days[day] == nil {
 		days[day] = Counts{}
@@ -90,7 +67,15 @@
 	return errors.WithStack(out.Error())
 }
 
-// WriteText writes the rows as an aligned table and names the groups that are missing.
+// Incomplete returns the line that tells which replicas did not answer, empty if all did.
+func Incomplete(missing []string) string {
+	if len(missing) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("totals may be incomplete: no answer from %s; repeat the command when they run again", strings.Join(missing, ", "))
+}
+
+// WriteText writes the rows as an aligned table and names the replicas that did not answer.
 func WriteText(w io.Writer, rows []Row, missing []string) error {
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out, strings.Join(columns, "\t"))
@@ -102,8 +87,8 @@
 		}
 		fmt.Fprintln(out, strings.Join(cells, "\t"))
 	}
-	for _, name := range missing {
-		fmt.Fprintf(out, "incomplete: the counts of %s are missing, because none of its replicas answered\n", name)
+	if line := Incomplete(missing); line != "" {
+		fmt.Fprintln(out, line)
 	}
 	return errors.WithStack(out.Flush())
 }
--- a/pkg/control/totals/totals_test.go
+++ b/pkg/control/totals/totals_test.go
@@ -1,6 +1,8 @@
 package totals
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -30,7 +32,13 @@
 	return 0
 }
 
-func (b *Book) value(day Day, k Key) uint64 { return valueOf(b.Totals(0, 1<<30, ""), day, k) }
+func (b *Book) value(day Day, k Key) uint64 { return b.day(day).total()[k] }
+
+// all returns everything that daemons reported to a book.
+func (b *Book) all() *controlpb.TotalsExchange {
+	x, _ := b.ReportedSince(0)
+	return x
+}
 
 // Guards against counts on the wrong day around midnight, on days of 23 and 25 hours, and
 // in zones that skip midnight itself.
@@ -66,7 +74,7 @@
 // lost, and against counters that are sent again for nothing.
 func TestReportsAreCumulative(t *testing.T) {
 	a := NewAccumulator("d", 1)
-	b := NewBook(30)
+	b := NewBook("r", 30)
 	day := DayOf(noon)
 	a.Add(noon, key, 2)
 	lost := a.Report(0)
@@ -90,7 +98,7 @@
 	onItsWay := a.Report(0)
 	a.ResendAll()
 	a.Acknowledge(noon, onItsWay.GetSequence())
-	other := NewBook(30)
+	other := NewBook("r", 30)
 	other.Report(noon, a.Report(0))
 	assert.Equal(t, other.value(day, key), uint64(7))
 	assert.Equal(t, other.value(day+1, key), uint64(1))
@@ -100,7 +108,7 @@
 // counted from zero again after the clock was set back.
 func TestAccumulatorDropsOldDays(t *testing.T) {
 	a := NewAccumulator("d", 1)
-	b := NewBook(1000)
+	b := NewBook("r", 1000)
 	for i := range 100 {
 		now := noon.Add(time.Duration(i) * 24 * time.Hour)
 		a.Add(now, key, 5)
@@ -129,70 +137,103 @@
 	return &controlpb.ReportRequest{Daemon: daemon, Incarnation: incarnation, Days: []*controlpb.DayCounters{{Day: int32(day), Services: counts.encode()}}}
 }
 
-// Guards against a book that grows with restarts, and against a late report of a folded
-// incarnation that counts twice.
-func TestFoldedIncarnations(t *testing.T) {
-	b := NewBook(30)
+// Guards against a late report of an ended incarnation that is lost or counts twice, and against
+// a book that grows without a bound with a daemon that restarts over and over.
+func TestManyIncarnations(t *testing.T) {
+	b := NewBook("r", 30)
 	day := DayOf(noon)
-	now := noon
-	for i := range uint64(1000) {
-		now = now.Add(time.Second)
-		b.Report(now, report("d", i+1, 2, day))
-		b.Compact(now)
-		assert.Assert(t, len(b.days[day].daemons["d"].open) <= maxOpen)
+	for i := range uint64(MaxIncarnations) {
+		b.Report(noon, report("d", i+1, 2, day))
 	}
-	assert.Equal(t, b.value(day, key), uint64(2000))
-	b.Report(now, report("d", 990, 3, day))
-	assert.Equal(t, b.value(day, key), uint64(2001), "a late report counts before FoldAfter")
-	now = now.Add(FoldAfter)
-	b.Compact(now)
-	assert.Equal(t, len(b.days[day].daemons["d"].open), 1, "the latest incarnation stays")
-	b.Report(now, report("d", 500, 7, day))
-	assert.Equal(t, b.value(day, key), uint64(2001))
-	assert.Equal(t, b.Refused().Folded, uint64(1))
+	assert.Equal(t, b.value(day, key), uint64(2*MaxIncarnations))
+	b.Report(noon.Add(20*time.Hour), report("d", 990, 3, day))
+	assert.Equal(t, b.value(day, key), uint64(2*MaxIncarnations+1))
+	b.Report(noon, report("d", MaxIncarnations+1, 7, day))
+	assert.Equal(t, b.value(day, key), uint64(2*MaxIncarnations+1))
+	assert.DeepEqual(t, b.Refused(), Refused{OverLimit: 1})
 }
 
-// Guards against an incarnation folded too early by a replica that knows it only from an
-// exchange.
-func TestExchangedIncarnationStaysOpen(t *testing.T) {
-	b, other := NewBook(30), NewBook(30)
+// Guards against counters of one incarnation without a bound, and against known ones that do not
+// rise any more at the bound.
+func TestManyCounters(t *testing.T) {
+	b := NewBook("r", 30)
 	day := DayOf(noon)
-	b.Report(noon, report("d", 1, 2, day))
-	b.Report(noon, report("d", 2, 1, day))
-	x, _ := b.ChangesSince(0)
-	other.Merge(noon, x)
-	other.Compact(noon.Add(FoldAfter - time.Minute))
-	other.Report(noon, report("d", 1, 5, day))
-	assert.Equal(t, other.value(day, key), uint64(6))
+	for i := range 2 {
+		counts := Counts{key: uint64(1 + i)}
+		for j := range MaxCounters - 1 {
+			counts[Key{"karri", fmt.Sprint(i, " ", j), carried, ""}] = 1
+		}
+		b.Report(noon, &controlpb.ReportRequest{Daemon: "d", Incarnation: 1, Days: []*controlpb.DayCounters{{Day: int32(day), Services: counts.encode()}}})
+	}
+	assert.Equal(t, len(b.day(day).total()), MaxCounters)
+	assert.Equal(t, b.value(day, key), uint64(2))
+	assert.Equal(t, b.Refused().OverLimit, uint64(MaxCounters-1))
 }
 
-// Guards against days kept beyond the retention, and against a report for a closed or
-// future day that changes it.
-func TestClosedDays(t *testing.T) {
-	b, lagging := NewBook(10), NewBook(10)
+// Guards against closed days that stay in memory or leave it before they are on the disk and at
+// their holders, and against days kept beyond the retention.
+func TestEviction(t *testing.T) {
+	b := NewBook("r", 40)
 	day := DayOf(noon)
 	b.Report(noon, report("d", 1, 2, day))
-	lagging.Report(noon, report("e", 1, 9, day))
 	b.Report(noon, report("d", 1, 2, day+futureDays+1))
-	later := noon.Add((closeDays + 1) * 24 * time.Hour)
-	b.Compact(later)
+	b.Report(noon, report("d", 1, 2, day-41))
+	assert.DeepEqual(t, b.Refused(), Refused{Old: 1, Future: 1})
+	later := noon.Add((openDays + 1) * 24 * time.Hour)
+	b.Evict(later, b.changes)
+	assert.Assert(t, b.Holds(day), "not saved")
+	b.Saved(b.Unsaved(), b.changes)
+	b.Evict(later, 0)
+	assert.Assert(t, b.Holds(day), "not copied")
+	b.Evict(noon.Add(openDays*24*time.Hour), b.changes)
+	assert.Assert(t, b.Holds(day), "open")
 	b.Report(later, report("d", 1, 3, day))
-	assert.Equal(t, b.value(day, key), uint64(2))
-	assert.DeepEqual(t, b.Refused(), Refused{Closed: 1, Future: 1})
-	x, _ := lagging.ChangesSince(0)
-	b.Merge(later, x)
-	assert.Equal(t, b.value(day, key), uint64(9), "the larger of two lower bounds")
-	x, _ = b.ChangesSince(0)
-	lagging.Merge(later, x)
-	assert.Equal(t, lagging.value(day, key), uint64(9))
-	b.Compact(noon.Add(11 * 24 * time.Hour))
+	b.Evict(later, b.changes)
+	assert.Assert(t, b.Holds(day), "changed after it was saved")
+	b.Saved(b.Unsaved(), b.changes)
+	b.Evict(noon.Add((uncopiedDays+1)*24*time.Hour), 0)
+	assert.Assert(t, !b.Holds(day), "not taken for long")
+	b.Report(later, report("d", 1, 3, day))
+	b.Evict(noon.Add(41*24*time.Hour), 0)
 	assert.Equal(t, len(b.days), 0)
-	assert.Equal(t, len(b.latest), 0)
+}
+
+// Guards against all copies in one data centre, against copies at too many replicas or at the
+// replica itself, and against copies that all move when a replica leaves.
+func TestHolders(t *testing.T) {
+	three := []Place{{"a", "x"}, {"b", "y"}, {"c", "z"}}
+	assert.Equal(t, len(Holders(three[0], three[1:])), 2)
+	assert.Equal(t, len(Holders(three[0], nil)), 0)
+	var all []Place
+	for i := range 55 {
+		all = append(all, Place{fmt.Sprint("host-", i), fmt.Sprint("dc-", i/2)})
+	}
+	load := map[string]int{}
+	moved := 0
+	for i, self := range all {
+		others := slices.Delete(slices.Clone(all), i, i+1)
+		holders := Holders(self, others)
+		assert.Equal(t, len(holders), Copies)
+		if i < 54 {
+			assert.Equal(t, holders[0], all[i^1].Name, "the other replica of the data centre")
+		}
+		for _, h := range holders {
+			load[h]++
+		}
+		less := slices.DeleteFunc(slices.Clone(others), func(p Place) bool { return p.Name == "host-54" })
+		if !slices.Equal(Holders(self, less), holders) {
+			moved++
+		}
+	}
+	for name, n := range load {
+		assert.Assert(t, n <= 8, "%s holds copies of %d", name, n)
+	}
+	assert.Equal(t, moved, load["host-54"])
 }
 
 // Guards against malformed reports that take memory or appear in an export.
 func TestMalformedReports(t *testing.T) {
-	b := NewBook(10)
+	b := NewBook("r", 10)
 	day := DayOf(noon)
 	long := strings.Repeat("x", maxNameSize+1)
 	b.Report(noon, report("", 1, 1, day))
@@ -203,29 +244,29 @@
 		b.Report(noon, &controlpb.ReportRequest{Daemon: "d", Incarnation: 1, Days: []*controlpb.DayCounters{{Day: int32(day), Services: counts.encode()}}})
 	}
 	assert.Equal(t, b.Refused().Malformed, uint64(7))
-	assert.Equal(t, len(b.Totals(0, 1<<30, "")), 0)
+	assert.Equal(t, len(b.days), 0)
 }
 
 // Guards against exports whose columns move, that run as formulas in a spreadsheet, or
-// that leave out that they are incomplete; and against groups that count twice.
+// that leave out that they are incomplete; and against copies that count twice.
 func TestExport(t *testing.T) {
 	day := DayOf(noon)
 	one := Counts{key: 3, {User: "=cmd|' /C calc'!A0", Service: "a,b", Kind: refused, Reason: "-queue \"full\""}: 1}
 	more := Counts{key: 4}
-	answer := func(c Counts) []*controlpb.DayCounters {
-		return []*controlpb.DayCounters{{Day: int32(day), Services: c.encode()}}
+	answer := func(daemon string, c Counts) *controlpb.DayTotals {
+		b := NewBook("r", 30)
+		b.Report(noon, &controlpb.ReportRequest{Daemon: daemon, Incarnation: 1, Days: []*controlpb.DayCounters{{Day: int32(day), Services: c.encode()}}})
+		return b.Day(day)
 	}
-	days := Combine(map[string][][]*controlpb.DayCounters{
-		"north": {answer(one), answer(more)},
-		"south": {answer(more)},
-	})
+	combined := Combine(day, []*controlpb.DayTotals{answer("north", one), answer("north", more), answer("south", more)})
+	days := []*controlpb.DayCounters{combined}
 	var csv, text strings.Builder
 	assert.NilError(t, WriteCSV(&csv, Rows(days)))
 	assert.Equal(t, csv.String(), "day,user,service,counter,reason,count\r\n"+
 		"2026-12-04,'=cmd|' /C calc'!A0,\"a,b\",requests_refused,\"'-queue \"\"full\"\"\",1\r\n"+
 		"2026-12-04,karri,ticket,flows_carried,,8\r\n")
-	assert.NilError(t, WriteText(&text, Rows(days), []string{"east"}))
-	assert.Assert(t, strings.Contains(text.String(), "incomplete: the counts of east are missing"))
+	assert.NilError(t, WriteText(&text, Rows(days), []string{"east", "west"}))
+	assert.Assert(t, strings.Contains(text.String(), "totals may be incomplete: no answer from east, west;"))
 	for _, cell := range []string{"+1", "@a", "\tx", " =x", "＝x"} {
 		assert.Equal(t, guardFormula(cell), "'"+cell)
 	}
@@ -246,7 +287,7 @@
 		}
 	}
 	r := &controlpb.ReportRequest{Incarnation: 1 << 60, Sequence: 1000, VersionInForce: 40_000, Days: []*controlpb.DayCounters{{Day: int32(day), Services: counts.encode()}}}
-	book := NewBook(62)
+	book := NewBook("r", 62)
 	i := 0
 	for b.Loop() {
 		r.Daemon = "daemon-" + string(rune('a'+i%daemons))
@@ -257,12 +298,8 @@
 		r.Daemon = "daemon-" + string(rune('a'+i))
 		book.Report(noon, r)
 	}
-	x, _ := book.ChangesSince(0)
 	b.ReportMetric(float64(proto.Size(r)), "report-bytes")
-	b.ReportMetric(float64(proto.Size(x)), "book-bytes")
-	book.Compact(noon.Add((closeDays + 1) * 24 * time.Hour))
-	x, _ = book.ChangesSince(0)
-	b.ReportMetric(float64(proto.Size(x)), "closed-day-bytes")
+	b.ReportMetric(float64(proto.Size(book.all())), "book-bytes")
 }
 
 // Measures one count on the path of the daemon's counters.
--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -85,7 +85,8 @@
 	log := d.log
 	if s.Control.Replica {
 		c.replica, err = replica.New(replica.Config{
-			Name: s.Name, DataCentre: s.DataCentre, Replicas: hosts, Dir: s.DataDir, Dial: options, Log: log,
+			Name: s.Name, DataCentre: s.DataCentre, Replicas: hosts, DataCentreOf: c.dataCentreOf,
+			Dir: s.DataDir, Dial: options, Log: log,
 		})
 		if err != nil {
 			return nil, err
--- a/pkg/daemon/controlrepair_test.go
+++ b/pkg/daemon/controlrepair_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"math"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -9,6 +11,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
 	controlpb "rosemarygate/api/control/v1"
@@ -88,29 +91,63 @@
 	assert.Assert(t, next > version)
 }
 
-// Guards against daily counters that do not reach the totals, or that count twice when a daemon
-// reports to two replicas.
+// flowsCarried sums the flows that a reply counts.
+func flowsCarried(days []*controlpb.DayCounters) uint64 {
+	sum := uint64(0)
+	for _, row := range totals.Rows(days) {
+		if row.Key.Kind == controlpb.Counter_KIND_FLOWS_CARRIED {
+			sum += row.Count
+		}
+	}
+	return sum
+}
+
+// held returns the flows that one replica counts, copies included.
+func (f *controlFleet) held(i int) uint64 {
+	conn, err := grpc.NewClient(f.settings[i].Address(testGRPCPort).String(), f.credentials)
+	assert.NilError(f.t, err)
+	defer conn.Close()
+	stream, err := controlpb.NewReplicationClient(conn).Collect(f.context(), &controlpb.CollectRequest{FromDay: 0, ToDay: math.MaxInt32})
+	assert.NilError(f.t, err)
+	sum := uint64(0)
+	for {
+		day, err := stream.Recv()
+		if err == io.EOF {
+			return sum
+		}
+		assert.NilError(f.t, err)
+		sum += flowsCarried([]*controlpb.DayCounters{totals.Combine(totals.Day(day.GetDay()), []*controlpb.DayTotals{day})})
+	}
+}
+
+// Guards against daily counters that do not reach the totals or the other two replicas, that count
+// twice when a daemon reports to two replicas, that a lost disk loses, and against a query that
+// does not tell that a replica is silent.
 func TestTotalsReachTheOperator(t *testing.T) {
 	t.Parallel()
 	f := newControlFleet(t, "a", "b", "c", "c")
 	f.startAll()
 	f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 5*time.Second))
 	f.request()
-	total := func(i int) uint64 {
+	total := func(i int, missing ...string) uint64 {
 		reply, err := f.operator(i).Totals(f.context(), &controlpb.TotalsRequest{User: "acme"})
 		assert.NilError(t, err)
-		sum := uint64(0)
-		for _, row := range totals.Rows(reply.GetDays()) {
-			if row.Key.Kind == controlpb.Counter_KIND_FLOWS_CARRIED {
-				sum += row.Count
-			}
-		}
-		return sum
+		assert.Assert(t, slices.Equal(reply.GetMissingReplicas(), missing), "%v", reply.GetMissingReplicas())
+		return flowsCarried(reply.GetDays())
 	}
-	f.await("the flow in the totals of every replica", func() bool { return total(0) == 1 && total(1) == 1 && total(2) == 1 })
+	f.await("the flow in the totals", func() bool { return total(0) == 1 })
+	f.await("copies at all replicas", func() bool { return f.held(0) == 1 && f.held(1) == 1 && f.held(2) == 1 })
 	f.kill(2) // the daemon reports everything again to another replica
 	time.Sleep(3 * time.Second)
-	assert.Equal(t, total(0), uint64(1))
+	assert.Equal(t, total(0, f.settings[2].Name), uint64(1))
+	f.wires.isolate(f.host(1), true)
+	assert.Equal(t, total(0, f.settings[1].Name, f.settings[2].Name), uint64(1))
+	f.wires.isolate(f.host(1), false)
+
+	assert.NilError(t, os.RemoveAll(f.settings[2].DataDir))
+	f.start(2)
+	f.await("what the replica held before its disk was lost", func() bool { return f.held(2) == 1 })
+	assert.Equal(t, total(2), uint64(1))
 }
 
 // Guards against a replica whose disk fails and that keeps its daemons on an old version, and
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -77,5 +77,6 @@
 	CopyNotSaved         = add(Event{4016, logrus.WarnLevel, "accepted configuration cannot be written to the disk", "check the disk of the data folder"})
 	CopyUnusable         = add(Event{4017, logrus.WarnLevel, "stored copy of the configuration cannot be used", "read the error field; the daemon fetches the configuration from a replica"})
 	LeadershipKept       = add(Event{4019, logrus.WarnLevel, "leadership was not handed over before the stop", ""})
+	TotalsUnreadable     = add(Event{4021, logrus.ErrorLevel, "totals on the disk cannot be read", "read the error field, which names the remedy"})
 	CountersDropped      = add(Event{4018, logrus.WarnLevel, "daily counters were dropped unreported", "repair the connection to the control replicas"})
 )
