Keep daily totals in a folder of their own name

Cause: the file of the earlier format is named totals too, so a replica that has one could not create the folder and would not start. Change: the folder is daily-totals. The old file stays where it is, unread.

--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -32,7 +32,7 @@
 	leaderless    = 10 * time.Second
 	retryPeriod   = 2 * time.Second
 	walFolder     = "agreement"
-	totalsFolder  = "totals"
+	totalsFolder  = "daily-totals"
 	retentionDays = 400 // of totals: a year can be compared with the one before
 )
 
