Bound control traffic at 4 KB/s and describe totals

Cause: the bounds of the two traffic tests were 4 KB/s and 1.9 KB/s, so a leader that is also the busiest member could reach more than 4 KB/s.

Change: membership and registration may take 3,100 B/s at the busiest of 7 daemons, control connections 900 B/s.

--- a/pkg/cli/control_test.go
+++ b/pkg/cli/control_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/daemon"
 	"rosemarygate/pkg/settings"
 )
@@ -97,6 +98,22 @@
 	assert.Assert(t, strings.Contains(out, "10-acme.yaml:2"), out)
 }
 
+// Guards against a CSV export with a line that is no record, and against incomplete totals that are
+// not told from complete ones.
+func TestIncompleteTotals(t *testing.T) {
+	for format, inOutput := range map[string]bool{"text": true, "csv": false} {
+		var out, stderr strings.Builder
+		cmd := newTotals()
+		cmd.SetOut(&out)
+		cmd.SetErr(&stderr)
+		assert.NilError(t, printTotals(cmd, &controlpb.TotalsReply{MissingReplicas: []string{"host-2", "host-5"}}, format))
+		const line = "totals may be incomplete: no answer from host-2, host-5;"
+		assert.Equal(t, strings.Contains(out.String(), line), inOutput)
+		assert.Equal(t, strings.Contains(stderr.String(), line), !inOutput)
+		assert.Equal(t, strings.Count(out.String(), "\n") == 1, !inOutput)
+	}
+}
+
 // Guards against the exit codes and messages of commands that scripts depend on.
 func TestControlExitCodes(t *testing.T) {
 	replica := startReplica(t)
--- a/pkg/cli/totals.go
+++ b/pkg/cli/totals.go
@@ -23,7 +23,8 @@
 		Short: "Print the daily totals of flows and refused requests",
 		Long: "Totals prints for each user, service and reason the flows carried, the flows broken and the\n" +
 			"requests refused on a day. A day ends in the user's time zone. The CSV format can be opened by\n" +
-			"a spreadsheet; columns are only ever added at the end.\n\n" +
+			"a spreadsheet; columns are only ever added at the end. The counts are those of all replicas; a\n" +
+			"line, with CSV on the error output, names replicas that did not answer.\n\n" +
 			"Exit codes: 0 success, 1 no replica answered, 2 wrong arguments.",
 		Example: `  rosemarygate totals --replica 127.1.0.1:7901 --day 2026-05-04
   rosemarygate totals --replica 127.1.0.1:7901 --day 2026-05-01 --to 2026-05-31 --format csv > may.csv`,
--- a/pkg/daemon/controlload_test.go
+++ b/pkg/daemon/controlload_test.go
@@ -61,8 +61,8 @@
 }
 
 // controlBound is what the control connections of a daemon may carry, in bytes a second:
-// 4 KB/s less the 2.1 KB/s of membership and registration.
-const controlBound = 1900
+// 4 KB/s less the bound of membership and registration (trafficBound in pkg/registration).
+const controlBound = 900
 
 // Guards against control traffic that exceeds 4 KB/s at a daemon, when nothing happens and at
 // 10 changes a minute. The bytes of one change are measured with changes in quick succession.
--- a/pkg/registration/traffic_test.go
+++ b/pkg/registration/traffic_test.go
@@ -19,6 +19,10 @@
 	upstreamsPerDaemon = 6
 	warmUp             = 60 * time.Second
 	measured           = 30 * time.Second
+	// trafficBound is what membership and registration of a daemon may send and receive with 7
+	// members, in bytes a second: 4 KB/s less the bound of control connections (controlBound in
+	// pkg/daemon).
+	trafficBound = 3100
 )
 
 // rates are bytes per second of one daemon, datagram overhead included.
@@ -106,7 +110,7 @@
 }
 
 // Prints bytes per second of one daemon for growing data centres, and fits. Guards the targets
-// of 4 KB/s with 7 members and 29 KB/s with 640 of one data centre. With -full up to 300 members
+// of 4 KB/s with 7 members, control connections included, and 29 KB/s with 640 of one data centre. With -full up to 300 members
 // are measured: go test ./pkg/registration -run TrafficGrowth -v -full -timeout 10m
 func TestTrafficGrowth(t *testing.T) {
 	sizes := []int{7, 20, 50}
@@ -127,7 +131,7 @@
 		t.Logf("linear: %.0f + %.2f n, largest residual %.0f; at 640: %.0f", a, b, residual, a+b*640)
 		al, bl, rl := fit(logs, y)
 		t.Logf("log: %.0f + %.0f log2 n, largest residual %.0f; at 640: %.0f", al, bl, rl, al+bl*math.Log2(640))
-		assert.Assert(t, churn || y[0] < 4000)
+		assert.Assert(t, churn || y[0] < trafficBound)
 		assert.Assert(t, a+b*640 < 29000)
 	}
 }
@@ -144,13 +148,14 @@
 	assert.Assert(t, r.busiest < 29000)
 }
 
-// Prints bytes per second of the users' current sizes: 7 daemons in 3 and in 4 data centres.
+// Prints bytes per second of the users' current sizes: 7 daemons in 3 and in 4 data centres. Guards
+// the part of 4 KB/s at the busiest daemon, which may also lead the control replicas.
 func TestTrafficOfSevenDaemons(t *testing.T) {
 	for _, dataCentres := range []int{1, 3, 4} {
 		for _, churn := range []bool{false, true} {
 			r := measure(t, 7, dataCentres, churn)
 			t.Logf("%d data centres, churn %v: sent %.0f, received %.0f, busiest %.0f bytes/s", dataCentres, churn, r.sent, r.got, r.busiest)
-			assert.Assert(t, churn || r.busiest < 4000)
+			assert.Assert(t, churn || r.busiest < trafficBound)
 		}
 	}
 }
