--- a/pkg/control/totals/compact.go
+++ b/pkg/control/totals/compact.go
@@ -12,7 +12,7 @@
 	openDays = 4
 	// uncopiedDays is how long a closed day stays in memory for a holder that does not take its
 	// copy. When that one starts again it asks for what it lacks.
-	uncopiedDays = 31
+	uncopiedDays = maxUnreportedDays
 )
 
 func oldestOpen(now time.Time) Day { return DayOf(now.UTC()) - openDays }
@@ -21,8 +21,9 @@
 func OldestUncopied(now time.Time) Day { return DayOf(now.UTC()) - uncopiedDays }
 
 // FirstIncomplete returns the first day that a replica may lack changes of, by its newest file:
-// it may have been down since that was written.
-func FirstIncomplete(newest Day) Day { return max(newest, math.MinInt32+openDays) - openDays }
+// it may have been down since that was written, and a report may be as late as a daemon keeps
+// counters.
+func FirstIncomplete(newest Day) Day { return max(newest, math.MinInt32+uncopiedDays) - uncopiedDays }
 
 // Unsaved returns the days that changed after they were saved.
 func (b *Book) Unsaved() []Day {
