--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -80,5 +80,6 @@
 	ConfigOfRecovery     = add(Event{4021, logrus.WarnLevel, "configuration of a recovered replica group replaces the one before it", "compare the kept copy that the log line names with the accepted folder if changes are missing"})
 	OtherGroup           = add(Event{4022, logrus.ErrorLevel, "replica has no leader, and another replica belongs to another group", "if the replicas were recovered from one copy, stop this daemon, remove the folder agreement in its data folder and start it again; its files are of the group before"})
 	LeadershipKept       = add(Event{4019, logrus.WarnLevel, "leadership was not handed over before the stop", ""})
+	TotalsUnreadable     = add(Event{4023, logrus.ErrorLevel, "totals on the disk cannot be read", "read the error field, which names the remedy"})
 	CountersDropped      = add(Event{4018, logrus.WarnLevel, "daily counters were dropped unreported", "repair the connection to the control replicas"})
 )
