Merge only what a change of configuration files names

Cause: each change of one file merged the whole folder, 92 to 156 us a file. Change: config.Incremental keeps the merged values and which files name each user and service. A change decodes the changed files and those that name the same services, merges and checks only these, and looks for ports and identifiers in maps. Values, origins, faults and their order are those of Folder.Merge, which stays the reference; it now takes entries in the order of their names, so that a list of faults that is cut is the same at every replica.

--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -3,7 +3,10 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 	_ "time/tzdata" // hosts without a zone database know the same names
 
@@ -23,25 +26,34 @@
 
 // check reports what single values cannot show.
 func (m *merger) check() {
-	if len(m.into.Users) == 0 && len(m.errs) == 0 {
-		m.errs.Add(strictyaml.Missing, strictyaml.Origin{}, "", "configuration declares no user", "add a file with users and services")
-	}
-	for name, u := range m.into.Users {
-		m.checkTimeZone("users."+name+".time_zone", u)
+	m.checkUsers(len(m.into.Users))
+	for _, name := range slices.Sorted(maps.Keys(m.into.Users)) {
+		m.checkTimeZone(name, m.into.Users[name])
 	}
 	services := m.into.Services()
-	if len(services) > MaxServices {
-		m.errs.Add(strictyaml.OutOfRange, strictyaml.Origin{}, "users", fmt.Sprintf("there are %d services", len(services)), fmt.Sprintf("declare at most %d", MaxServices))
-	}
+	m.checkServices(len(services))
 	for _, e := range services {
 		m.checkService(e)
 	}
-	m.checkPorts(services)
+	m.checkPorts(services, sync.OnceValue(func() int { return freePort(portsOf(services)) }))
 	m.checkIDs(services)
 	m.checkTokenKeys()
 }
 
-func (m *merger) checkTimeZone(path string, u *User) {
+func (m *merger) checkUsers(count int) {
+	if count == 0 && len(m.errs) == 0 {
+		m.errs.Add(strictyaml.Missing, strictyaml.Origin{}, "", "configuration declares no user", "add a file with users and services")
+	}
+}
+
+func (m *merger) checkServices(count int) {
+	if count > MaxServices {
+		m.errs.Add(strictyaml.OutOfRange, strictyaml.Origin{}, "users", fmt.Sprintf("there are %d services", count), fmt.Sprintf("declare at most %d", MaxServices))
+	}
+}
+
+func (m *merger) checkTimeZone(name string, u *User) {
+	path := userPath(name) + ".time_zone"
 	_, err := time.LoadLocation(u.TimeZone)
 	if err == nil && u.TimeZone != "Local" && u.TimeZone != "" {
 		return
@@ -59,8 +71,8 @@
 		at := path + ".default_class"
 		m.errs.Add(strictyaml.Conflict, m.into.origins[at], at, fmt.Sprintf("class %q is not declared", s.DefaultClass), "name one of "+strings.Join(s.ClassNames(), ", ")+" or delete the key")
 	}
-	for name, c := range s.Classes {
-		strictyaml.Require(&m.errs, c, path+".classes."+name, m.into.origins)
+	for _, name := range slices.Sorted(maps.Keys(s.Classes)) {
+		strictyaml.Require(&m.errs, s.Classes[name], path+".classes."+name, m.into.origins)
 	}
 	m.checkShares(path, s)
 }
@@ -80,7 +92,8 @@
 	}
 }
 
-func (m *merger) checkPorts(services []ServiceEntry) {
+// checkPorts takes the services by full name, and a port that none has.
+func (m *merger) checkPorts(services []ServiceEntry, free func() int) {
 	users := map[uint16]ServiceEntry{}
 	for _, e := range services {
 		port := e.Settings.Port
@@ -95,26 +108,32 @@
 		at := e.path() + ".port"
 		m.errs.Add(strictyaml.Conflict, m.into.origins[at], at,
 			fmt.Sprintf("port %d is already that of %s (%s)", port, other.FullName(), m.into.origins[other.path()+".port"]),
-			fmt.Sprintf("choose a port that no service has, such as %d", freePort(services)))
+			fmt.Sprintf("choose a port that no service has, such as %d", free()))
 	}
 }
 
-// freePort returns a port that no service has, above those in use where there is one.
-func freePort(services []ServiceEntry) int {
-	used := map[int]bool{}
-	highest := 0
+func portsOf(services []ServiceEntry) map[uint16]bool {
+	used := map[uint16]bool{}
 	for _, e := range services {
-		used[int(e.Settings.Port)] = true
-		highest = max(highest, int(e.Settings.Port))
+		used[e.Settings.Port] = true
+	}
+	return used
+}
+
+// freePort returns a port that is not in use, above those in use where there is one.
+func freePort(used map[uint16]bool) int {
+	highest := 0
+	for port := range used {
+		highest = max(highest, int(port))
 	}
 	const last = 65535
 	for port := highest; port <= last; port++ {
-		if !used[port] {
+		if !used[uint16(port)] {
 			return port
 		}
 	}
 	port := last
-	for used[port] {
+	for used[uint16(port)] {
 		port--
 	}
 	return port
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -96,9 +96,11 @@
 // FullName returns "user/service".
 func (e *ServiceEntry) FullName() string { return e.User + "/" + e.Name }
 
-func (e *ServiceEntry) path() string {
-	return "users." + e.User + ".services." + e.Name
-}
+func (e *ServiceEntry) path() string { return servicePath(e.User, e.Name) }
+
+func userPath(user string) string { return "users." + user }
+
+func servicePath(user, service string) string { return userPath(user) + ".services." + service }
 
 // Services returns all services, sorted by full name.
 func (c *Config) Services() []ServiceEntry {
--- a/pkg/config/merge.go
+++ b/pkg/config/merge.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"runtime"
+	"maps"
+	"reflect"
+	"slices"
 	"strings"
-	"sync"
-	"sync/atomic"
 
 	"rosemarygate/pkg/strictyaml"
 )
@@ -15,9 +15,10 @@
 // Merge decodes the files, merges them in the order of their numbers, sets the defaults
 // and checks the result. The error is a strictyaml.Errors with every fault of the folder.
 func (f *Folder) Merge() (*Config, error) {
-	m := &merger{into: &Config{Digest: f.digest, Users: map[string]*User{}, origins: strictyaml.Origins{}}}
-	for _, part := range decodeAll(f.files) {
-		m.file(part)
+	m := newMerger()
+	m.into.Digest = f.digest
+	for _, d := range decodeAll(f.files) {
+		m.file(d)
 	}
 	m.defaults()
 	m.check()
@@ -34,36 +35,25 @@
 	from strictyaml.Origins
 }
 
-// part is one decoded file.
-type part struct {
-	config  *Config
-	origins strictyaml.Origins
-	errs    strictyaml.Errors
+func newMerger() *merger {
+	return &merger{into: &Config{Users: map[string]*User{}, origins: strictyaml.Origins{}}}
 }
 
-// decodeAll decodes the files on all cores; decoding takes half of the time of a merge.
-func decodeAll(files []File) []part {
-	parts := make([]part, len(files))
-	var next atomic.Int64
-	var workers sync.WaitGroup
-	for range min(runtime.GOMAXPROCS(0), len(files)) {
-		workers.Go(func() {
-			for i := next.Add(1) - 1; i < int64(len(files)); i = next.Add(1) - 1 {
-				parts[i].config = new(Config)
-				parts[i].origins, parts[i].errs = strictyaml.Decode(files[i].Name, files[i].Data, parts[i].config)
-			}
-		})
-	}
-	workers.Wait()
-	return parts
-}
-
-func (m *merger) file(p part) {
-	m.errs.Append(p.errs)
-	m.from = p.origins
-	m.tokenKeys(p.config)
-	for name, u := range p.config.Users {
-		m.user(name, u)
+// file merges one file. Entries are taken in the order of their names, so that equal folders give
+// equal lists of faults, also when the list is cut.
+func (m *merger) file(d *decoded) {
+	m.errs.Append(d.errs)
+	m.from = d.origins
+	m.tokenKeys(d.config)
+	for _, name := range slices.Sorted(maps.Keys(d.config.Users)) {
+		next := d.config.Users[name]
+		u := m.user(name, next)
+		if u == nil {
+			continue
+		}
+		for _, service := range slices.Sorted(maps.Keys(next.Services)) {
+			m.service(u, service, servicePath(name, service), next.Services[service])
+		}
 	}
 }
 
@@ -82,15 +72,16 @@
 	}
 }
 
-func (m *merger) user(name string, next *User) {
-	path := "users." + name
+// user merges a user without its services and returns it; nil when the file removes it.
+func (m *merger) user(name string, next *User) *User {
+	path := userPath(name)
 	old, known := m.into.Users[name]
-	if m.removal(path, "user", known, next.Remove) {
+	if m.removal(path, "user", known, next) {
 		if known {
 			m.into.origins.Drop(old, path)
 		}
 		delete(m.into.Users, name)
-		return
+		return nil
 	}
 	if !known {
 		m.into.Users[name] = &User{Services: map[string]*Service{}}
@@ -98,14 +89,12 @@
 	}
 	u := m.into.Users[name]
 	strictyaml.Overlay(u, next, path, m.into.origins, m.from)
-	for service, s := range next.Services {
-		m.service(u, service, path+".services."+service, s)
-	}
+	return u
 }
 
 func (m *merger) service(u *User, name, path string, next *Service) {
 	old, known := u.Services[name]
-	if m.removal(path, "service", known, next.Remove) {
+	if m.removal(path, "service", known, next) {
 		if known {
 			m.into.origins.Drop(old, path)
 		}
@@ -118,14 +107,14 @@
 	}
 	s := u.Services[name]
 	strictyaml.Overlay(s, next, path, m.into.origins, m.from)
-	for class, c := range next.Classes {
-		m.class(s, class, path+".classes."+class, c)
+	for _, class := range slices.Sorted(maps.Keys(next.Classes)) {
+		m.class(s, class, path+".classes."+class, next.Classes[class])
 	}
 }
 
 func (m *merger) class(s *Service, name, path string, next *Class) {
 	old, known := s.Classes[name]
-	if m.removal(path, "class", known, next.Remove) {
+	if m.removal(path, "class", known, next) {
 		if known {
 			m.into.origins.Drop(old, path)
 		}
@@ -140,17 +129,18 @@
 }
 
 // removal reports whether the file removes the entry at path, and the faults of doing so.
-func (m *merger) removal(path, what string, known, remove bool) bool {
+func (m *merger) removal(path, what string, known bool, next any) bool {
 	at, given := m.from[path+".remove"]
 	if !given {
 		return false
 	}
-	if !remove {
+	entry := reflect.ValueOf(next).Elem()
+	if !entry.FieldByName("Remove").Bool() {
 		m.errs.Add(strictyaml.BadValue, at, path+".remove", "value false has no effect", "write remove: true or delete the key")
 		return false
 	}
-	for other := range m.from {
-		if strings.HasPrefix(other, path+".") && other != path+".remove" {
+	for _, f := range strictyaml.Fields(entry.Type()) {
+		if _, changed := m.from[path+"."+f.Key]; changed && f.Key != "remove" {
 			m.errs.Add(strictyaml.Conflict, at, path, fmt.Sprintf("%s is removed and changed in one file", what), "delete remove or the other keys")
 			break
 		}
@@ -164,7 +154,7 @@
 func (m *merger) defaults() {
 	origins := m.into.origins
 	for name, u := range m.into.Users {
-		strictyaml.SetDefaults(u, "users."+name, origins)
+		strictyaml.SetDefaults(u, userPath(name), origins)
 	}
 	for _, e := range m.into.Services() {
 		strictyaml.SetDefaults(e.Settings, e.path(), origins)
