Check and apply a configuration change by what it names

Cause: the leader, each replica and each daemon merged the whole folder for one change, and a daemon then replaced the indexes, limits and sockets of all services. Change: a replica and a daemon each keep a config.Incremental and move it by the files that differ. A leader decodes a push before its goroutine checks it, the others while it is on its way to the majority. Conclusion: tests of pkg/daemon, pkg/owner and pkg/control pass.

--- a/pkg/config/incremental.go
+++ b/pkg/config/incremental.go
@@ -110,6 +110,24 @@
 	return changes, nil
 }
 
+// Clear removes all files. Apply would refuse that, since a folder without users is not valid.
+func (x *Incremental) Clear() *Changes {
+	changes := &Changes{Users: map[string]*User{}, TokenKeys: len(x.keys) > 0}
+	for name, u := range x.users {
+		if u.current != nil {
+			changes.Users[name] = nil
+		}
+		for _, s := range u.services {
+			if s.current != nil {
+				changes.Services = append(changes.Services, ServiceEntry{ID: s.id, User: s.user, Name: s.name})
+			}
+		}
+	}
+	sortServices(changes.Services)
+	*x = *NewIncremental(x.cache)
+	return changes
+}
+
 // forget deletes the services and users that no file names any more.
 func (x *Incremental) forget(a *affected) {
 	for name, u := range a.users {
--- a/pkg/config/incremental_test.go
+++ b/pkg/config/incremental_test.go
@@ -161,6 +161,11 @@
 				return int(a.Settings.FlowIdle - b.Settings.FlowIdle)
 			})
 			assert.Equal(t, x.LongestFlowIdle(), longest.Settings.FlowIdle)
+			if rapid.IntRange(0, 19).Draw(t, "clear") == 0 {
+				f.apply(x.Clear())
+				f.check(t, &Config{})
+				files = map[string]string{}
+			}
 		}
 	})
 	assert.Assert(t, valid > 100, "only %d changes were valid", valid)
--- a/pkg/control/folder/folder_test.go
+++ b/pkg/control/folder/folder_test.go
@@ -61,3 +61,30 @@
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, removed, []string{"a"})
 }
+
+// Guards against a comparison that does not lead from one list of files to the other, or that
+// reports a file whose content is the same.
+func TestCompare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func() *Folder {
+			f := New(nil, nil, 0)
+			for v := range rapid.IntRange(0, 5).Draw(t, "versions") {
+				put, remove := drawChange(t, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "data"))
+				f = f.With(uint64(v+1), put, remove)
+			}
+			return f
+		}
+		a, b := draw(), draw()
+		put, removed := Compare(a.Files(), b.Files())
+		var files []*controlpb.File
+		for _, f := range put {
+			old := a.Get(f.Name)
+			assert.Assert(t, old == nil || old.Sum != f.Sum)
+			files = append(files, &controlpb.File{Name: f.Name, Data: f.Data})
+		}
+		for _, name := range removed {
+			assert.Assert(t, a.Get(name) != nil)
+		}
+		assert.Equal(t, a.With(9, files, removed).Digest(nil), b.Digest(nil))
+	})
+}
--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -55,7 +55,7 @@
 	cfg       Config
 	id        ident.DaemonID
 	log       logrus.FieldLogger
-	rules     state.Rules
+	judge     *judge
 	calls     chan func(*core)
 	incoming  chan agreement.Message
 	transport *transport
@@ -85,12 +85,12 @@
 // New prepares a replica.
 func New(cfg Config) (*Replica, error) {
 	r := &Replica{
-		cfg: cfg, id: ident.Daemon(cfg.Name), log: cfg.Log, rules: Rules(),
+		cfg: cfg, id: ident.Daemon(cfg.Name), log: cfg.Log, judge: newJudge(),
 		calls: make(chan func(*core), queueLength), incoming: make(chan agreement.Message, queueLength),
 		addresses: map[ident.DaemonID]*controlpb.ReplicaHost{},
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
-	r.publish = newDistributor(cfg.Name, state.New(r.rules).View())
+	r.publish = newDistributor(cfg.Name, state.New(r.judge.rules()).View())
 	r.status.Store(&Status{})
 	r.identity.Store(&controlpb.IdentifyReply{})
 	r.know(cfg.Replicas)
--- a/pkg/control/replica/rules.go
+++ b/pkg/control/replica/rules.go
@@ -4,64 +4,112 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	controlpb "rosemarygate/api/control/v1"
+	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/config"
 	"rosemarygate/pkg/control/folder"
 	"rosemarygate/pkg/control/state"
 )
 
-// Merged returns the configuration of accepted files.
-func Merged(files []*folder.File) (*config.Config, error) {
+const (
+	// decodedBytes holds the largest push (state.MaxPushBytes) and the files that changes name often.
+	decodedBytes = 8 << 20
+	// prepareBytes is the size of an entry from which on its files are decoded while the entry is
+	// on its way to the majority; a smaller one decodes within a few milliseconds.
+	prepareBytes = 16 << 10
+)
+
+// Files returns accepted files in the form of the configuration folder.
+func Files(files []*folder.File) []config.File {
 	out := make([]config.File, len(files))
 	for i, f := range files {
 		out[i] = config.File{Name: f.Name, Data: f.Data}
 	}
-	f, err := config.FromFiles(out)
-	if err != nil {
-		return nil, err
-	}
-	return f.Merge()
+	return out
 }
 
-// verdict is the check of one folder.
-type verdict struct {
-	digest    folder.Sum
-	err       error
-	keepAlive time.Duration
+// judge checks folders. It remembers the last valid one, and a check costs as much as the difference
+// from that: a change is checked when it is proposed and again when it is applied.
+type judge struct {
+	cache *config.Cache
+
+	mu     sync.Mutex
+	files  []*folder.File // those of merged
+	merged *config.Incremental
 }
 
-// Rules returns the rules of the replicated state. Each change is checked before it is proposed
-// and when it is applied, so the last verdict is kept.
-func Rules() state.Rules {
-	var mu sync.Mutex
-	var last verdict
-	judge := func(files []*folder.File) verdict {
-		mu.Lock()
-		defer mu.Unlock()
-		digest := folder.New(files, nil, 0).Digest(nil)
-		if digest != last.digest {
-			last = judgeFolder(digest, files)
-		}
-		return last
+func newJudge() *judge {
+	cache := config.NewCache(decodedBytes)
+	return &judge{cache: cache, merged: config.NewIncremental(cache)}
+}
+
+// Rules returns the rules of the replicated state.
+func Rules() state.Rules { return newJudge().rules() }
+
+func (j *judge) rules() state.Rules {
+	return state.Rules{Validate: j.validate, LongestKeepAlive: j.longestKeepAlive}
+}
+
+// validate returns the faults of a folder. No files are valid: that is the state before the first
+// change.
+func (j *judge) validate(files []*folder.File) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(files) == 0 {
+		j.files = nil
+		j.merged.Clear()
+		return nil
 	}
-	return state.Rules{
-		Validate:         func(files []*folder.File) error { return judge(files).err },
-		LongestKeepAlive: func(files []*folder.File) time.Duration { return judge(files).keepAlive },
+	put, removed := folder.Compare(j.files, files)
+	if len(put)+len(removed) > 0 {
+		if _, err := j.merged.Apply(Files(put), removed); err != nil {
+			return err
+		}
 	}
+	j.files = files
+	return nil
 }
 
-// judgeFolder checks a folder. A caller sends its keep-alive at least once in its flow's idle time.
-func judgeFolder(digest folder.Sum, files []*folder.File) verdict {
-	v := verdict{digest: digest}
-	if len(files) == 0 {
-		return v
+// longestKeepAlive returns the longest flow_idle of a valid folder: a caller sends its keep-alive at
+// least once in its flow's idle time.
+func (j *judge) longestKeepAlive(files []*folder.File) time.Duration {
+	if j.validate(files) != nil {
+		return 0
 	}
-	cfg, err := Merged(files)
-	if err != nil {
-		v.err = err
-		return v
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.merged.LongestFlowIdle().Truncate(time.Millisecond)
+}
+
+// warm merges an accepted folder while the replica goes on; a check waits for it.
+func (j *judge) warm(files []*folder.File) {
+	go func() { _ = j.validate(files) }() // an accepted folder is valid
+}
+
+// prepare decodes the files of a push, so that its check does not have to.
+func (j *judge) prepare(p *controlpb.Push) {
+	var files []config.File
+	for _, f := range p.GetFiles() {
+		if !f.GetRemove() {
+			files = append(files, config.File{Name: f.GetName(), Data: f.GetData()})
+		}
 	}
-	for _, s := range cfg.Services() {
-		v.keepAlive = max(v.keepAlive, s.Settings.FlowIdle.Truncate(time.Millisecond))
+	j.cache.Prepare(files)
+}
+
+// prepareEntries decodes the files of large entries that this replica has not applied yet.
+func (j *judge) prepareEntries(entries []agreement.Entry) {
+	for _, entry := range entries {
+		if len(entry.Data) < prepareBytes {
+			continue
+		}
+		go func() {
+			var e controlpb.Entry
+			if proto.Unmarshal(entry.Data, &e) == nil {
+				j.prepare(e.GetPush())
+			}
+		}()
 	}
-	return v
 }
--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -17,18 +17,22 @@
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/config"
 	"rosemarygate/pkg/control/distribution"
+	"rosemarygate/pkg/control/folder"
 	"rosemarygate/pkg/control/replica"
 	"rosemarygate/pkg/control/state"
 	"rosemarygate/pkg/control/subscription"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/owner"
 	"rosemarygate/pkg/settings"
+	"rosemarygate/pkg/token"
 )
 
 const (
 	copyFile       = "accepted.copy"
 	dataPermission = 0o700
 	transferLimit  = 3 * time.Second
+	// decodedBytes holds a file of the largest size, which each change of one of its services needs.
+	decodedBytes = 1 << 20
 )
 
 // control takes the configuration from the control replicas, and runs a replica on hosts that
@@ -37,9 +41,11 @@
 	d            *Daemon
 	subscription *subscription.Subscription
 	replica      *replica.Replica // nil on other hosts
-	applied      *config.Config   // nil before the first version is put in force
 
 	applying sync.Mutex // held while a configuration is put in force
+	merged   *config.Incremental
+	files    []*folder.File    // those of merged
+	zones    map[string]string // time zones by user that the subscription does not know yet
 
 	mu          sync.Mutex
 	dataCentres map[string]string // by daemon
@@ -69,7 +75,10 @@
 	if len(s.Control.Replicas) == 0 {
 		return nil, nil
 	}
-	c := &control{d: d, dataCentres: map[string]string{}}
+	c := &control{
+		d: d, dataCentres: map[string]string{}, zones: map[string]string{},
+		merged: config.NewIncremental(config.NewCache(decodedBytes)),
+	}
 	options := []grpc.DialOption{d.identity.Client()}
 	if dial != nil {
 		options = append(options, grpc.WithContextDialer(dial))
@@ -95,9 +104,7 @@
 		Daemon: s.Name, Incarnation: uint64(time.Now().UnixMilli()), DataCentre: s.DataCentre,
 		Replicas: hosts, DataCentreOf: c.dataCentreOf, Store: store, Dial: options, Apply: c.apply, Log: log,
 	})
-	if c.applied != nil {
-		c.setLocations(c.applied)
-	}
+	c.setLocations(nil)
 	d.counters.daily = c.count
 	return c, nil
 }
@@ -115,45 +122,69 @@
 
 // apply puts an accepted configuration in force. Before the first push it has no files.
 func (c *control) apply(held *distribution.Held) error {
-	cfg := &config.Config{Users: map[string]*config.User{}}
-	if files := held.Folder.Files(); len(files) > 0 {
-		merged, err := replica.Merged(files)
-		if err != nil {
-			return err
-		}
-		cfg = merged
-	}
-	cfg.Version = held.Version
-	if keys := state.TokenKeys(held.Keys, time.Now()); len(keys) > 0 {
-		cfg.TokenKeys = nil
-		for _, k := range keys {
-			cfg.TokenKeys = append(cfg.TokenKeys, config.TokenKey{ID: k.ID, Secret: hex.EncodeToString(k.Secret)})
-		}
-	}
 	c.applying.Lock()
 	defer c.applying.Unlock()
 	if err := c.d.ctx.Err(); err != nil {
 		return err // a stopped daemon must not open sockets again
 	}
-	if err := c.d.Configure(cfg); err != nil {
+	changes, err := c.merge(held.Folder.Files())
+	if err != nil {
 		return err
 	}
-	c.setLocations(cfg)
+	index := c.d.services.Load().with(changes.Services)
+	index.version, index.digest = held.Version, hex.EncodeToString(held.Digest[:])
+	index.keys = c.tokenKeys(held)
+	c.d.configureChanges(index, changes.Services)
+	c.setLocations(changes.Users)
 	return nil
 }
 
+// merge moves the merged configuration to the files of an accepted one and returns what changed.
+func (c *control) merge(files []*folder.File) (*config.Changes, error) {
+	put, removed := folder.Compare(c.files, files)
+	changes := new(config.Changes)
+	var err error
+	switch {
+	case len(files) == 0:
+		changes = c.merged.Clear()
+	case len(put)+len(removed) > 0:
+		changes, err = c.merged.Apply(replica.Files(put), removed)
+	}
+	if err == nil {
+		c.files = files
+	}
+	return changes, err
+}
+
+// tokenKeys returns the accepted keys, else those of the files.
+func (c *control) tokenKeys(held *distribution.Held) []token.Key {
+	if keys := state.TokenKeys(held.Keys, time.Now()); len(keys) > 0 {
+		return keys
+	}
+	keys, err := fileKeys(c.merged.TokenKeys())
+	if err != nil || len(keys) == 0 { // the merge refuses keys that are not hexadecimal
+		return []token.Key{derivedKey(c.d.path.key)}
+	}
+	return keys
+}
+
 // setLocations sets where the days of the users end. The stored copy is put in force before the
 // subscription exists; newControl then calls it again.
-func (c *control) setLocations(cfg *config.Config) {
-	c.applied = cfg
+func (c *control) setLocations(users map[string]*config.User) {
+	for name, u := range users {
+		if u != nil {
+			c.zones[name] = u.TimeZone
+		}
+	}
 	if c.subscription == nil {
 		return
 	}
-	for name, u := range cfg.Users {
-		if loc, err := time.LoadLocation(u.TimeZone); err == nil {
+	for name, zone := range c.zones {
+		if loc, err := time.LoadLocation(zone); err == nil {
 			c.subscription.SetLocation(name, loc)
 		}
 	}
+	clear(c.zones)
 }
 
 // dataCentreOf returns the data centre of a daemon by the member list.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -155,7 +155,7 @@
 	d.path.receivers.New = func() any { return d.path.newReceiver() }
 	d.path.keys.Store(&keyRing{d.services.Load().keys})
 	d.path.sockets = &sockets{
-		host: d.settings.Host, byService: map[ident.ServiceID]*serviceSocket{},
+		host: d.settings.Host, byService: map[ident.ServiceID]*serviceSocket{}, unbound: map[ident.ServiceID]uint16{},
 		receive: d.path.fromCaller, receivers: &d.path.receivers,
 	}
 	self := membership.Member{
--- a/pkg/daemon/glue.go
+++ b/pkg/daemon/glue.go
@@ -193,7 +193,11 @@
 }
 
 func (d *Daemon) openSockets() {
-	if err := d.path.sockets.set(d.services.Load().ports); err != nil {
+	d.reportSockets(d.path.sockets.set(d.services.Load().ports()))
+}
+
+func (d *Daemon) reportSockets(err error) {
+	if err != nil {
 		events.SocketFailed.Log(d.log, logrus.Fields{"error": err})
 	}
 }
@@ -258,22 +262,44 @@
 	if err != nil {
 		return err
 	}
+	d.putInForce(index, owner.ServicesChanged{Services: index.owners}, d.openSockets)
+	return nil
+}
+
+// putInForce gives an index to the parts of the daemon; open opens the sockets of its services.
+func (d *Daemon) putInForce(index *serviceIndex, changed owner.ServicesChanged, open func()) {
 	d.services.Store(index)
-	d.counters.setNames(index.names)
+	if index.renamed {
+		d.counters.setNames(index.names)
+	}
 	d.path.keys.Store(&keyRing{index.keys})
 	if sh := d.shards.Load(); sh != nil {
-		sh.broadcast(owner.ServicesChanged{Services: index.owners})
+		sh.broadcast(changed)
 		sh.broadcast(owner.KeysChanged{Keys: index.keys})
 	}
 	select {
 	case <-d.ready:
-		d.openSockets()
+		open()
 	default:
 	}
 	// Registrations may have come before the configuration of their service.
 	go d.cluster.call(d.ctx, func(time.Time) { d.cluster.assign.connectHeld() })
 	events.ConfigInForce.Log(d.log, logrus.Fields{"version": index.version, "digest": index.digest})
-	return nil
+}
+
+// configureChanges puts a configuration in force that differs from the present one in the given
+// services and in the token keys.
+func (d *Daemon) configureChanges(index *serviceIndex, services []config.ServiceEntry) {
+	ports := make(map[ident.ServiceID]uint16, len(services))
+	changed := owner.ServicesChanged{Services: index.owners, Changed: []ident.ServiceID{}}
+	for _, e := range services {
+		changed.Changed = append(changed.Changed, e.ID)
+		ports[e.ID] = 0
+		if e.Settings != nil {
+			ports[e.ID] = e.Settings.Port
+		}
+	}
+	d.putInForce(index, changed, func() { d.reportSockets(d.path.sockets.change(ports)) })
 }
 
 const (
--- /dev/null
+++ b/pkg/daemon/services_test.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosemarygate/pkg/config"
+	"rosemarygate/pkg/ident"
+)
+
+// Guards against an index that is made of changes and differs from that of the whole configuration,
+// and against a change that alters the index that data path goroutines read meanwhile.
+func TestIndexOfChangesEqualsWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		index, err := indexServices(&config.Config{}, nil)
+		assert.NilError(t, err)
+		merged := config.NewIncremental(config.NewCache(0))
+		for range rapid.IntRange(1, 10).Draw(t, "changes") {
+			var put []config.File
+			for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(1, 4), 1, 3, rapid.ID).Draw(t, "files") {
+				port := n*10 + rapid.IntRange(0, 1).Draw(t, "port")
+				put = append(put, config.File{Name: fmt.Sprintf("%d-s.yaml", n), Data: fmt.Appendf(nil, "users: {acme: {services: {s%d: {port: %d, credential: credential, classes: {c: {priority: 0}}}}}}", n, port)})
+			}
+			var remove []string
+			if other := fmt.Sprintf("%d-s.yaml", rapid.IntRange(1, 4).Draw(t, "remove")); !slices.ContainsFunc(put, func(f config.File) bool { return f.Name == other }) {
+				remove = append(remove, other)
+			}
+			before, names := index, maps.Clone(index.names)
+			changes, err := merged.Apply(put, remove)
+			assert.NilError(t, err)
+			index = index.with(changes.Services)
+			whole, err := indexServices(merged.Config(), nil)
+			assert.NilError(t, err)
+			assert.Assert(t, reflect.DeepEqual(index.byName, whole.byName))
+			assert.Assert(t, reflect.DeepEqual(index.names, whole.names))
+			assert.Assert(t, reflect.DeepEqual(index.owners, whole.owners))
+			assert.DeepEqual(t, before.names, names)
+		}
+	})
+}
+
+// Guards against services that cannot exchange their ports, against the sockets of other services
+// being closed by a change, and against a port that stays unserved after it became free.
+func TestSocketsFollowChanges(t *testing.T) {
+	host := netip.MustParseAddr("127.1.9.9")
+	s := &sockets{
+		host: host, byService: map[ident.ServiceID]*serviceSocket{}, unbound: map[ident.ServiceID]uint16{},
+		receivers: &sync.Pool{New: func() any { return (*receiver)(nil) }},
+	}
+	taken, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(host, 7103)))
+	assert.NilError(t, err)
+	assert.NilError(t, s.set(map[ident.ServiceID]uint16{1: 7101, 2: 7102, 4: 7104}))
+	kept := s.find(4)
+	assert.NilError(t, s.change(map[ident.ServiceID]uint16{1: 7102, 2: 7101}))
+	err = s.change(map[ident.ServiceID]uint16{2: 0, 3: 7103})
+	assert.Assert(t, err != nil && strings.Contains(err.Error(), "7103 cannot be bound"))
+	assert.Assert(t, s.find(2) == nil && s.find(3) == nil)
+	taken.Close()
+	assert.NilError(t, s.change(map[ident.ServiceID]uint16{5: 7101}))
+	ports := map[ident.ServiceID]uint16{}
+	for id, sock := range s.byService {
+		ports[id] = sock.port
+	}
+	assert.DeepEqual(t, ports, map[ident.ServiceID]uint16{1: 7102, 3: 7103, 4: 7104, 5: 7101})
+	assert.Assert(t, s.find(4) == kept)
+	assert.NilError(t, s.set(nil))
+	s.wg.Wait()
+}
--- a/pkg/daemon/sockets.go
+++ b/pkg/daemon/sockets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -40,30 +41,59 @@
 
 	mu        sync.RWMutex
 	byService map[ident.ServiceID]*serviceSocket
-	stopped   bool // no socket may be opened any more
+	unbound   map[ident.ServiceID]uint16 // ports that could not be bound
+	stopped   bool                       // no socket may be opened any more
 	wg        sync.WaitGroup
 }
 
 // set opens and closes sockets so that there is one for each service. The error names
-// the services whose address could not be bound; the others are served.
+// a service whose address could not be bound; the others are served.
 func (s *sockets) set(ports map[ident.ServiceID]uint16) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	all := map[ident.ServiceID]uint16{}
+	maps.Copy(all, ports)
+	for id := range s.byService {
+		if _, kept := ports[id]; !kept {
+			all[id] = 0
+		}
+	}
+	clear(s.unbound)
+	return s.replace(all)
+}
+
+// change opens and closes the sockets of the given services; port 0 closes one. It tries those
+// again whose address could not be bound before.
+func (s *sockets) change(ports map[ident.ServiceID]uint16) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, port := range s.unbound {
+		if _, changed := ports[id]; !changed {
+			ports[id] = port
+		}
+	}
+	clear(s.unbound)
+	return s.replace(ports)
+}
+
+// replace closes before it opens, since services may exchange their ports.
+func (s *sockets) replace(ports map[ident.ServiceID]uint16) error {
 	if s.stopped {
 		return nil
 	}
-	for id, sock := range s.byService {
-		if ports[id] != sock.port {
+	for id, port := range ports {
+		if sock := s.byService[id]; sock != nil && port != sock.port {
 			sock.conn.Close()
 			delete(s.byService, id)
 		}
 	}
 	var failed error
 	for id, port := range ports {
-		if s.byService[id] != nil {
+		if port == 0 || s.byService[id] != nil {
 			continue
 		}
 		if err := s.open(id, port); err != nil {
+			s.unbound[id] = port
 			failed = err
 		}
 	}
--- a/pkg/owner/event.go
+++ b/pkg/owner/event.go
@@ -88,7 +88,11 @@
 type Tick struct{}
 
 // ServicesChanged replaces the settings of the services.
-type ServicesChanged struct{ Services map[ident.ServiceID]*Service }
+type ServicesChanged struct {
+	Services map[ident.ServiceID]*Service
+	// Changed are the services whose settings differ from those before; nil means that any may.
+	Changed []ident.ServiceID
+}
 
 // KeysChanged replaces the token keys, oldest first.
 type KeysChanged struct{ Keys []token.Key }
--- a/pkg/owner/upstream.go
+++ b/pkg/owner/upstream.go
@@ -174,7 +174,9 @@
 func (c *Core) servicesChanged(ev ServicesChanged) {
 	c.services = ev.Services
 	for _, u := range ordered(c.upstreams) {
-		c.start(u.sched.SetLimits(c.now, c.limits(u)))
+		if ev.Changed == nil || slices.Contains(ev.Changed, u.service) {
+			c.start(u.sched.SetLimits(c.now, c.limits(u)))
+		}
 	}
 }
 
