--- a/pkg/control/folder/folder_test.go
+++ b/pkg/control/folder/folder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -61,3 +62,54 @@
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, removed, []string{"a"})
 }
+
+// Guards against a comparison that does not lead from one list of files to the other, or that
+// reports a file whose content is the same.
+func TestCompare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func() *Folder {
+			f := New(nil, nil, 0)
+			for v := range rapid.IntRange(0, 5).Draw(t, "versions") {
+				put, remove := drawChange(t, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "data"))
+				f = f.With(uint64(v+1), put, remove)
+			}
+			return f
+		}
+		a, b := draw(), draw()
+		put, removed := Compare(a.Files(), b.Files())
+		var files []*controlpb.File
+		for _, f := range put {
+			old := a.Get(f.Name)
+			assert.Assert(t, old == nil || old.Sum != f.Sum)
+			files = append(files, &controlpb.File{Name: f.Name, Data: f.Data})
+		}
+		for _, name := range removed {
+			assert.Assert(t, a.Get(name) != nil)
+		}
+		assert.Equal(t, a.With(9, files, removed).Digest(nil), b.Digest(nil))
+	})
+}
+
+// Guards against a search by number that misses a file or finds one of another number.
+func TestWithNumber(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[0-2]{0,4}([-./:;a_\x{e9}][0-2]?)?`), 1, 40, rapid.ID).Draw(t, "names")
+		var files []*File
+		for _, name := range names {
+			files = append(files, NewFile(name, nil, 1, 1))
+		}
+		f := New(files, nil, 0)
+		number := rapid.Uint64Range(0, 222).Draw(t, "number")
+		var want []string
+		for _, file := range f.Files() {
+			if n, err := strconv.ParseUint(Number(file.Name), 10, 64); err == nil && n == number {
+				want = append(want, file.Name)
+			}
+		}
+		var got []string
+		for _, file := range f.WithNumber(number, 18) {
+			got = append(got, file.Name)
+		}
+		assert.DeepEqual(t, got, want)
+	})
+}
--- a/pkg/daemon/controlrepair_test.go
+++ b/pkg/daemon/controlrepair_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -163,8 +164,11 @@
 	assert.NilError(t, os.RemoveAll(wal))
 	assert.NilError(t, os.WriteFile(wal, nil, 0o600))
 	other := (broken + 1) % 3
-	for i := range 210 { // more than between two snapshots, which notice the missing folder
-		version = f.mustPush(other, change(fmt.Sprint("push ", i), version, "10-acme.yaml", serviceFile(i), 0))
+	// More bytes than between two snapshots, which notice the missing folder.
+	const pushes, padding = 40, 450 << 10
+	for i := range pushes {
+		data := serviceFile(i) + "# " + strings.Repeat("x", padding) + "\n"
+		version = f.mustPush(other, change(fmt.Sprint("push ", i), version, "10-acme.yaml", data, 0))
 	}
 	f.await("the version everywhere", f.allAt(version))
 	assert.Assert(t, !f.daemons[broken].Control().Status().Loaded)
