dispatch: measure refusals for a deadline that cannot be met

The cost of such a refusal against serving was not known. Two benchmarks measure both in the same state: all slots in use, half of each queue filled. waitOf looked at every class; it now stops at the first one that is not more urgent.

--- a/pkg/dispatch/admit.go
+++ b/pkg/dispatch/admit.go
@@ -136,12 +136,13 @@
 	slots := float64(s.limit.slots())
 	byGuarantee := own / max(c.Share*slots, 1e-9)
 	ahead, spare := 0.0, slots
-	for i := range s.classes {
-		d := &s.classes[i]
-		if d.Priority < c.Priority {
-			ahead += float64(d.queue.n) * d.service
-			spare -= min(d.use, spare)
+	for _, di := range s.order {
+		d := &s.classes[di]
+		if d.Priority >= c.Priority {
+			break
 		}
+		ahead += float64(d.queue.n) * d.service
+		spare -= min(d.use, spare)
 	}
 	if c.tier > 0 {
 		spare = min(spare, float64(s.caps[c.tier]), s.allowance)
--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -48,3 +48,66 @@
 		})
 	}
 }
+
+// BenchmarkRefuseDeadline measures the refusal of a request whose deadline cannot be met,
+// while other requests run and wait.
+func BenchmarkRefuseDeadline(b *testing.B) {
+	for _, n := range []int{3, 10, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s, now, _ := busyScheduler(n)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(10 * time.Microsecond)
+				_, refused := s.Submit(now, Request{ID: uint64(1000000 + i), Class: i % n, Deadline: now.Add(2 * benchService)})
+				if len(refused) != 1 || refused[0].Reason != ReasonDeadline {
+					b.Fatalf("refusals are %v, want one for the deadline", refused)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkServeBusy measures what BenchmarkServe does, in the state of
+// BenchmarkRefuseDeadline: each request waits in a queue, and the end of another one starts
+// the next.
+func BenchmarkServeBusy(b *testing.B) {
+	for _, n := range []int{3, 10, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s, now, running := busyScheduler(n)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(10 * time.Microsecond)
+				r := running[i%len(running)]
+				s.Submit(now, Request{ID: uint64(1000000 + i), Class: r.Class})
+				now = now.Add(10 * time.Microsecond)
+				run, _ := s.Done(now, r.ID, Answered)
+				if len(run) != 1 {
+					b.Fatalf("%d requests started, want 1", len(run))
+				}
+				running[i%len(running)] = run[0]
+			}
+		})
+	}
+}
+
+const benchService = 10 * time.Millisecond
+
+// busyScheduler returns a scheduler that knows the service time of every class, with all
+// slots in use, and half of each queue filled.
+func busyScheduler(n int) (*Scheduler, time.Time, []Request) {
+	s := NewScheduler(Limits{Slots: 3, Classes: manyClasses(n)})
+	now := start
+	for i := range n {
+		s.Submit(now, Request{ID: uint64(i), Class: i})
+		now = now.Add(benchService)
+		s.Done(now, uint64(i), Answered)
+	}
+	var running []Request
+	for i := range 3 + 8*n {
+		run, _ := s.Submit(now, Request{ID: uint64(1000 + i), Class: i % n})
+		running = append(running, run...)
+	}
+	return s, now, running
+}
