owner: count only open flows against an upstream's flow limit

A flow that its caller closed is kept for its request records, over 30 s, and still counted against the flow limit and in load reports. On a live fleet of 14 upstreams that serve, with a limit of 150 flows each, 1,680 callers that open a new flow every 20 s found all 2,100 places taken and half of their requests found no flow. Closed flows are no longer counted; the number of flows kept is bounded by 8 times the limit. After a handover a closed flow counts as open until it is idle, since the message does not carry the mark.

--- a/pkg/owner/core.go
+++ b/pkg/owner/core.go
@@ -168,7 +168,7 @@
 		l := u.sched.Load()
 		out = append(out, Load{
 			Service: u.service, Upstream: u.id, Incarnation: u.incarnation,
-			Flows: len(u.flows), Running: l.Running, Queued: l.Queued, Draining: u.draining,
+			Flows: u.openFlows(), Running: l.Running, Queued: l.Queued, Draining: u.draining,
 		})
 	}
 	return out
--- a/pkg/owner/flow.go
+++ b/pkg/owner/flow.go
@@ -48,7 +48,7 @@
 		c.passOpen(ev, wirepb.Reason_REASON_UPSTREAM_DRAINING)
 	case u.frozen:
 		// The caller repeats the open after the handover.
-	case len(u.flows) >= u.flowLimit:
+	case u.full():
 		c.passOpen(ev, wirepb.Reason_REASON_FLOWS_FULL)
 	default:
 		f := c.addFlow(u, ev.Flow, ev.Caller)
@@ -212,7 +212,7 @@
 func (c *Core) closeFlow(f *flow) {
 	c.endFeed(f)
 	if !f.closed {
-		f.closed = true
+		f.close()
 		c.count(FlowsClosed, f.up.service, 0)
 	}
 	if len(f.records) == 0 {
@@ -226,12 +226,23 @@
 	c.send(f, &wirepb.Frame{Body: &wirepb.Frame_FlowStatus{
 		FlowStatus: &wirepb.FlowStatus{Reason: reason, Gone: true},
 	}})
-	f.closed = true
+	f.close()
 	c.closeFlow(f)
 }
 
+// close marks the flow as ended by its caller or its service.
+func (f *flow) close() {
+	if !f.closed {
+		f.closed = true
+		f.up.closed++
+	}
+}
+
 func (c *Core) removeFlow(f *flow) {
 	f.gone = true
+	if f.closed {
+		f.up.closed--
+	}
 	delete(f.up.flows, f.id)
 	delete(f.up.unacked, f.id)
 }
--- a/pkg/owner/handover.go
+++ b/pkg/owner/handover.go
@@ -68,7 +68,7 @@
 
 func (c *Core) releaseIfIdle(u *upstream) {
 	if u.running == 0 {
-		u.flows = map[ident.FlowID]*flow{}
+		u.flows, u.closed = map[ident.FlowID]*flow{}, 0
 		c.emit(ReleaseUpstream{Upstream: u.id})
 	}
 }
--- a/pkg/owner/upstream.go
+++ b/pkg/owner/upstream.go
@@ -25,6 +25,8 @@
 
 	sched *dispatch.Scheduler
 	flows map[ident.FlowID]*flow
+	// closed counts the flows that have ended and are kept for their request records.
+	closed int
 	// predecessors are the owner incarnations whose records were handed over to this core,
 	// with the issue time of the earliest token that the records cover.
 	predecessors map[ownerKey]time.Time
@@ -51,6 +53,18 @@
 	elsewhere int
 }
 
+// keptFlows bounds the flows that an upstream's owner keeps, open or closed, relative to the
+// flow limit.
+const keptFlows = 8
+
+func (u *upstream) openFlows() int { return len(u.flows) - u.closed }
+
+// full reports whether no further flow may open. A closed flow takes no connection, so it
+// does not count against the flow limit, but its memory is bounded.
+func (u *upstream) full() bool {
+	return u.openFlows() >= u.flowLimit || len(u.flows) >= keptFlows*u.flowLimit
+}
+
 type ownerKey struct {
 	owner       ident.DaemonID
 	incarnation ident.Incarnation
