selection: take silence for a fault only at the upstream's owner

A daemon ejects an upstream that answers nothing after 16 opens. Only the owner sees answers, so every other daemon ejected healthy upstreams, and let them in again by 5% only, for ever: 3 successes it cannot see would end the probing. How many depends on the free flow limits.

The rule now holds for owned upstreams, and an owner reports an upstream that its own observations exclude as unhealthy, since the others cannot find out.

--- a/pkg/daemon/cluster.go
+++ b/pkg/daemon/cluster.go
@@ -53,7 +53,7 @@
 	superseded func()
 	viewed     func(self membership.Member, v *membership.View, t *ownership.Table)
 	changed    func(now time.Time, services map[ident.ServiceID][]registration.Registration)
-	loaded     func(now time.Time, l []registration.Load)
+	loaded     func(now time.Time, loads []registration.Load, own bool)
 	loads      func(now time.Time) []registration.Load
 }
 
@@ -145,7 +145,7 @@
 	for _, l := range loads {
 		c.stepRegistrations(now, registration.LoadReport{Load: l})
 	}
-	c.hooks.loaded(now, loads)
+	c.hooks.loaded(now, loads, true)
 }
 
 // stepMembers steps the membership core and carries out its actions.
@@ -225,7 +225,7 @@
 			c.registrationsChanged(now, a, announced)
 		case registration.Loaded:
 			if c.joined {
-				c.hooks.loaded(now, a.Loads)
+				c.hooks.loaded(now, a.Loads, false)
 			}
 		case registration.Message:
 			c.stepMembers(now, membership.Carry(a))
--- a/pkg/daemon/glue.go
+++ b/pkg/daemon/glue.go
@@ -219,8 +219,9 @@
 	return out
 }
 
-// loadsReceived gives load reports to the opener.
-func (d *Daemon) loadsReceived(now time.Time, loads []registration.Load) {
+// loadsReceived gives load reports to the opener. own says that they are of the upstreams that
+// this daemon owns.
+func (d *Daemon) loadsReceived(now time.Time, loads []registration.Load, own bool) {
 	known := d.cluster.assign.known
 	d.path.opener.withTable(func(_ time.Time, t *selection.Table) {
 		for _, l := range loads {
@@ -229,22 +230,27 @@
 				continue
 			}
 			t.Report(now, reg.Service, selection.Report{
-				Upstream: l.Upstream, Flows: l.Flows, Running: l.Running, Queued: l.Queued, Healthy: l.Healthy, At: l.At,
+				Upstream: l.Upstream, Flows: l.Flows, Running: l.Running, Queued: l.Queued, Healthy: l.Healthy, Own: own, At: l.At,
 			})
 		}
 	})
 }
 
-// ownLoads returns the loads of the upstreams that this daemon owns.
+// ownLoads returns the loads of the upstreams that this daemon owns. The other daemons see no
+// answers, so an upstream that this daemon's selection has ejected is reported as unhealthy.
 func (d *Daemon) ownLoads(now time.Time) []registration.Load {
 	var out []registration.Load
-	for _, l := range d.shards.Load().loads() {
-		s := d.sessions.find(l.Upstream)
-		out = append(out, registration.Load{
-			Upstream: l.Upstream, Flows: l.Flows, Running: l.Running, Queued: l.Queued,
-			Healthy: s != nil && s.healthy.Load() && s.connected.Load(), At: now,
-		})
-	}
+	loads := d.shards.Load().loads()
+	d.path.opener.withTable(func(_ time.Time, t *selection.Table) {
+		for _, l := range loads {
+			s := d.sessions.find(l.Upstream)
+			healthy := s != nil && s.healthy.Load() && s.connected.Load()
+			out = append(out, registration.Load{
+				Upstream: l.Upstream, Flows: l.Flows, Running: l.Running, Queued: l.Queued,
+				Healthy: healthy && t.Serves(l.Service, l.Upstream), At: now,
+			})
+		}
+	})
 	return out
 }
 
--- a/pkg/selection/estimate.go
+++ b/pkg/selection/estimate.go
@@ -39,6 +39,7 @@
 	at       time.Time
 	heard    bool
 	healthy  bool
+	owned    bool    // this daemon sees the upstream's answers
 	trust    float64 // weight of the report against the model, 0 to 1
 	picks    [pickSeconds]float64
 	second   int64   // second of the newest bucket
@@ -159,6 +160,7 @@
 	if u.heard && !r.At.After(u.at) {
 		return
 	}
+	u.setOwned(now, r.Own)
 	u.roll(now)
 	u.age(now, p.closeRate)
 	reported := float64(max(0, r.Flows))
--- a/pkg/selection/health.go
+++ b/pkg/selection/health.go
@@ -72,6 +72,15 @@
 	h.success, h.latency = 1, average{}
 }
 
+// setOwned forgets observations when they end or begin.
+func (u *upstream) setOwned(now time.Time, own bool) {
+	if u.owned == own {
+		return
+	}
+	u.owned = own
+	u.health = health{success: 1, seen: now}
+}
+
 func (p *pool) observe(u *upstream, now time.Time, ok bool, latency time.Duration) {
 	h := &u.health
 	h.seen = now
@@ -205,7 +214,7 @@
 		switch {
 		case h.state == ejected && !now.Before(h.until):
 			h.restart(probing)
-		case h.state == serving && p.isOutlier(h, now, success):
+		case h.state == serving && p.isOutlier(u, now, success):
 			p.eject(u, now)
 		case h.state == serving && h.times > 0 && now.Sub(h.until) > maxEjectTime:
 			h.times = 0
@@ -213,11 +222,12 @@
 	}
 }
 
-func (p *pool) isOutlier(h *health, now time.Time, success float64) bool {
+func (p *pool) isOutlier(u *upstream, now time.Time, success float64) bool {
+	h := &u.health
 	if h.failures >= failuresInRow {
 		return true
 	}
-	if h.opened >= silentOpens && now.Sub(h.seen) > silentTime && now.Sub(p.seen) < silentTime {
+	if u.owned && h.opened >= silentOpens && now.Sub(h.seen) > silentTime && now.Sub(p.seen) < silentTime {
 		return true
 	}
 	if h.n < minSamples {
--- a/pkg/selection/selection.go
+++ b/pkg/selection/selection.go
@@ -44,7 +44,10 @@
 	Upstream               ident.UpstreamID
 	Flows, Running, Queued int
 	Healthy                bool
-	At                     time.Time // when the owner took the figures
+	// Own says that this daemon owns the upstream. Only the owner sees the ends of requests,
+	// so only there does the lack of observations mean anything.
+	Own bool
+	At  time.Time // when the owner took the figures
 }
 
 // Table selects upstreams for the new flows that one daemon opens. It is not safe for
@@ -125,6 +128,17 @@
 	}
 }
 
+// Serves reports whether this daemon's observations of an upstream are good enough for new
+// flows; it is true without observations. An owner reports other upstreams as unhealthy.
+func (t *Table) Serves(s ident.ServiceID, id ident.UpstreamID) bool {
+	p := t.services[s]
+	if p == nil {
+		return true
+	}
+	u := p.find(id)
+	return u == nil || u.health.state == serving
+}
+
 // Pick selects an upstream for a new flow, except those already tried, and counts the
 // flow as opened there. It returns an *Error when no upstream can take the flow.
 func (t *Table) Pick(now time.Time, s ident.ServiceID, tried []ident.UpstreamID) (Candidate, error) {
--- a/pkg/selection/selection_test.go
+++ b/pkg/selection/selection_test.go
@@ -241,3 +241,28 @@
 		})
 	})
 }
+
+// Guards against ejecting upstreams of other owners: their answers do not pass this daemon,
+// so after 16 opens each looked silent, and stayed excluded.
+func TestOnlyTheOwnerTakesSilenceForAFault(t *testing.T) {
+	for _, own := range []bool{false, true} {
+		c := candidates(4, 1, 2000)
+		table, now := newTable(c), start
+		for range 200 {
+			now = now.Add(100 * time.Millisecond)
+			for i, u := range c {
+				table.Report(now, svc, Report{Upstream: u.Upstream, Healthy: true, Own: own || i == 0, At: now})
+			}
+			table.Observe(now, svc, c[0].Upstream, true, time.Millisecond)
+			_, err := table.Pick(now, svc, nil)
+			assert.NilError(t, err)
+		}
+		serving := 0
+		for _, u := range c {
+			if table.Serves(svc, u.Upstream) {
+				serving++
+			}
+		}
+		assert.Equal(t, serving == len(c), !own, "%d of %d serve", serving, len(c))
+	}
+}
