owner: keep the slot limit when an upstream still ends a call that timed out

The owner ends a call at its deadline at once, the upstream a moment later, so the next call can find no free slot there. The refusal counted as shedding and took a slot away for 512 answers. Within 100 ms of such an end it no longer changes the limit.

--- a/pkg/owner/limit_test.go
+++ b/pkg/owner/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -24,3 +25,21 @@
 		assert.Equal(t, passed, n > 0, "%v", actions)
 	}
 }
+
+// Guards the slots of an upstream that still ends a call which ran out of time here: its
+// refusal of the next one must not lower the limit, which takes 512 answers to rise again.
+func TestRefusalRightAfterATimeoutKeepsTheSlots(t *testing.T) {
+	for _, after := range []time.Duration{time.Millisecond, 2 * slotSettles} {
+		b := newBench(t, 10)
+		b.step(UpstreamUp{Service: testService, Upstream: testUpstream, Incarnation: 1, Slots: 2, FlowLimit: 10})
+		b.open()
+		b.frame(tally(1))
+		second := executes(b.frame(tally(2)))[0]
+		b.step(ExecuteDone{Upstream: testUpstream, Call: second.Call, Result: Failed})
+		third := executes(b.frame(tally(3)))[0]
+		b.now = b.now.Add(after)
+		b.step(ExecuteDone{Upstream: testUpstream, Call: third.Call, Result: NotBegun})
+		running := len(executes(b.frame(tally(4))))
+		assert.Equal(t, running == 1, after < slotSettles, "%d requests run", running)
+	}
+}
--- a/pkg/owner/request.go
+++ b/pkg/owner/request.go
@@ -217,6 +217,9 @@
 			OK: ev.Result == Answered, Duration: c.now.Sub(r.started),
 		})
 	}
+	if ev.Result == Failed || ev.Result == Cancelled {
+		u.cutShort = c.now
+	}
 	if r.state == stateRunning && !c.retry(r, ev) {
 		c.finishCall(r, ev)
 	}
@@ -229,15 +232,23 @@
 		u.finished = append(u.finished, r)
 	}
 	if c.upstreams[u.id] == u {
-		c.start(u.sched.Done(c.now, ev.Call, schedulerOutcome(ev.Result)))
+		c.start(u.sched.Done(c.now, ev.Call, c.schedulerOutcome(u, ev)))
 	}
 }
 
-func schedulerOutcome(r ExecuteResult) dispatch.Outcome {
-	switch r {
+// slotSettles is how long an upstream may go on with a call that ended here at its deadline
+// or by cancellation. Until then a refusal for lack of a slot says nothing about how many
+// slots it has.
+const slotSettles = 100 * time.Millisecond
+
+func (c *Core) schedulerOutcome(u *upstream, ev ExecuteDone) dispatch.Outcome {
+	switch ev.Result {
 	case Answered:
 		return dispatch.Answered
 	case NotBegun:
+		if c.now.Sub(u.cutShort) < slotSettles {
+			return dispatch.Failed
+		}
 		return dispatch.Shed
 	default:
 		return dispatch.Failed
--- a/pkg/owner/upstream.go
+++ b/pkg/owner/upstream.go
@@ -49,6 +49,8 @@
 	finished []*record
 	movedTo  ident.DaemonID // new owner after a handover
 	running  int            // calls in progress here
+	// cutShort is when a call ended last without the upstream's word.
+	cutShort time.Time
 	// elsewhere counts requests that a predecessor still runs; they occupy slots.
 	elsewhere int
 }
