--- a/pkg/load/stage.go
+++ b/pkg/load/stage.go
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	s := &stages{opts: o, plan: p, dep: dep, fleet: fleet.New(cfg, dep.hosts, o.Log), faults: map[string]*standin.Faults{}}
-	s.list = p.stages(&s.dep)
+	s.list = scaled(p.stages(&s.dep), o.For)
 	defer s.fleet.Close()
 	if err := s.start(); err != nil {
 		return nil, err
@@ -93,6 +93,20 @@
 	return s.report(sc.Name, time.Since(started)), nil
 }
 
+// scaled fits the stages into a time; 0 leaves them as they are.
+func scaled(list []stage, total time.Duration) []stage {
+	var planned time.Duration
+	for _, st := range list {
+		planned += st.length
+	}
+	for i := range list {
+		if total > 0 {
+			list[i].length = time.Duration(float64(list[i].length) * float64(total) / float64(planned))
+		}
+	}
+	return list
+}
+
 func (s *stages) start() error {
 	s.fleet.SetMisreport(s.misreport())
 	present := s.dep
--- /dev/null
+++ b/pkg/load/stage_test.go
@@ -0,0 +1,42 @@
+package load
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygate/pkg/registration"
+)
+
+// Guards what a flood must never cause, in a short run. The bounds on latency and goodput need
+// the full length and a machine that is not busy: rosemarygate load checks them.
+func TestLiveFloodLosesAndDoublesNothing(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs a fleet")
+	}
+	r, err := Run(context.Background(), "live-flood-most-urgent", Options{Seed: 1, For: 8 * time.Second, Deployment: "guild"})
+	assert.NilError(t, err)
+	exact := 0
+	for _, c := range r.Checks {
+		if c.Bound == 0 || strings.HasPrefix(c.Name, "requests") {
+			exact++
+			assert.Check(t, c.OK, "%s is %g, bound %g", c.Name, c.Value, c.Bound)
+		}
+	}
+	assert.Equal(t, exact, 4)
+	assert.Assert(t, len(r.Results) == 6 && r.Results[3].Classes[0].Refused > 1000, "%+v", r.Results)
+}
+
+// Guards the fault of reports that are 5 seconds old.
+func TestDelayReportsOldLoads(t *testing.T) {
+	d, start := newDelay(), time.Unix(1000, 0)
+	for n := range 20 {
+		at := start.Add(time.Duration(n) * time.Second)
+		got := d.report(registration.Load{Upstream: 1, Flows: n, At: at})
+		assert.Equal(t, got.Flows, max(0, n-5))
+		assert.Equal(t, got.At, at)
+	}
+}
