--- a/pkg/control/replica/operator.go
+++ b/pkg/control/replica/operator.go
@@ -29,13 +29,14 @@
 // Push proposes a change of files and waits until it is in force.
 func (o *operator) Push(ctx context.Context, q *controlpb.PushRequest) (*controlpb.PushReply, error) {
 	reply, err := o.r.atLeader(ctx, func(ctx context.Context) (*controlpb.Reply, error) {
-		if err := o.r.checkDaemons(ctx, q.GetReplaceNewer()); err != nil {
-			return nil, err
-		}
-		return decided(o.r.change(ctx, &controlpb.Entry{
+		e := &controlpb.Entry{
 			ChangeId: q.GetChangeId(), Operator: q.GetOperator(), Summary: q.GetSummary(),
 			Body: &controlpb.Entry_Push{Push: q.GetPush()},
-		}))
+		}
+		if err := o.r.checkDaemons(ctx, e, q.GetReplaceNewer()); err != nil {
+			return nil, err
+		}
+		return decided(o.r.change(ctx, e))
 	}, func(ctx context.Context, c controlpb.OperatorClient) (*controlpb.Reply, error) {
 		reply, err := c.Push(ctx, &controlpb.PushRequest{
 			ChangeId: q.GetChangeId(), Operator: q.GetOperator(), Summary: q.GetSummary(), Push: q.GetPush(),
@@ -51,8 +52,9 @@
 
 // checkDaemons refuses a change of the configuration while daemons have a version in force that the
 // replicas do not have, unless the operator knows of it: the change would undo that version. A daemon
-// has only accepted versions, so this happens only after replicas lost some of them.
-func (r *Replica) checkDaemons(ctx context.Context, replaceNewer bool) error {
+// has only accepted versions, so this happens only after replicas lost some of them. A change that the
+// replicated state decides without a new entry, such as a resent one, undoes nothing.
+func (r *Replica) checkDaemons(ctx context.Context, e *controlpb.Entry, replaceNewer bool) error {
 	newest := r.publish.newest()
 	if replaceNewer || newest <= r.Status().Version {
 		return nil
@@ -61,10 +63,16 @@
 		return noMajority()
 	}
 	var version uint64
-	if err := r.do(ctx, func(c *core) { version = c.machine.View().Version }); err != nil {
+	var settled bool
+	err := r.do(ctx, func(c *core) {
+		version = c.machine.View().Version
+		e.TimeUnixMs = time.Now().UnixMilli() // a rotation is decided by it
+		settled = c.machine.Check(e) != nil
+	})
+	if err != nil {
 		return noMajority()
 	}
-	if newest <= version {
+	if settled || newest <= version {
 		return nil
 	}
 	return daemonsAhead(newest, version)
@@ -153,10 +161,11 @@
 // RotateKeys adds a token key.
 func (o *operator) RotateKeys(ctx context.Context, q *controlpb.RotateKeysRequest) (*controlpb.ChangeReply, error) {
 	reply, err := o.r.atLeader(ctx, func(ctx context.Context) (*controlpb.Reply, error) {
-		if err := o.r.checkDaemons(ctx, false); err != nil {
+		e := rotation(q.GetChangeId(), q.GetOperator())
+		if err := o.r.checkDaemons(ctx, e, false); err != nil {
 			return nil, err
 		}
-		return decided(o.r.change(ctx, rotation(q.GetChangeId(), q.GetOperator())))
+		return decided(o.r.change(ctx, e))
 	}, func(ctx context.Context, c controlpb.OperatorClient) (*controlpb.Reply, error) {
 		reply, err := c.RotateKeys(ctx, q)
 		return reply.GetReply(), err
