--- a/pkg/agreement/recovery_test.go
+++ b/pkg/agreement/recovery_test.go
@@ -151,3 +151,27 @@
 	assert.NilError(t, leader.Step(join))
 	assert.Assert(t, leader.Status().Membership.Contains(join.From))
 }
+
+// Guards against a removed replica that knows the present leader only as a learner, and so asks only
+// followers, and against requests that two replicas pass to each other without end.
+func TestFollowerPassesOn(t *testing.T) {
+	g, leader := electedGroup(t, agreement.Config{}, 3, 3)
+	follower := g.follower()
+	ask := agreement.Message{
+		Kind: agreement.MsgPreVote, From: agreement.Replica{ID: 9, Incarnation: 1}, To: follower.Status().Self,
+		Term: leader.Status().Term + 1, Group: testGroup,
+	}
+	assert.NilError(t, follower.Step(ask))
+	sent := follower.Ready().Messages
+	assert.Equal(t, len(sent), 1)
+	assert.Equal(t, sent[0].To, leader.Status().Self)
+	follower.Advance(follower.Ready())
+	twice := sent[0]
+	twice.To = follower.Status().Self
+	assert.NilError(t, follower.Step(twice))
+	assert.Assert(t, !follower.HasReady())
+	assert.NilError(t, leader.Step(sent[0]))
+	told := leader.Ready().Messages
+	assert.Equal(t, told[len(told)-1].Kind, agreement.MsgRemoved)
+	assert.Equal(t, told[len(told)-1].To, ask.From)
+}
--- a/pkg/agreement/removal.go
+++ b/pkg/agreement/removal.go
@@ -16,6 +16,8 @@
 // The leader sends its entries to members only, so a replica that was silent when it was removed
 // does not have the entry that says so. Only a replica that was a voter sends vote requests, and a
 // leader that has committed in its term knows every committed membership, so the answer is certain.
+// Other members pass the request on to their leader: the sender may not know it, if it was no voter
+// when the sender last heard of it.
 func (n *Node) tellRemoved(m Message) bool {
 	if m.Kind != MsgPreVote && m.Kind != MsgVote || !m.valid() {
 		return false
@@ -24,18 +26,26 @@
 	if m.To.ID != n.self.ID || m.Group != n.group {
 		return false
 	}
-	if n.role != Leader || !n.committedInTerm() {
-		return false
-	}
 	_, member := n.membership().Find(m.From.ID)
 	_, committed := n.log.membershipAt(n.log.committed).Find(m.From.ID)
-	if member || committed {
+	switch {
+	case member || committed:
 		return false
+	case n.role == Leader && n.committedInTerm():
+		n.sayRemoved(m.From)
+		return true
+	case n.role == Follower && n.inLease() && !m.Force && m.Hint == 0:
+		m.To, m.Hint = n.leader, passedOn
+		n.msgs = append(n.msgs, m)
+		return true
 	}
-	n.sayRemoved(m.From)
-	return true
+	return false
 }
 
+// passedOn is the Hint of a vote request that a member passed on to its leader. It is passed on once
+// only, since two replicas may each take the other for the leader.
+const passedOn = 1
+
 func (n *Node) sayRemoved(to Replica) {
 	n.send(Message{Kind: MsgRemoved, To: to, Index: n.log.committed})
 }
--- a/pkg/agreement/types.go
+++ b/pkg/agreement/types.go
@@ -105,7 +105,7 @@
 	Commit   uint64
 	Entries  []Entry
 	Reject   bool
-	Hint     uint64 // index up to which the logs may agree, in a rejected append
+	Hint     uint64 // index up to which the logs may agree, in a rejected append; passedOn in a vote request
 	Snapshot *Snapshot
 	Context  uint64 // read round of a heartbeat, or the caller's context of a read
 	Force    bool   // vote requested by the leader itself, which ends its lease
