--- a/pkg/daemon/controlfleet_test.go
+++ b/pkg/daemon/controlfleet_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,6 +24,7 @@
 	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/daemon"
 	"rosemarygate/pkg/settings"
+	"rosemarygate/pkg/storage"
 )
 
 const (
@@ -117,6 +118,26 @@
 	return c.dead.Load()
 }
 
+// maxLogLines bounds what a failed test prints. Ten thousand changes log more than 10 MB.
+const maxLogLines = 400
+
+// recentLines keeps the last lines written to it.
+type recentLines struct {
+	mu    sync.Mutex
+	limit int
+	lines []string
+}
+
+func (r *recentLines) Write(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, string(b))
+	if len(r.lines) > r.limit {
+		r.lines = slices.Delete(r.lines, 0, len(r.lines)-r.limit)
+	}
+	return len(b), nil
+}
+
 // controlFleet is a set of daemons of which the first of each data centre is a replica.
 type controlFleet struct {
 	t        *testing.T
@@ -126,6 +147,7 @@
 	cancel   []context.CancelFunc
 	done     []chan error
 	log      logrus.FieldLogger
+	disks    []storage.FS // nil entries stand for the operating system's file system
 	// credentials are those of operators.
 	credentials grpc.DialOption
 }
@@ -136,10 +158,13 @@
 		credentials: grpc.WithTransportCredentials(insecure.NewCredentials()),
 	}
 	log := logrus.New()
-	log.SetOutput(io.Discard)
-	if testing.Verbose() {
-		log.SetOutput(t.Output())
-	}
+	recent := &recentLines{limit: maxLogLines}
+	log.SetOutput(recent)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("last lines of the daemons' logs:\n%s", strings.Join(recent.lines, ""))
+		}
+	})
 	f.log = log
 	a, b := byte(16+rand.IntN(200)), byte(rand.IntN(256))
 	var replicas []settings.Replica
@@ -163,6 +188,7 @@
 		s.Seeds = seeds
 	}
 	f.daemons = make([]*daemon.Daemon, len(f.settings))
+	f.disks = make([]storage.FS, len(f.settings))
 	f.cancel = make([]context.CancelFunc, len(f.settings))
 	f.done = make([]chan error, len(f.settings))
 	t.Cleanup(f.close)
@@ -172,11 +198,15 @@
 func (f *controlFleet) start(hosts ...int) {
 	for _, i := range hosts {
 		s := f.settings[i]
-		d, err := daemon.New(s, nil, f.log, daemon.WithControlDialer(f.wires.dialer(s.Host.String())))
+		d, err := daemon.New(s, nil, f.log, daemon.WithControlDialer(f.wires.dialer(s.Host.String())), daemon.WithControlFS(f.disks[i]))
 		assert.NilError(f.t, err)
 		ctx, cancel := context.WithCancel(context.Background())
 		f.daemons[i], f.cancel[i], f.done[i] = d, cancel, make(chan error, 1)
-		go func() { f.done[i] <- d.Run(ctx) }()
+		go func() {
+			err := d.Run(ctx)
+			f.log.WithField("daemon", s.Name).WithError(err).Info("daemon ended")
+			f.done[i] <- err
+		}()
 	}
 }
 
