--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -8,6 +8,8 @@
 //     after a crash, and only that record is dropped on open.
 //   - A segment whose header says reset replaces all earlier segments. Open and SaveSnapshot write
 //     such a segment, so old segments can be removed and disk use stays bounded.
+//   - A snapshot file that an operator's recovery wrote (Recover) names the replica and the hard state
+//     of a new group, and replaces the segments of any other group.
 //   - Opening never trusts contents of the page cache: it writes what it read into a new, synced
 //     segment, because a failed sync may have left records that are readable but not durable.
 package storage
