Keep registrations of a few data centres in large fleets

Cause: a daemon kept the registrations of all 28 data centres, 148 MB of its 208 MB of control state at the target of 18,000 daemons (docs/CAPACITY.md).

Change: in fleets of more than six data centres a daemon keeps those of its own data centre, of near ones and of the one that it would take over. Upstreams of other data centres are fetched by service when callers ask for it; opens wait up to 1 s meanwhile. The successor of a data centre is its neighbour in a ring, so that each data centre prepares for exactly one takeover. Views that follow each other within 100 ms are merged, and one ownership table is built for each view instead of two.

--- a/pkg/daemon/cluster.go
+++ b/pkg/daemon/cluster.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,8 +40,11 @@
 	incoming chan membership.Received
 	calls    chan func(now time.Time)
 
-	view   *membership.View
+	view   *membership.View // in force
+	gate   viewGate
 	joined bool
+	// partial says that registrations of some data centres are not kept.
+	partial atomic.Bool
 	// concerned are the services whose upstreams changed since the hook was told.
 	concerned map[ident.ServiceID]bool
 	hooks     clusterHooks
@@ -57,7 +61,7 @@
 	loads      func(now time.Time) []registration.Load
 }
 
-func newCluster(clock func() time.Time, log logrus.FieldLogger, conn *net.UDPConn, key []byte, self membership.Member, seeds []netip.AddrPort) *cluster {
+func newCluster(clock func() time.Time, log logrus.FieldLogger, conn *net.UDPConn, key []byte, self membership.Member, seeds []netip.AddrPort, near []string) *cluster {
 	c := &cluster{
 		clock: clock, log: log, conn: conn, sealer: relay.NewSealer(key),
 		incoming: make(chan membership.Received, clusterQueue),
@@ -66,7 +70,7 @@
 		concerned: map[ident.ServiceID]bool{},
 	}
 	rng := rand.New(rand.NewPCG(uint64(self.ID), uint64(self.Incarnation)))
-	c.regs = registration.New(registration.Config{Self: self.ID, DataCentre: self.DataCentre, Order: c.order}, rng)
+	c.regs = registration.New(registration.Config{Self: self.ID, DataCentre: self.DataCentre, Order: c.order, Near: near}, rng)
 	c.members = membership.New(membership.Config{Seeds: seeds, Attachment: c.regs.Attachment}, self, rng)
 	return c
 }
@@ -124,11 +128,7 @@
 			f(c.clock())
 		case <-ticker.C:
 			now := c.clock()
-			c.stepMembers(now, membership.Tick{})
-			c.stepRegistrations(now, registration.Tick{})
-			if c.assign != nil {
-				c.assign.tick(now)
-			}
+			c.tick(now)
 			if now.After(nextLoads) {
 				nextLoads = now.Add(loadPeriod)
 				c.reportLoads(now)
@@ -137,6 +137,17 @@
 	}
 }
 
+func (c *cluster) tick(now time.Time) {
+	c.stepMembers(now, membership.Tick{})
+	if v := c.gate.due(now); v != nil {
+		c.enforce(now, v)
+	}
+	c.stepRegistrations(now, registration.Tick{})
+	if c.assign != nil {
+		c.assign.tick(now)
+	}
+}
+
 func (c *cluster) reportLoads(now time.Time) {
 	if !c.joined {
 		return
@@ -188,19 +199,51 @@
 	c.stepMembers(now, membership.Serve{})
 }
 
-// viewChanged takes a view over. Joining steps the membership core again while its first
+// viewChanged takes a view over, at once when this daemon's own state changed. Joining steps the membership core again while its first
 // actions are carried out, so an older view can come after a newer one.
 func (c *cluster) viewChanged(now time.Time, v *membership.View) {
 	if c.view != nil && v.Version <= c.view.Version {
 		return
 	}
+	if next := c.gate.offer(now, v, c.stateIn(v) != c.stateIn(c.view)); next != nil {
+		c.enforce(now, next)
+	}
+}
+
+// stateIn returns this daemon's state in a view.
+func (c *cluster) stateIn(v *membership.View) membership.State {
+	if v == nil {
+		return 0
+	}
+	self, _ := v.Find(c.members.Self().ID)
+	return self.State
+}
+
+// enforce puts a view in force.
+func (c *cluster) enforce(now time.Time, v *membership.View) {
 	c.logChanges(v)
 	c.view = v
+	table := ownership.NewTable(v, c.order)
 	if c.joined {
-		c.assign.viewChanged(now, v)
-		c.hooks.viewed(c.members.Self(), v, c.assign.current)
+		c.assign.viewChanged(now, v, table)
+		c.hooks.viewed(c.members.Self(), v, table)
+	}
+	c.stepRegistrations(now, registration.ViewChanged{View: v, Table: table})
+	c.partial.Store(!c.regs.KeepsAll())
+}
+
+// ask asks other data centres for a service whose upstreams are not kept here. It does not block
+// and returns false when all registrations are kept or the cluster is busy.
+func (c *cluster) ask(s ident.ServiceID) bool {
+	if !c.partial.Load() {
+		return false
+	}
+	select {
+	case c.calls <- func(now time.Time) { c.stepRegistrations(now, registration.Asked{Service: s}) }:
+		return true
+	default:
+		return false
 	}
-	c.stepRegistrations(now, registration.ViewChanged{View: v})
 }
 
 func (c *cluster) logChanges(v *membership.View) {
@@ -243,6 +286,7 @@
 	for _, u := range ch.Removed {
 		events.UpstreamLeft.Log(c.log, logrus.Fields{"upstream": u})
 	}
+	ch.Removed = append(ch.Removed, ch.Discarded...)
 	c.assign.concerned(ch, c.concerned)
 	c.assign.changed(now, ch.Set, ch.Removed, announced)
 	c.tellChanged(now)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -165,7 +165,8 @@
 	}
 	d.path.opener = newOpener(d.path, self, d.settings.NearDataCentres, d.openRefused)
 	d.sessions = &sessions{ctx: d.ctx, log: d.log, dial: append(blockable(d.blocked), grpc.WithTransportCredentials(insecure.NewCredentials())), all: map[ident.UpstreamID]*session{}}
-	d.cluster = newCluster(d.clock, d.log, d.path.peerConn, key, self, d.settings.Seeds)
+	d.cluster = newCluster(d.clock, d.log, d.path.peerConn, key, self, d.settings.Seeds, d.settings.NearDataCentres)
+	d.path.opener.search.ask = d.cluster.ask
 	d.cluster.assign = newAssignment(self, nil)
 	d.cluster.assign.connect = d.connectUpstream
 	d.cluster.assign.connected = d.sessions.connected
--- /dev/null
+++ b/pkg/daemon/distant_test.go
@@ -0,0 +1,60 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygate/client"
+	"rosemarygate/pkg/fleet"
+)
+
+// Guards against flows that are refused, or open late, because the daemon that gets them does not
+// keep the registrations of the only data centre with upstreams of the service.
+func TestFlowsReachADistantService(t *testing.T) {
+	var dataCentres []string
+	for i := range 8 {
+		dataCentres = append(dataCentres, fmt.Sprintf("dc-%d", i))
+	}
+	f := newHosts(t, dataCentres)
+	f.Distant = true
+	assert.NilError(t, f.Start())
+	startUpstreams(t, f, 2)
+	home, err := f.ClientAt(dataCentres[0], testPort, fleet.FabricFaults{}, 1, client.Config{})
+	assert.NilError(t, err)
+	defer home.Close()
+	for i := 0; ; i++ {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := home.Open(ctx)
+		cancel()
+		if err == nil {
+			break
+		}
+		assert.Assert(t, i < 100, "no upstream after %d opens: %v", i, err)
+		time.Sleep(50 * time.Millisecond)
+	}
+	var slowest time.Duration
+	knows := 0
+	for i, name := range dataCentres {
+		if len(f.Daemon(i).Status().Upstreams) > 0 {
+			knows++
+		}
+		c, err := f.ClientAt(name, testPort, fleet.FabricFaults{}, uint64(i), client.Config{})
+		assert.NilError(t, err)
+		defer c.Close()
+		for range 3 {
+			begin := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			_, err = c.Open(ctx)
+			cancel()
+			assert.NilError(t, err, "flow from %s", name)
+			slowest = max(slowest, time.Since(begin))
+		}
+	}
+	t.Logf("slowest open: %v", slowest)
+	assert.Assert(t, knows <= 2, "%d daemons knew upstreams before they were asked", knows)
+	assert.Assert(t, slowest < 2*time.Second)
+}
--- a/pkg/daemon/glue.go
+++ b/pkg/daemon/glue.go
@@ -206,6 +206,9 @@
 			t.Set(now, s, candidates(list))
 		}
 	})
+	for s := range services {
+		d.path.opener.resume(s)
+	}
 }
 
 func candidates(list []registration.Registration) []selection.Candidate {
@@ -319,7 +322,7 @@
 		nearIDs = append(nearIDs, ident.DataCentre(name))
 	}
 	table.SetNear(nearIDs)
-	return &opener{path: p, refused: refused, table: table}
+	return &opener{path: p, refused: refused, table: table, search: newSearch()}
 }
 
 // Done is closed when the daemon has stopped.
--- a/pkg/daemon/opener.go
+++ b/pkg/daemon/opener.go
@@ -21,8 +21,9 @@
 	// refused counts an open that no upstream took.
 	refused func(ident.ServiceID, wirepb.Reason)
 
-	mu    sync.Mutex
-	table *selection.Table
+	mu     sync.Mutex
+	table  *selection.Table
+	search search
 }
 
 // withTable runs f on the selection table.
@@ -41,11 +42,18 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	picked, err := o.table.Pick(o.path.clock(), service, tried)
+	now := o.path.clock()
+	picked, err := o.table.Pick(now, service, tried)
 	if err != nil {
-		o.refuse(r, caller, service, flow, openReason(err, reason))
+		h := heldOpen{caller: caller, flow: flow, tried: tried, reason: reason}
+		if !o.hold(now, service, h) {
+			o.refuse(r, caller, service, flow, openReason(err, reason))
+		}
 		return
 	}
+	if !o.table.Local(picked.DataCentre) {
+		o.search.begin(now, service) // a better upstream may be in another data centre
+	}
 	decision := o.path.table.Load().Owner(picked.DataCentre, picked.Upstream)
 	switch decision.Verdict {
 	case relay.Local:
--- a/pkg/daemon/ownership.go
+++ b/pkg/daemon/ownership.go
@@ -70,15 +70,15 @@
 	}
 }
 
-// viewChanged takes a new view over.
-func (a *assignment) viewChanged(now time.Time, v *membership.View) {
+// viewChanged takes a new view with its ownership table over.
+func (a *assignment) viewChanged(now time.Time, v *membership.View, table *ownership.Table) {
 	if a.current != nil && a.owns() {
 		a.previous = a.current
 	} else {
 		a.previous = ownership.NewTable(without(v, a.self.ID), a.order)
 	}
 	a.view = v
-	a.current = ownership.NewTable(v, a.order)
+	a.current = table
 	for dataCentre, c := range a.centres {
 		if owners, _ := a.current.Owners(dataCentre, a.self.ID); owners != c.owners {
 			c.owners = owners
--- a/pkg/daemon/ownership_test.go
+++ b/pkg/daemon/ownership_test.go
@@ -35,6 +35,10 @@
 	return b
 }
 
+func (b *assignBench) viewChanged(now time.Time, v *membership.View) {
+	b.assignment.viewChanged(now, v, ownership.NewTable(v, nil))
+}
+
 func (b *assignBench) view(states ...membership.State) {
 	v := &membership.View{}
 	for i, s := range states {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -39,6 +39,7 @@
 // Fleet is a set of daemons with their stand-in upstreams.
 type Fleet struct {
 	Records *standin.Records
+	Distant bool // no data centre counts as near to another one; set it before Start
 	cfg     *config.Config
 	log     logrus.FieldLogger
 	hosts   []Host
@@ -105,7 +106,7 @@
 		Ports: settings.Ports{Peer: peerPort, GRPC: grpcPort, HTTP: httpPort},
 	}
 	for j, other := range f.hosts {
-		if other.DataCentre != h.DataCentre && !slices.Contains(s.NearDataCentres, other.DataCentre) {
+		if !f.Distant && other.DataCentre != h.DataCentre && !slices.Contains(s.NearDataCentres, other.DataCentre) {
 			s.NearDataCentres = append(s.NearDataCentres, other.DataCentre)
 		}
 		if j != i {
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -6,7 +6,6 @@
 package ownership
 
 import (
-	"sort"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,14 +15,21 @@
 )
 
 // Order lists, for a data centre, the other data centres by distance, nearest first. Data
-// centres that are not listed follow in an order given by the hash of both names.
+// centres that are not listed follow in a ring by identifier, so that each data centre is the
+// first successor of exactly one other and a daemon has to prepare for one takeover only.
 type Order map[string][]string
 
 // Table answers for one view. It is immutable and safe for concurrent use.
 type Table struct {
-	order   Order
+	order   map[ident.DataCentreID][]string
 	centres map[string]*candidates
-	names   []string
+	serving []dataCentre // with a serving member
+	silent  map[string]bool
+}
+
+type dataCentre struct {
+	id   ident.DataCentreID
+	name string
 }
 
 // candidates are the serving members of one data centre; hashes are apart from the members so
@@ -37,12 +43,23 @@
 
 // NewTable prepares lookups in a view.
 func NewTable(v *membership.View, order Order) *Table {
-	t := &Table{order: order, centres: make(map[string]*candidates)}
+	t := &Table{centres: make(map[string]*candidates), silent: make(map[string]bool)}
+	if order != nil {
+		t.order = make(map[ident.DataCentreID][]string, len(order))
+	}
+	for name, others := range order {
+		t.order[ident.DataCentre(name)] = others
+	}
 	for i := range v.Members {
 		if m := &v.Members[i]; owns(m.State) {
 			t.add(m)
+		} else {
+			t.silent[m.DataCentre] = true
 		}
 	}
+	for _, dc := range t.serving {
+		delete(t.silent, dc.name)
+	}
 	return t
 }
 
@@ -51,7 +68,7 @@
 	if c == nil {
 		c = &candidates{}
 		t.centres[m.DataCentre] = c
-		t.names = append(t.names, m.DataCentre)
+		t.serving = append(t.serving, dataCentre{id: ident.DataCentre(m.DataCentre), name: m.DataCentre})
 	}
 	hash := memberHash(m.ID)
 	c.hashes = append(c.hashes, hash)
@@ -74,12 +91,42 @@
 	if c := t.centres[dataCentre]; c != nil {
 		return c
 	}
-	return t.centres[t.nearest(dataCentre)]
+	return t.centres[t.Successor(ident.DataCentre(dataCentre))]
 }
 
 // Serves tells whether a data centre has a serving member.
 func (t *Table) Serves(dataCentre string) bool { return t.centres[dataCentre] != nil }
 
+// Keeper returns the data centre whose members own the upstreams of the given one: itself while
+// it serves, otherwise its successor. It is empty when no member of any data centre is serving.
+func (t *Table) Keeper(dataCentre string) string {
+	if t.Serves(dataCentre) {
+		return dataCentre
+	}
+	return t.Successor(ident.DataCentre(dataCentre))
+}
+
+// DataCentres returns the number of data centres in the view, with and without serving members.
+func (t *Table) DataCentres() int { return len(t.serving) + len(t.silent) }
+
+// Member returns one of the members that serve in a data centre; k chooses which.
+func (t *Table) Member(dataCentre string, k int) (membership.Member, bool) {
+	c := t.centres[dataCentre]
+	if c == nil {
+		return membership.Member{}, false
+	}
+	return *c.members[k%len(c.members)], true
+}
+
+// Serving returns the names of the data centres with a serving member.
+func (t *Table) Serving() []string {
+	names := make([]string, 0, len(t.serving))
+	for _, dc := range t.serving {
+		names = append(names, dc.name)
+	}
+	return names
+}
+
 // Owners returns a value that changes when the set of members that own the upstreams of a data
 // centre does, and whether the given member is one of them.
 func (t *Table) Owners(dataCentre string, id ident.DaemonID) (signature uint64, member bool) {
@@ -117,20 +164,21 @@
 	return top
 }
 
-func (t *Table) nearest(dataCentre string) string {
-	for _, name := range t.order[dataCentre] {
-		if t.centres[name] != nil {
+// Successor returns the data centre that takes over the upstreams of the given one when that has
+// no serving member left. It is empty when no other data centre serves.
+func (t *Table) Successor(of ident.DataCentreID) string {
+	for _, name := range t.order[of] {
+		if t.centres[name] != nil && ident.DataCentre(name) != of {
 			return name
 		}
 	}
-	names := append([]string(nil), t.names...)
-	sort.Slice(names, func(i, j int) bool {
-		return xxhash.Sum64String(dataCentre+"/"+names[i]) < xxhash.Sum64String(dataCentre+"/"+names[j])
-	})
-	if len(names) == 0 {
-		return ""
+	var next dataCentre
+	for _, dc := range t.serving {
+		if dc.id != of && (next.name == "" || dc.id-of < next.id-of) {
+			next = dc
+		}
 	}
-	return names[0]
+	return next.name
 }
 
 // memberHash returns the hash of the identifier as logs show it, without allocating that string.
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -95,6 +95,32 @@
 	assert.Assert(t, !ok)
 }
 
+// Guards against data centres that prepare for more takeovers than one, and against a successor
+// that changes when the data centre that it would take over dies.
+func TestEachDataCentreSucceedsOneOther(t *testing.T) {
+	var v membership.View
+	for i := range 28 {
+		v.Members = append(v.Members, view(2, fmt.Sprintf("dc-%d", i)).Members...)
+	}
+	all := ownership.NewTable(&v, nil)
+	successors := make(map[string]bool)
+	for _, name := range all.Serving() {
+		next := all.Successor(ident.DataCentre(name))
+		assert.Assert(t, next != name && !successors[next], "%s follows %s", next, name)
+		successors[next] = true
+		for i := range v.Members {
+			v.Members[i].State = membership.Serving
+			if v.Members[i].DataCentre == name {
+				v.Members[i].State = membership.Dead
+			}
+		}
+		without := ownership.NewTable(&v, nil)
+		assert.Equal(t, next, without.Keeper(name))
+		assert.Equal(t, 28, without.DataCentres())
+	}
+	assert.Equal(t, 28, len(successors))
+}
+
 func BenchmarkOwner(b *testing.B) {
 	for _, members := range []int{7, 640} {
 		b.Run(fmt.Sprint(members), func(b *testing.B) {
--- a/pkg/registration/core.go
+++ b/pkg/registration/core.go
@@ -25,9 +25,12 @@
 	Self       ident.DaemonID
 	DataCentre string
 	Order      ownership.Order
+	Near       []string      // other data centres whose registrations are kept as well
+	KeepAll    int           // data centres up to which all registrations are kept; default 6
 	Lease      time.Duration // default 3 s
 	Renew      time.Duration // default 1 s
 	SyncEvery  time.Duration // digests within the data centre; default 10 s
+	DropAfter  time.Duration // registrations that are no longer needed are kept so long; default 1 min
 }
 
 type floor struct {
@@ -79,15 +82,32 @@
 	nextClean time.Time
 
 	out     []Action
-	changed map[ident.UpstreamID]bool
+	changed map[ident.UpstreamID]change
 	urgent  bool
+
+	keepAll    bool // registrations of all data centres are kept
+	wanted     map[ident.ServiceID]*wanted
+	wantedList []*wanted // in the order in which callers asked first
+	nextAsk    time.Time
 }
 
+// change tells why an entry is reported.
+type change bool
+
+const (
+	altered   change = true  // added, changed or ended
+	discarded change = false // no longer kept here
+)
+
 // New returns a core without registrations.
 func New(cfg Config, rng *rand.Rand) *Core {
 	setDuration(&cfg.Lease, defaultLease)
 	setDuration(&cfg.Renew, defaultRenew)
 	setDuration(&cfg.SyncEvery, defaultSyncEvery)
+	setDuration(&cfg.DropAfter, defaultDropAfter)
+	if cfg.KeepAll == 0 {
+		cfg.KeepAll = defaultKeepAll
+	}
 	return &Core{
 		cfg:     cfg,
 		rng:     rng,
@@ -99,7 +119,9 @@
 		ended:   make(map[ident.UpstreamID]*entry),
 		loads:   newLoads(),
 		floors:  make(map[ident.UpstreamID]floor),
-		changed: make(map[ident.UpstreamID]bool),
+		changed: make(map[ident.UpstreamID]change),
+		wanted:  make(map[ident.ServiceID]*wanted),
+		keepAll: true,
 	}
 }
 
@@ -119,11 +141,13 @@
 	case Withdraw:
 		c.withdraw(now, ev)
 	case ViewChanged:
-		c.viewChanged(now, ev.View)
+		c.viewChanged(now, ev)
 	case Attached:
 		c.attached(now, ev)
 	case LoadReport:
 		c.loads.report(ev.Load)
+	case Asked:
+		c.asked(now, ev.Service)
 	case Tick:
 		c.tick(now)
 	}
@@ -282,13 +306,14 @@
 		next.lease = e.lease
 		e.centre.account(e)
 	}
+	next.DataCentre = next.centre.name // one string for all entries
 	*e = next
 	e.centre.account(e)
 	delete(c.ended, e.Upstream)
 	if e.state != live {
 		c.ended[e.Upstream] = e
 	}
-	c.changed[e.Upstream] = true
+	c.changed[e.Upstream] = altered
 	return e
 }
 
@@ -305,18 +330,20 @@
 	delete(c.owned, e.Upstream)
 	delete(c.ended, e.Upstream)
 	c.dequeue(e)
-	c.changed[e.Upstream] = true
+	c.changed[e.Upstream] = altered
 }
 
 func (c *Core) tick(now time.Time) {
 	c.expireLeases(now)
 	c.dropOrphans(now)
 	c.stepSync(now)
+	c.stepWanted(now)
 	if now.Before(c.nextClean) {
 		return
 	}
 	c.nextClean = now.Add(cleanEvery)
 	c.loads.clean(now)
+	c.dropSpare(now)
 	for u, f := range c.floors {
 		if now.Sub(f.since) > tombstoneAge {
 			delete(c.floors, u)
@@ -353,10 +380,14 @@
 func (c *Core) publish() {
 	if len(c.changed) > 0 {
 		var ch Changed
-		for u := range c.changed {
-			if r, ok := c.Find(u); ok {
+		for u, why := range c.changed {
+			r, ok := c.Find(u)
+			switch {
+			case ok:
 				ch.Set = append(ch.Set, r)
-			} else {
+			case why == discarded:
+				ch.Discarded = append(ch.Discarded, u)
+			default:
 				ch.Removed = append(ch.Removed, u)
 			}
 		}
--- a/pkg/registration/merge.go
+++ b/pkg/registration/merge.go
@@ -17,10 +17,17 @@
 	if proto.Unmarshal(ev.Data, u) != nil {
 		return
 	}
+	if u.Answered != 0 {
+		c.answered(now, ev.From, u)
+		return
+	}
 	// What a bulk answer of a peer of the data centre brings, others fetch the same way.
 	bulk := len(u.Digests) > 0 && c.local(ev.From)
 	fresh := false
 	for _, rec := range u.Records {
+		if !c.keeps(ident.DataCentre(rec.DataCentre)) {
+			continue
+		}
 		if e := c.merge(now, rec); e != nil {
 			fresh = true
 			c.pass(e, bulk)
@@ -31,6 +38,7 @@
 	}
 	c.receiveLoads(now, u.Loads)
 	c.answerDigests(now, ev.From, u)
+	c.answerWanted(now, ev.From, u.Wanted)
 }
 
 // pass hands on what is new; the end of a registration at once.
--- a/pkg/registration/spread.go
+++ b/pkg/registration/spread.go
@@ -125,10 +125,13 @@
 		return 0
 	}
 	other.nextDigest = now.Add(digestEvery)
-	u.Digests = append(u.Digests, c.centreOf(c.cfg.DataCentre).digest(), other.digest())
+	u.Digests = append(u.Digests, c.centreOf(c.cfg.DataCentre).digest())
+	if other.kept {
+		u.Digests = append(u.Digests, other.digest())
+	}
 	used := 2 * digestEntry
 	for _, orphan := range c.list {
-		if orphan == other || c.table.Serves(orphan.name) || used+digestEntry > room {
+		if orphan == other || !orphan.kept || c.table.Serves(orphan.name) || used+digestEntry > room {
 			continue
 		}
 		u.Digests = append(u.Digests, orphan.digest())
@@ -151,7 +154,7 @@
 	start := c.rng.IntN(len(c.list))
 	for i := range min(len(c.list), maxDigests/2) {
 		centre := c.list[(start+i)%len(c.list)]
-		if centre.name != c.cfg.DataCentre {
+		if centre.kept && centre.name != c.cfg.DataCentre {
 			u.Digests = append(u.Digests, centre.digest())
 		}
 	}
@@ -179,6 +182,9 @@
 	}
 	answer := new(peerpb.RegistrationUpdate)
 	for _, d := range u.Digests {
+		if !c.keeps(ident.DataCentreID(d.DataCentre)) {
+			continue
+		}
 		own := c.centres[ident.DataCentreID(d.DataCentre)]
 		if own == nil {
 			own = &centre{id: ident.DataCentreID(d.DataCentre)}
@@ -277,6 +283,13 @@
 	if e.state != live {
 		return
 	}
+	h := e.hash()
+	c.sum ^= h
+	c.buckets[e.Upstream>>bucketShift].sum ^= uint32(h)
+}
+
+// hash is that of the state that daemons compare.
+func (e *entry) hash() uint64 {
 	var b [33]byte
 	binary.LittleEndian.PutUint64(b[0:], uint64(e.Upstream))
 	binary.LittleEndian.PutUint64(b[8:], uint64(e.Incarnation))
@@ -285,7 +298,5 @@
 	if e.Draining {
 		b[32] = 1
 	}
-	h := xxhash.Sum64(b[:])
-	c.sum ^= h
-	c.buckets[e.Upstream>>bucketShift].sum ^= uint32(h)
+	return xxhash.Sum64(b[:])
 }
--- a/pkg/registration/types.go
+++ b/pkg/registration/types.go
@@ -6,6 +6,7 @@
 
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/membership"
+	"rosemarygate/pkg/ownership"
 )
 
 // Registration is one upstream that may be given new work.
@@ -67,8 +68,12 @@
 	Incarnation ident.Incarnation
 }
 
-// ViewChanged carries a new view of the membership core.
-type ViewChanged struct{ View *membership.View }
+// ViewChanged carries a new view of the membership core, with its ownership table if the runner
+// has built it.
+type ViewChanged struct {
+	View  *membership.View
+	Table *ownership.Table
+}
 
 // Attached carries the attachment of a membership message.
 type Attached struct {
@@ -79,6 +84,10 @@
 // LoadReport is the load of an upstream that this daemon owns.
 type LoadReport struct{ Load Load }
 
+// Asked says that callers ask for a service that the upstreams known here do not serve, or not
+// well. Its upstreams are fetched from the data centres whose registrations are not kept.
+type Asked struct{ Service ident.ServiceID }
+
 // Tick lets time pass; the runner delivers one at least every 100 ms.
 type Tick struct{}
 
@@ -87,6 +96,7 @@
 func (ViewChanged) event() {}
 func (Attached) event()    {}
 func (LoadReport) event()  {}
+func (Asked) event()       {}
 func (Tick) event()        {}
 
 // Action is an output of the core.
@@ -100,10 +110,12 @@
 	Renew   time.Duration
 }
 
-// Changed lists the registrations that were added or changed, and the upstreams that are gone.
+// Changed lists the registrations that were added or changed, the upstreams that are gone, and
+// those whose registrations are no longer kept here although they may live.
 type Changed struct {
-	Set     []Registration
-	Removed []ident.UpstreamID
+	Set       []Registration
+	Removed   []ident.UpstreamID
+	Discarded []ident.UpstreamID
 }
 
 // Loaded carries load reports of other owners.
--- a/pkg/registration/view.go
+++ b/pkg/registration/view.go
@@ -15,6 +15,9 @@
 	sum     uint64 // of live entries
 	buckets [bucketCount]bucket
 
+	kept       bool
+	spareSince time.Time // since when it is kept without need; zero while it is needed
+
 	owners     uint64 // signature of the members that own its upstreams
 	nextDigest time.Time
 	nextLoads  time.Time
@@ -39,16 +42,21 @@
 	if known := c.centres[id]; known != nil {
 		return known
 	}
-	fresh := &centre{id: id, name: name}
+	fresh := &centre{id: id, name: name, kept: c.needs(id)}
 	c.centres[id] = fresh
 	c.list = append(c.list, fresh)
 	return fresh
 }
 
 // viewChanged takes over what this daemon owns in the new view and gives up the rest.
-func (c *Core) viewChanged(now time.Time, v *membership.View) {
+func (c *Core) viewChanged(now time.Time, ev ViewChanged) {
+	v := ev.View
 	c.view = v
-	c.table = ownership.NewTable(v, c.cfg.Order)
+	c.table = ev.Table
+	if c.table == nil {
+		c.table = ownership.NewTable(v, c.cfg.Order)
+	}
+	c.selectKept(now)
 	c.peers = c.peers[:0]
 	for _, m := range v.Members {
 		if m.DataCentre == c.cfg.DataCentre && m.ID != c.cfg.Self && m.State == membership.Serving {
--- a/pkg/selection/selection.go
+++ b/pkg/selection/selection.go
@@ -73,7 +73,8 @@
 	}
 }
 
-func (t *Table) isLocal(dc ident.DataCentreID) bool { return dc == t.local || t.near[dc] }
+// Local reports whether the upstreams of a data centre are chosen first.
+func (t *Table) Local(dc ident.DataCentreID) bool { return dc == t.local || t.near[dc] }
 
 // SetPeers sets the number of serving daemons that open flows to the same upstreams,
 // including this one. The model counts every own pick that many times, because the
@@ -220,7 +221,7 @@
 			u.Candidate = c
 		}
 	}
-	u.remote = !p.table.isLocal(c.DataCentre)
+	u.remote = !p.table.Local(c.DataCentre)
 	p.index[c.Upstream] = int32(len(p.upstreams))
 	p.upstreams = append(p.upstreams, u)
 }
