Keep the times of a suspicion apart from a member's record

Cause: each of 18,000 records had room for a suspicion and a string of its own for the data centre.

Change: a record points to its last suspicion and shares the data centre's name.

--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -21,14 +21,19 @@
 // record is what this daemon knows of one member. The member's state is never Suspect.
 type record struct {
 	Member
-	centre       *centre
-	suspect      bool
-	origin       bool      // this daemon raised the suspicion
+	*suspicion // nil while the member was never suspected
+	centre     *centre
+	suspect    bool
+	forgotten  bool      // dead and no longer in the view
+	heard      time.Time // last message received from the member itself
+	deadSince  time.Time
+}
+
+// suspicion is what this daemon knows of the last suspicion of a member.
+type suspicion struct {
+	origin       bool      // this daemon raised it
 	suspectSince time.Time // when the first suspicion began
-	nextCheck    time.Time // next probe of a suspect
-	heard        time.Time // last message received from the member itself
-	deadSince    time.Time
-	forgotten    bool // dead and no longer in the view
+	nextCheck    time.Time // next probe of the member
 }
 
 func (r *record) alive() bool { return r.State != Dead }
@@ -83,6 +88,7 @@
 
 func (t *table) insert(m Member) *record {
 	r := &record{Member: m, centre: t.centreOf(m.DataCentre)}
+	r.DataCentre = r.centre.name // one string for all members
 	t.records[m.ID] = r
 	at, _ := slices.BinarySearchFunc(t.sorted, m.ID, compareID)
 	t.sorted = slices.Insert(t.sorted, at, r)
@@ -111,6 +117,7 @@
 		r.centre.records = append(r.centre.records, r)
 	}
 	r.Member = m
+	r.DataCentre = r.centre.name
 	r.suspect = false
 	r.forgotten = false
 	r.centre.account(r, 1)
@@ -119,9 +126,7 @@
 
 func (t *table) setSuspect(r *record, now, since time.Time) {
 	r.suspect = true
-	r.suspectSince = since
-	r.nextCheck = now
-	r.origin = false
+	r.suspicion = &suspicion{suspectSince: since, nextCheck: now}
 	t.changed = true
 }
 
