--- a/pkg/cli/recover.go
+++ b/pkg/cli/recover.go
@@ -46,7 +46,7 @@
 	}
 	addOperatorName(cmd, &operator)
 	cmd.Flags().StringVar(&path, "settings", "", "settings file of the daemon (required)")
-	cmd.Flags().BoolVar(&confirmed, "yes", false, "carry out what is printed; it can't be undone")
+	cmd.Flags().BoolVar(&confirmed, "yes", false, "carry out what is printed; it cannot be undone")
 	// The flag exists, so this cannot fail.
 	_ = cmd.MarkFlagRequired("settings")
 	return cmd
@@ -112,7 +112,7 @@
 	fmt.Fprintf(out, `this replica becomes the only voter of a new group:
 - changes that were accepted after the last entry are lost, unless daemons still have them in force
 - another copy with a larger term or, in the same term, a larger index is newer: recover that one instead
-- the other replicas of the old group can't join with their files, and must not run any more
+- the other replicas of the old group cannot join with their files, and must not run any more
 - versions go on at %d
 `, x.FirstIndex())
 }
--- a/pkg/control/replica/cancel.go
+++ b/pkg/control/replica/cancel.go
@@ -37,7 +37,7 @@
 	}
 	return refusal(codes.FailedPrecondition, &controlpb.Refusal{
 		Kind: controlpb.Refusal_KIND_REPLACEMENT_CONFLICT,
-		Detail: "replica " + leaving + " was removed already, so the replacement can't be cancelled: " +
+		Detail: "replica " + leaving + " was removed already, so the replacement cannot be cancelled: " +
 			"wait for its end in config history, then replace the new replica",
 	})
 }
--- a/pkg/daemon/controlrecovery_test.go
+++ b/pkg/daemon/controlrecovery_test.go
@@ -23,8 +23,8 @@
 	"rosemarygate/pkg/settings"
 )
 
-// joinAs prepares host 3 to replace the replica on host 2.
-func (f *controlFleet) joinAs() *controlpb.ReplaceReplicaRequest {
+// prepareReplacement prepares host 3 to replace the replica on host 2.
+func (f *controlFleet) prepareReplacement() *controlpb.ReplaceReplicaRequest {
 	joining := f.settings[3]
 	joining.DataDir = filepath.Join(f.t.TempDir(), "data")
 	joining.Control.Replica = true
@@ -151,12 +151,12 @@
 	assert.Equal(t, history.GetRecords()[1].GetOperator(), "ravi")
 }
 
-// Guards against a replacement that can't be given up when the joining host never answers, so that no
+// Guards against a replacement that cannot be given up when the joining host never answers, so that no
 // other one can be started, and against one that is given up after the old replica was removed.
 func TestCancelReplacement(t *testing.T) {
 	t.Parallel()
 	f := newControlFleet(t, "a", "b", "c", "c")
-	q := f.joinAs()
+	q := f.prepareReplacement()
 	f.start(0, 1, 2)
 	f.await("a leader", func() bool { return f.leader() >= 0 })
 	before := f.daemons[0].Control().Status().Membership
@@ -192,7 +192,7 @@
 func TestCancelReplacementWithLearner(t *testing.T) {
 	t.Parallel()
 	f := newControlFleet(t, "a", "b", "c", "c")
-	q := f.joinAs()
+	q := f.prepareReplacement()
 	listener, err := net.Listen("tcp", q.GetJoining().GetAddress())
 	assert.NilError(t, err)
 	server := grpc.NewServer()
@@ -219,7 +219,7 @@
 	t.Parallel()
 	f := newControlFleet(t, "a", "b", "c", "c")
 	hook := logtest.NewLocal(f.log.(*logrus.Logger))
-	q := f.joinAs()
+	q := f.prepareReplacement()
 	f.start(0, 1, 2)
 	f.await("a leader", func() bool { return f.leader() >= 0 })
 	version := f.mustPush(0, change("first", 0, "10-acme.yaml", serviceFile(1), 0))
