client: spread attempts against long queues over time and upstreams

Attempts 20 ms apart at the same upstream used up the retry budget: 289 refusals for 185 archive pulls at steady load, and 6 refused for good. A request refused for its deadline now waits a 16th of the time it has left and goes to another upstream.

--- a/client/caller.go
+++ b/client/caller.go
@@ -25,8 +25,20 @@
 const (
 	elsewhereWait    = 20 * time.Millisecond
 	elsewhereMaxWait = 500 * time.Millisecond
+	// deadlineAttempts spreads the attempts of a request that queues are too long for over
+	// its time. Attempts 20 ms apart used up the retry budget while the queue stayed.
+	deadlineAttempts = 16
 )
 
+// timeLeft returns the time until the deadline of ctx, 0 without one.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return time.Until(deadline)
+}
+
 // Attempt is one try of a request on one flow.
 type Attempt struct {
 	Flow   uint64
@@ -49,7 +61,11 @@
 		if err != nil {
 			c.leave(f)
 		}
-		again := err == nil && c.tryAgain(f, q, r)
+		again := err == nil && c.tryAgain(f, q, r) && c.client.takeRetry()
+		if again && r.Reason == wirepb.Reason_REASON_DEADLINE {
+			c.leave(f)
+			wait = max(wait, timeLeft(ctx)/deadlineAttempts)
+		}
 		c.release(f)
 		if err != nil {
 			if ctx.Err() != nil {
@@ -61,12 +77,12 @@
 		if r.Outcome == Answered {
 			c.client.succeeded()
 		}
-		if !again || !c.client.takeRetry() {
+		if !again {
 			return attempts, nil
 		}
 		select {
 		case <-time.After(jitter(wait)):
-			wait = min(2*wait, elsewhereMaxWait)
+			wait = max(wait, min(2*wait, elsewhereMaxWait))
 		case <-ctx.Done():
 			return attempts, nil
 		}
@@ -88,7 +104,7 @@
 	case wirepb.Reason_REASON_UPSTREAM_SHED, wirepb.Reason_REASON_QUEUE_FULL:
 		return true
 	case wirepb.Reason_REASON_DEADLINE:
-		// The queue would have taken too long; it may be shorter a moment later.
+		// The queue would have taken too long; another one may be shorter.
 		return r.Outcome == NotRun
 	default:
 		return false
