--- a/client/caller.go
+++ b/client/caller.go
@@ -48,7 +48,7 @@
 // Do runs one request until it has an outcome other than one that another attempt may
 // better, or ctx ends. It returns every attempt, the last one being the result. A request
 // that may have run is sent again only when it is idempotent, as a new request. Attempts
-// after the first are paid for by the client's retry budget.
+// after the first are paid for by the retry budget that the client has for the class.
 func (c *Caller) Do(ctx context.Context, q Request) ([]Attempt, error) {
 	var attempts []Attempt
 	wait := elsewhereWait
@@ -61,7 +61,7 @@
 		if err != nil {
 			c.leave(f)
 		}
-		again := err == nil && c.tryAgain(f, q, r) && c.client.takeRetry()
+		again := err == nil && c.tryAgain(f, q, r) && c.client.takeRetry(q.Class)
 		if again && r.Reason == wirepb.Reason_REASON_DEADLINE {
 			c.leave(f)
 			wait = max(wait, timeLeft(ctx)/deadlineAttempts)
@@ -75,7 +75,7 @@
 		}
 		attempts = append(attempts, Attempt{Flow: f.id, Result: r})
 		if r.Outcome == Answered {
-			c.client.succeeded()
+			c.client.succeeded(q.Class)
 		}
 		if !again {
 			return attempts, nil
--- a/client/caller_test.go
+++ b/client/caller_test.go
@@ -37,3 +37,12 @@
 	late := Result{Outcome: Deadline, Reason: wirepb.Reason_REASON_DEADLINE}
 	assert.Assert(t, !caller.tryAgain(nil, Request{Idempotent: true}, late), "the time is over")
 }
+
+// Guards the retries of urgent classes while another class floods: with one budget for all
+// the flood's refusals used it up.
+func TestEachClassHasItsOwnRetryBudget(t *testing.T) {
+	c := New(discard{}, Config{})
+	for c.takeRetry("archive") {
+	}
+	assert.Assert(t, c.takeRetry("edit"))
+}
--- a/client/client.go
+++ b/client/client.go
@@ -44,9 +44,11 @@
 	done      chan struct{}
 	wheel     wheel
 
-	mu     sync.Mutex
-	flows  map[uint64]*Flow
-	budget *retry.Budget
+	mu    sync.Mutex
+	flows map[uint64]*Flow
+	// budgets are by request class, so that retries of a class that floods leave those of the
+	// others their own.
+	budgets map[string]*retry.Budget
 }
 
 // New returns a client over the transport and takes ownership of it.
@@ -58,8 +60,8 @@
 		cfg.FlowTimeout = defaultFlowTimeout
 	}
 	c := &Client{
-		budget: retry.NewBudget(retry.DefaultRatio, retry.DefaultMinRate, retry.DefaultBurst),
-		cfg:    cfg, transport: t, flows: map[uint64]*Flow{}, done: make(chan struct{})}
+		budgets: map[string]*retry.Budget{},
+		cfg:     cfg, transport: t, flows: map[uint64]*Flow{}, done: make(chan struct{})}
 	go c.receive()
 	go c.wheel.run(c.done)
 	return c
@@ -114,18 +116,28 @@
 	return f
 }
 
-// takeRetry uses one retry of the client's budget and reports whether it had one.
-func (c *Client) takeRetry() bool {
+// takeRetry uses one retry of a class's budget and reports whether it had one.
+func (c *Client) takeRetry(class string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.budget.Take(time.Now())
+	return c.budget(class).Take(time.Now())
 }
 
-// succeeded lets an answered request pay for retries.
-func (c *Client) succeeded() {
+// succeeded lets an answered request pay for retries of its class.
+func (c *Client) succeeded(class string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.budget.Success()
+	c.budget(class).Success()
+}
+
+// budget returns the retry budget of a class; c.mu is held.
+func (c *Client) budget(class string) *retry.Budget {
+	b := c.budgets[class]
+	if b == nil {
+		b = retry.NewBudget(retry.DefaultRatio, retry.DefaultMinRate, retry.DefaultBurst)
+		c.budgets[class] = b
+	}
+	return b
 }
 
 func (c *Client) forget(f *Flow) {
