--- a/pkg/load/stagescenarios.go
+++ b/pkg/load/stagescenarios.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"rosemarygate/pkg/load/model"
@@ -88,13 +89,24 @@
 	return append(out, s.recoveryChecks()...)
 }
 
+// mostUrgentStages have two floods, as the model's scenarios: in the first one the other
+// classes press for more than their shares, and the recovery follows one in which they do not.
 func mostUrgentStages(d *staged) []stage {
 	loads := make([]float64, len(d.specs))
 	for i, c := range d.specs {
 		loads[i] = pressingLoad * c.Share
 	}
 	loads[model.Feed] = floodLoad
-	return floodStages(loads)
+	second := make([]float64, len(d.specs))
+	for i, c := range d.specs {
+		second[i] = c.Load
+	}
+	second[model.Feed] = floodLoad
+	list := floodStages(loads)
+	end := len(list) - 2
+	return slices.Insert(list, end,
+		stage{name: "calm", length: 15 * time.Second},
+		stage{name: "second flood", length: 8 * time.Second, loads: second})
 }
 
 func mostUrgentChecks(s *stages) []Check {
