Refuse requests that wait for an upstream's lost connection after 1 s

Cause: requests for an upstream whose connection is lost were held until its lease had lapsed, 3 s later.

Change: 1 s after the connection was lost the owner refuses what waits as not run, so the caller tries another upstream.

--- a/pkg/owner/limit_test.go
+++ b/pkg/owner/limit_test.go
@@ -43,3 +43,23 @@
 		assert.Equal(t, running == 1, after < slotSettles, "%d requests run", running)
 	}
 }
+
+// Guards against requests that wait for a crashed upstream until they have no time left for
+// another one. A connection that comes back soon runs them.
+func TestRequestsDoNotWaitLongForAConnection(t *testing.T) {
+	b := newBench(t, 10)
+	b.step(UpstreamUp{Service: testService, Upstream: testUpstream, Incarnation: 1, Slots: 1, FlowLimit: 10})
+	b.open()
+	b.step(UpstreamLost{Upstream: testUpstream})
+	assert.Equal(t, len(executes(b.frame(tally(1)))), 0)
+	b.now = b.now.Add(reconnectTime / 2)
+	assert.Equal(t, len(outcomes(b.step(Tick{}))), 0)
+	b.now = b.now.Add(reconnectTime / 2)
+	refused := outcomes(b.step(Tick{}))
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].Outcome, wirepb.Outcome_OUTCOME_NOT_RUN)
+	assert.Equal(t, refused[0].Reason, wirepb.Reason_REASON_UPSTREAM_GONE)
+	b.frame(tally(2))
+	up := b.step(UpstreamUp{Service: testService, Upstream: testUpstream, Incarnation: 1, Slots: 1, FlowLimit: 10})
+	assert.Equal(t, len(executes(up)), 1)
+}
--- a/pkg/owner/upstream.go
+++ b/pkg/owner/upstream.go
@@ -32,6 +32,8 @@
 	predecessors map[ownerKey]time.Time
 	// held are requests that wait for a connection or for the end of a handover.
 	held []*record
+	// disconnected is when the connection was lost, or when the wait for the first one began.
+	disconnected time.Time
 	// retries are requests that wait before their next attempt.
 	retries []*record
 	// unacked are flows with feed items that their callers have not acknowledged.
@@ -80,6 +82,7 @@
 		unacked:      map[ident.FlowID]*flow{},
 		expiry:       map[int64][]*flow{},
 		records:      map[int64][]*record{},
+		disconnected: c.now,
 	}
 	u.sched = dispatch.NewScheduler(c.limits(u))
 	c.upstreams[id] = u
@@ -136,10 +139,29 @@
 	if u == nil || u.movedTo != 0 {
 		return
 	}
-	u.connected = false
+	u.connected, u.disconnected = false, c.now
 	c.recallQueued(u)
 }
 
+// reconnectTime is how long requests wait for an upstream's connection, which is normally made
+// anew within 500 ms. Waiting for the end of the lease took 3 s, and requests of that deadline had
+// no time left for another upstream.
+const reconnectTime = time.Second
+
+// refuseHeld refuses what waits for a connection that is not made anew.
+func (c *Core) refuseHeld(u *upstream) {
+	if u.connected || c.now.Sub(u.disconnected) < reconnectTime {
+		return
+	}
+	held := u.held
+	u.held = nil
+	for _, r := range held {
+		if r.state == stateQueued {
+			c.finishNotRun(r, wirepb.Reason_REASON_UPSTREAM_GONE)
+		}
+	}
+}
+
 func (c *Core) upstreamDown(ev UpstreamDown) {
 	c.ended[ev.Upstream] = max(c.ended[ev.Upstream], ev.Incarnation)
 	u := c.upstreams[ev.Upstream]
@@ -220,6 +242,7 @@
 		}
 		c.start(u.sched.Tick(c.now))
 		c.submitRetries(u)
+		c.refuseHeld(u)
 		c.expireFlows(u, second)
 		c.expireRecords(u, second)
 	}
