load: excuse requests held back by an owner across the partition

The client holds a request back while the flow's owner is silent, so the flow at the time of the offer counts as well.

--- a/client/caller.go
+++ b/client/caller.go
@@ -122,6 +122,16 @@
 	return nil
 }
 
+// FlowID returns the identifier of the flow that the next request uses, 0 when there is none.
+func (c *Caller) FlowID() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.flow == nil {
+		return 0
+	}
+	return c.flow.id
+}
+
 func (c *Caller) open(ctx context.Context) (*Flow, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/load/collector.go
+++ b/pkg/load/collector.go
@@ -25,6 +25,7 @@
 type unanswered struct {
 	interval        // its lifetime
 	flow     uint64 // of the last attempt
+	first    uint64 // flow when the request was offered, 0 for none
 	caller   int
 	reason   string
 }
@@ -61,8 +62,9 @@
 	c.classes[class].Offered++
 }
 
-// ended takes the attempts of a request that was offered at the given time.
-func (c *collector) ended(a arrival, offered time.Time, attempts []client.Attempt) {
+// ended takes the attempts of a request that was offered at the given time, when its caller had
+// the flow first.
+func (c *collector) ended(a arrival, offered time.Time, first uint64, attempts []client.Attempt) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -96,17 +98,17 @@
 		k.Refused++
 	case client.Deadline:
 		k.Deadline++
-		c.unanswered("deadline ", a, interval{offered, now}, last)
+		c.unanswered("deadline ", a, unanswered{interval: interval{offered, now}, first: first}, last)
 	default:
 		k.Unknown++
-		c.unanswered("unknown ", a, interval{offered, now}, last)
+		c.unanswered("unknown ", a, unanswered{interval: interval{offered, now}, first: first}, last)
 	}
 }
 
-func (c *collector) unanswered(kind string, a arrival, life interval, last client.Attempt) {
-	reason := kind + refusal.Name(last.Result.Reason)
-	c.unknown = append(c.unknown, unanswered{interval: life, flow: last.Flow, caller: a.caller, reason: reason})
-	c.reasons[reason]++
+func (c *collector) unanswered(kind string, a arrival, u unanswered, last client.Attempt) {
+	u.flow, u.caller, u.reason = last.Flow, a.caller, kind+refusal.Name(last.Result.Reason)
+	c.unknown = append(c.unknown, u)
+	c.reasons[u.reason]++
 }
 
 // unknownOutside counts unanswered requests whose lifetime overlaps none of the intervals.
--- a/pkg/load/live.go
+++ b/pkg/load/live.go
@@ -254,13 +254,14 @@
 	defer cancel()
 	q := client.Request{Class: k.name, Idempotent: k.idempotent, Payload: fmt.Appendf(nil, "%s %d of run %d", k.name, n, l.opts.Seed)}
 	caller := l.callers[a.class][a.caller]
+	first := caller.FlowID()
 	if l.opts.Policy == PolicyNaive {
-		l.col.ended(a, offered, doNaively(ctx, caller, q))
+		l.col.ended(a, offered, first, doNaively(ctx, caller, q))
 		return
 	}
 	// The error repeats what the attempts say, or that no flow was opened.
 	attempts, _ := caller.Do(ctx, q)
-	l.col.ended(a, offered, attempts)
+	l.col.ended(a, offered, first, attempts)
 }
 
 // doNaively sends a request again whenever it has no answer in a short time, as a caller
--- a/pkg/load/result.go
+++ b/pkg/load/result.go
@@ -95,13 +95,13 @@
 }
 
 // unansweredReachable counts unanswered requests whose owner their caller could reach all the
-// time. Those of flows that never ran a request are left out, since nobody knows their
+// time, also that of the flow before a new one: a request is held back while it is silent. Those of flows that never ran a request are left out, since nobody knows their
 // upstream.
 func (l *live) unansweredReachable() int {
 	n := 0
 	for _, u := range l.col.unknown {
 		at := l.fleet.Records.FlowAt(u.flow)
-		if at == "" || l.separated(u.caller, at) {
+		if at == "" || l.separated(u.caller, at) || l.separated(u.caller, l.fleet.Records.FlowAt(u.first)) {
 			continue
 		}
 		l.note("request of caller %d in %s at %s ended as %s, from %.1f to %.1f s", u.caller, l.centreOf(u.caller),
--- a/pkg/load/stage.go
+++ b/pkg/load/stage.go
@@ -225,7 +225,7 @@
 	col.offered(a.class)
 	offered := time.Now()
 	attempts, _ := caller.Do(ctx, q) // the attempts say how it ended
-	col.ended(a, offered, attempts)
+	col.ended(a, offered, 0, attempts)
 	if len(attempts) == 0 {
 		return
 	}
