End a test when daemons answer each other without end

Cause: TestKeptSetsConverge with -rapid.seed=3 took 15.8 GB: a joining daemon and a peer exchange digests of the member list without end. It is not repaired here.

Change: the test network fails at 100,000 messages on their way.

--- a/pkg/registration/network_test.go
+++ b/pkg/registration/network_test.go
@@ -23,6 +23,9 @@
 	// datagramOverhead is the MAC with its wrapping, and the IP and UDP headers, in bytes.
 	datagramOverhead = 20 + 28
 	service          = "user/service"
+	// maxQueued bounds the messages on their way, so that a storm of messages ends the test
+	// before it takes the memory of the machine.
+	maxQueued = 100_000
 )
 
 // network runs the membership and registration cores of daemons on a virtual clock.
@@ -206,6 +209,9 @@
 	start := n.now
 	check := start
 	for n.now.Sub(start) < limit {
+		if len(n.queue) > maxQueued {
+			n.t.Fatalf("%d messages are on their way: daemons answer each other without end", len(n.queue))
+		}
 		next := heap.Pop(&n.queue).(delivery)
 		n.now = next.at
 		n.deliver(next)
