--- a/pkg/registration/core.go
+++ b/pkg/registration/core.go
@@ -91,14 +91,6 @@
 	nextAsk    time.Time
 }
 
-// change tells why an entry is reported.
-type change bool
-
-const (
-	altered   change = true  // added, changed or ended
-	discarded change = false // no longer kept here
-)
-
 // New returns a core without registrations.
 func New(cfg Config, rng *rand.Rand) *Core {
 	setDuration(&cfg.Lease, defaultLease)
--- a/pkg/registration/kept.go
+++ b/pkg/registration/kept.go
@@ -15,6 +15,14 @@
 	defaultDropAfter = time.Minute
 )
 
+// change tells why an entry is reported.
+type change bool
+
+const (
+	altered   change = true  // added, changed or ended
+	discarded change = false // no longer kept here
+)
+
 // selectKept decides for the current view which data centres' registrations this daemon keeps.
 // A daemon of a large fleet keeps those of its own data centre, of the near ones, and of the one
 // that its data centre succeeds: it takes over when no daemon there is left to ask, and until
