membership: end endless exchanges with an unknown sender

Cause: a daemon answered each message of a sender that it does not know with its own entry and digests. The other daemon knew it already, so it answered with up to three messages without its own entry, each of which caused the next ones. Beside it, a list entry that was outdated was not corrected: a tombstone without a data centre is covered by no digest, so the digests of that data centre stayed different and kept the exchange going.

Change: an unknown sender is sent the own entry at most each 100 ms, a digest that carries its sender's entry is answered with the own one, and outdated entries of a list are corrected.

Both new tests fail without the change.

Conclusion: no message causes more than one answer to an unknown sender in 100 ms.

--- a/pkg/membership/core.go
+++ b/pkg/membership/core.go
@@ -69,6 +69,7 @@
 	nextSync  time.Time
 	nextCross time.Time
 	nextClean time.Time
+	nextIntro time.Time // when the own entry may be sent to an unknown sender again
 	nextGrant time.Time // when changes may be spread at once again
 }
 
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -239,6 +239,43 @@
 	assert.DeepEqual(t, []membership.Action{membership.Joined{Alone: true}}, d.actions)
 }
 
+// Guards against two daemons that answer each other ever more often, because one does not know the
+// other, which never says who it is.
+func TestUnknownSenderIsAskedOnce(t *testing.T) {
+	n := cluster(t, 1, 2, 1)
+	d, stranger := n.nodes[0], n.nodes[1]
+	m := &peerpb.Membership{Kind: peerpb.Membership_KIND_ACK, From: uint64(ident.Daemon("stranger"))}
+	asked := 0
+	for range 5 {
+		for _, a := range d.core.Step(n.now, membership.Received{From: address(9), Message: m}) {
+			asked++
+			m := a.(membership.Send).Message
+			answers := stranger.core.Step(n.now, membership.Received{From: d.member.PeerAddr, Message: m})
+			assert.Equal(t, len(answers), 1)
+			updates := answers[0].(membership.Send).Message.Updates
+			assert.Equal(t, updates[0].Id, uint64(stranger.member.ID))
+			assert.Equal(t, updates[0].Name, stranger.member.Name)
+		}
+	}
+	assert.Equal(t, asked, 1)
+}
+
+// Guards against a death that one side never learns: the other knows the dead member only by a
+// tombstone without a data centre, which no digest covers.
+func TestOutdatedListIsCorrected(t *testing.T) {
+	n := cluster(t, 1, 2, 2)
+	d, peer := n.nodes[0], n.nodes[1]
+	gone := &peerpb.Member{Id: uint64(ident.Daemon("gone")), Incarnation: 1, State: peerpb.MemberState_MEMBER_STATE_DEAD}
+	list := &peerpb.Membership{Kind: peerpb.Membership_KIND_SYNC, From: uint64(peer.member.ID), Updates: []*peerpb.Member{gone}}
+	d.core.Step(n.now, membership.Received{From: peer.member.PeerAddr, Message: list})
+	list.Updates = []*peerpb.Member{{Id: gone.Id, Incarnation: 1, State: peerpb.MemberState_MEMBER_STATE_SERVING}}
+	answers := d.core.Step(n.now, membership.Received{From: peer.member.PeerAddr, Message: list})
+	assert.Equal(t, len(answers), 1)
+	correction := answers[0].(membership.Send).Message.Updates[0]
+	assert.Equal(t, correction.Id, gone.Id)
+	assert.Equal(t, correction.State, gone.State)
+}
+
 // Guards against messages of a faulty peer that stop the daemon or make it send oversize ones.
 func TestArbitraryMessagesDoNoHarm(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -195,7 +195,7 @@
 	correct := c.applyAll(now, m)
 	r := c.table.records[ident.DaemonID(m.From)]
 	if r == nil {
-		c.sendOwnEntry(from)
+		c.introduce(now, from)
 	} else {
 		c.hear(now, r, m)
 	}
@@ -209,10 +209,23 @@
 	case peerpb.Membership_KIND_DIGEST:
 		c.onDigest(now, from, r, m, correct)
 	case peerpb.Membership_KIND_SYNC:
-		c.onSync(now, from, m)
+		c.onSync(now, from, r, m, correct)
 	}
 }
 
+// introduceEvery is the least time between two messages to senders that are not known. Without it
+// each of the up to three messages that such a sender answers with caused the next ones.
+const introduceEvery = 100 * time.Millisecond
+
+// introduce sends the daemon's own entry to a sender that is not known, which answers with its own.
+func (c *Core) introduce(now time.Time, to netip.AddrPort) {
+	if now.Before(c.nextIntro) {
+		return
+	}
+	c.nextIntro = now.Add(introduceEvery)
+	c.sendOwnEntry(to)
+}
+
 func (c *Core) applyAll(now time.Time, m *peerpb.Membership) []*record {
 	var correct []*record
 	for _, u := range m.Updates {
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -124,7 +125,7 @@
 	if len(m.Digests) > maxReceivedUpdates {
 		return
 	}
-	if r != nil && r.State == Joining && len(correct) == 0 {
+	if introduces(m) {
 		correct = append(correct, c.self)
 	}
 	answer := &peerpb.Membership{Kind: peerpb.Membership_KIND_DIGEST}
@@ -142,6 +143,12 @@
 	c.noticeAgreement(r, m)
 }
 
+// introduces tells whether a digest carries the sender's own entry: the sender is joining, or does
+// not know this daemon.
+func introduces(m *peerpb.Membership) bool {
+	return slices.ContainsFunc(m.Updates, func(u *peerpb.Member) bool { return u.GetId() == m.From && u.Name != "" })
+}
+
 // compare adds this daemon's digest of a data centre to the answer, with buckets where the
 // sums differ, and sends the members of buckets that differ. An equal sum is added on request.
 func (c *Core) compare(now time.Time, from netip.AddrPort, d *peerpb.Digest, answer *peerpb.Membership, detailed int, equal bool) int {
@@ -253,10 +260,16 @@
 	c.emit(to, m)
 }
 
-func (c *Core) onSync(now time.Time, from netip.AddrPort, m *peerpb.Membership) {
+// onSync answers a list of members. Entries that are outdated are corrected: the digests of a data
+// centre would differ forever when only this daemon knows of a member's death, and not its data
+// centre. A correction is a larger statement, so corrections of corrections end.
+func (c *Core) onSync(now time.Time, from netip.AddrPort, r *record, m *peerpb.Membership, correct []*record) {
 	if !c.joined {
 		c.nextSync = now
 	}
+	if len(correct) > 0 {
+		c.reply(now, from, r, &peerpb.Membership{Kind: peerpb.Membership_KIND_SYNC}, correct)
+	}
 	if !m.Pull {
 		return
 	}
