--- a/pkg/control/replica/core.go
+++ b/pkg/control/replica/core.go
@@ -23,7 +23,7 @@
 // the disk and in memory when pushes are large.
 const (
 	snapshotEvery = 5000
-	snapshotBytes = 16 << 20
+	snapshotBytes = 4 << 20
 )
 
 // maxBatch bounds the messages and calls that one sync serves.
