--- a/pkg/control/replica/change.go
+++ b/pkg/control/replica/change.go
@@ -48,7 +48,7 @@
 	if err := r.current(ctx); err != nil {
 		return nil, noMajority()
 	}
-	r.judge.prepare(e.GetPush()) // decoding here keeps it off the goroutine of the cores
+	r.validator.prepare(e.GetPush()) // decoding here keeps it off the goroutine of the cores
 	e.TimeUnixMs = time.Now().UnixMilli()
 	var reply *controlpb.Reply
 	var done chan result
--- a/pkg/control/replica/core.go
+++ b/pkg/control/replica/core.go
@@ -100,15 +100,15 @@
 		return nil, err
 	}
 	c := &core{
-		r: r, store: store, node: node, machine: state.New(r.judge.rules()), group: st.HardState.Group,
+		r: r, store: store, node: node, machine: state.New(r.validator.rules()), group: st.HardState.Group,
 		waiters: map[uint64]waiter{}, reads: map[uint64]chan struct{}{},
 	}
 	if st.Snapshot.Index > 0 {
-		if c.machine, err = state.Restore(r.judge.rules(), st.Snapshot.Data); err != nil {
+		if c.machine, err = state.Restore(r.validator.rules(), st.Snapshot.Data); err != nil {
 			return nil, err
 		}
 		c.snapshotted = st.Snapshot.Index
-		r.judge.warm(c.machine.View().Folder.Files())
+		r.validator.preload(c.machine.View().Folder.Files())
 	}
 	r.led.Store(time.Now().UnixNano()) // daemons get what the disk holds before an election ends
 	r.identity.Store(&controlpb.IdentifyReply{
@@ -178,7 +178,7 @@
 				return err
 			}
 		}
-		c.r.judge.prepareEntries(rd.Entries)
+		c.r.validator.prepareEntries(rd.Entries)
 		if err := c.store.Save(rd.HardState, rd.Entries); err != nil {
 			return err
 		}
@@ -202,12 +202,12 @@
 
 func (c *core) apply(rd *agreement.Ready) error {
 	if rd.Snapshot != nil {
-		m, err := state.Restore(c.r.judge.rules(), rd.Snapshot.Data)
+		m, err := state.Restore(c.r.validator.rules(), rd.Snapshot.Data)
 		if err != nil {
 			return err
 		}
 		c.machine, c.snapshotted, c.logged = m, rd.Snapshot.Index, 0
-		c.r.judge.warm(m.View().Folder.Files())
+		c.r.validator.preload(m.View().Folder.Files())
 	}
 	for _, e := range rd.Committed {
 		c.logged += len(e.Data)
--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -63,7 +63,7 @@
 	cfg       Config
 	id        ident.DaemonID
 	log       logrus.FieldLogger
-	judge     *judge
+	validator     *validator
 	calls     chan func(*core)
 	incoming  chan agreement.Message
 	transport *transport
@@ -94,7 +94,7 @@
 // New prepares a replica.
 func New(cfg Config) (*Replica, error) {
 	r := &Replica{
-		cfg: cfg, id: ident.Daemon(cfg.Name), log: cfg.Log, judge: newJudge(),
+		cfg: cfg, id: ident.Daemon(cfg.Name), log: cfg.Log, validator: newValidator(),
 		calls: make(chan func(*core), queueLength), incoming: make(chan agreement.Message, queueLength),
 		addresses: map[ident.DaemonID]*controlpb.ReplicaHost{},
 	}
@@ -102,7 +102,7 @@
 		r.cfg.FS = storage.OS{}
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
-	r.publish = newDistributor(cfg.Name, state.New(r.judge.rules()).View())
+	r.publish = newDistributor(cfg.Name, state.New(r.validator.rules()).View())
 	r.status.Store(&Status{})
 	r.identity.Store(&controlpb.IdentifyReply{})
 	r.know(cfg.Replicas)
--- a/pkg/control/replica/rules.go
+++ b/pkg/control/replica/rules.go
@@ -30,9 +30,9 @@
 	return out
 }
 
-// judge checks folders. It remembers the last valid one, and a check costs as much as the difference
+// validator checks folders. It remembers the last valid one, and a check costs as much as the difference
 // from that: a change is checked when it is proposed and again when it is applied.
-type judge struct {
+type validator struct {
 	cache *config.Cache
 
 	mu     sync.Mutex
@@ -40,67 +40,67 @@
 	merged *config.Incremental
 }
 
-func newJudge() *judge {
+func newValidator() *validator {
 	cache := config.NewCache(decodedBytes)
-	return &judge{cache: cache, merged: config.NewIncremental(cache)}
+	return &validator{cache: cache, merged: config.NewIncremental(cache)}
 }
 
 // Rules returns the rules of the replicated state.
-func Rules() state.Rules { return newJudge().rules() }
+func Rules() state.Rules { return newValidator().rules() }
 
-func (j *judge) rules() state.Rules {
-	return state.Rules{Validate: j.validate, LongestKeepAlive: j.longestKeepAlive}
+func (v *validator) rules() state.Rules {
+	return state.Rules{Validate: v.validate, LongestKeepAlive: v.longestKeepAlive}
 }
 
 // validate returns the faults of a folder. No files are valid: that is the state before the first
 // change.
-func (j *judge) validate(files []*folder.File) error {
-	j.mu.Lock()
-	defer j.mu.Unlock()
+func (v *validator) validate(files []*folder.File) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	if len(files) == 0 {
-		j.files = nil
-		j.merged.Clear()
+		v.files = nil
+		v.merged.Clear()
 		return nil
 	}
-	put, removed := folder.Compare(j.files, files)
+	put, removed := folder.Compare(v.files, files)
 	if len(put)+len(removed) > 0 {
-		if _, err := j.merged.Apply(Files(put), removed); err != nil {
+		if _, err := v.merged.Apply(Files(put), removed); err != nil {
 			return err
 		}
 	}
-	j.files = files
+	v.files = files
 	return nil
 }
 
 // longestKeepAlive returns the longest flow_idle of a valid folder: a caller sends its keep-alive at
 // least once in its flow's idle time.
-func (j *judge) longestKeepAlive(files []*folder.File) time.Duration {
-	if j.validate(files) != nil {
+func (v *validator) longestKeepAlive(files []*folder.File) time.Duration {
+	if v.validate(files) != nil {
 		return 0
 	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.merged.LongestFlowIdle().Truncate(time.Millisecond)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.merged.LongestFlowIdle().Truncate(time.Millisecond)
 }
 
-// warm merges an accepted folder while the replica goes on; a check waits for it.
-func (j *judge) warm(files []*folder.File) {
-	go func() { _ = j.validate(files) }() // an accepted folder is valid
+// preload merges an accepted folder while the replica goes on; a check waits for it.
+func (v *validator) preload(files []*folder.File) {
+	go func() { _ = v.validate(files) }() // an accepted folder is valid
 }
 
 // prepare decodes the files of a push, so that its check does not have to.
-func (j *judge) prepare(p *controlpb.Push) {
+func (v *validator) prepare(p *controlpb.Push) {
 	var files []config.File
 	for _, f := range p.GetFiles() {
 		if !f.GetRemove() {
 			files = append(files, config.File{Name: f.GetName(), Data: f.GetData()})
 		}
 	}
-	j.cache.Prepare(files)
+	v.cache.Prepare(files)
 }
 
 // prepareEntries decodes the files of large entries that this replica has not applied yet.
-func (j *judge) prepareEntries(entries []agreement.Entry) {
+func (v *validator) prepareEntries(entries []agreement.Entry) {
 	for _, entry := range entries {
 		if len(entry.Data) < prepareBytes {
 			continue
@@ -108,7 +108,7 @@
 		go func() {
 			var e controlpb.Entry
 			if proto.Unmarshal(entry.Data, &e) == nil {
-				j.prepare(e.GetPush())
+				v.prepare(e.GetPush())
 			}
 		}()
 	}
--- a/pkg/control/replica/rules_test.go
+++ b/pkg/control/replica/rules_test.go
@@ -31,10 +31,10 @@
 	folders := []*folder.Folder{empty, one, two, invalid}
 	want := make([]string, len(folders))
 	for i, f := range folders {
-		want[i] = fmt.Sprint(newJudge().validate(f.Files()))
+		want[i] = fmt.Sprint(newValidator().validate(f.Files()))
 	}
 	assert.Equal(t, want[3], "00009-s.yaml:1: users.acme.services.z.port: port 1002 is already that of acme/s2 (00003-s.yaml:1): choose a port that no service has, such as 1003")
-	j := newJudge()
+	j := newValidator()
 	for _, i := range []int{1, 3, 0, 3, 2, 1, 3, 3, 2, 0, 1} {
 		assert.Equal(t, fmt.Sprint(j.validate(folders[i].Files())), want[i])
 	}
@@ -50,7 +50,7 @@
 		b.Run(fmt.Sprintf("prepared=%v", prepared), func(b *testing.B) {
 			for b.Loop() {
 				b.StopTimer()
-				j := newJudge()
+				j := newValidator()
 				assert.NilError(b, j.validate(base.Files()))
 				if prepared {
 					j.prepare(&controlpb.Push{Files: changesOf(put)})
