--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -63,7 +63,7 @@
 	cfg       Config
 	id        ident.DaemonID
 	log       logrus.FieldLogger
-	validator     *validator
+	validator *validator
 	calls     chan func(*core)
 	incoming  chan agreement.Message
 	transport *transport
