--- a/pkg/control/replica/change.go
+++ b/pkg/control/replica/change.go
@@ -123,21 +123,13 @@
 	return reply, err
 }
 
-// cancelOnNewLeader ends the wait for a leader that was replaced meanwhile.
+// cancelOnNewLeader ends the wait for a leader that was replaced meanwhile; cancel ends ctx.
 func (r *Replica) cancelOnNewLeader(ctx context.Context, leader agreement.Replica, cancel context.CancelFunc) {
-	ticker := time.NewTicker(leaderPoll)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if now := r.Status().Leader; now != agreement.None && now != leader {
-				cancel()
-				return
-			}
+	_ = every(ctx, leaderPoll, func() {
+		if now := r.Status().Leader; now != agreement.None && now != leader {
+			cancel()
 		}
-	}
+	})
 }
 
 // forwarded reports whether another replica passed the request on.
--- a/pkg/control/replica/recover.go
+++ b/pkg/control/replica/recover.go
@@ -62,29 +62,23 @@
 // watchGroups logs that this replica was left behind by a recovery: it has no leader, because the
 // others belong to a later group.
 func (r *Replica) watchGroups(ctx context.Context) error {
-	ticker := time.NewTicker(groupPeriod)
-	defer ticker.Stop()
 	var told logLimiter
-	for without := 0; ; {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	without := 0
+	return every(ctx, groupPeriod, func() {
 		without++
 		group, st := r.identity.Load().GetGroup(), r.Status()
 		if !st.Loaded || st.Leader != agreement.None || group == 0 {
 			without = 0
 		}
 		if without < 2 { // one alone may be an election
-			continue
+			return
 		}
 		for _, answer := range r.identifyOthers(ctx) {
 			if other := answer.GetGroup(); other != 0 && other != group && told.due() {
 				events.OtherGroup.Log(r.log, logrus.Fields{"replica": ident.DaemonID(answer.GetId()), "group": group, "other": other})
 			}
 		}
-	}
+	})
 }
 
 // OpenRecovery reads the data folder of a stopped replica and changes nothing. It refuses the folder
