Move the transport between control replicas to a package of its own

Control hosts that found their group from seeds run the same agreement protocol over the same connections. Behaviour is unchanged; the tests of pkg/control pass.

--- a/pkg/cli/control.go
+++ b/pkg/cli/control.go
@@ -14,6 +14,7 @@
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/control/replica"
 	"rosemarygate/pkg/control/state"
+	"rosemarygate/pkg/control/transport"
 	"rosemarygate/pkg/security"
 	"rosemarygate/pkg/settings"
 )
@@ -81,7 +82,7 @@
 
 func askOne[A any](ctx context.Context, address string, identity *security.Identity, wait time.Duration, ask func(context.Context, controlpb.OperatorClient) (A, error)) (A, error) {
 	var none A
-	conn, err := grpc.NewClient(address, replica.DialOptions([]grpc.DialOption{identity.Client()})...)
+	conn, err := grpc.NewClient(address, transport.DialOptions([]grpc.DialOption{identity.Client()})...)
 	if err != nil {
 		return none, err
 	}
--- a/pkg/control/replica/change.go
+++ b/pkg/control/replica/change.go
@@ -109,7 +109,7 @@
 // forward makes a change at the leader, until another one is elected. A connection on which
 // nothing was answered is made anew, since TCP may need minutes after a partition.
 func (r *Replica) forward(ctx context.Context, leader agreement.Replica, address string, remote remoteCall) (*controlpb.Reply, error) {
-	conn, err := r.transport.conn(address)
+	conn, err := r.transport.Conn(address)
 	if err != nil {
 		return nil, err
 	}
@@ -118,7 +118,7 @@
 	go r.cancelOnNewLeader(ctx, leader, cancel)
 	reply, err := remote(metadata.AppendToOutgoingContext(ctx, forwardedKey, r.cfg.Name), controlpb.NewOperatorClient(conn))
 	if ctx.Err() != nil {
-		r.transport.drop(address)
+		r.transport.Drop(address)
 	}
 	return reply, err
 }
--- a/pkg/control/replica/core.go
+++ b/pkg/control/replica/core.go
@@ -186,7 +186,7 @@
 			c.group = rd.HardState.Group
 		}
 		for i := range rd.Messages {
-			c.r.transport.send(&rd.Messages[i])
+			c.r.transport.Send(&rd.Messages[i])
 		}
 		if err := c.apply(&rd); err != nil {
 			return err
--- a/pkg/control/replica/distributor.go
+++ b/pkg/control/replica/distributor.go
@@ -13,6 +13,7 @@
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/control/distribution"
 	"rosemarygate/pkg/control/state"
+	"rosemarygate/pkg/control/transport"
 )
 
 const (
@@ -181,7 +182,7 @@
 		case <-stream.Context().Done():
 			return nil
 		case <-s.r.ctx.Done():
-			return errStopping
+			return transport.ErrStopping
 		case <-check.C:
 			if !s.r.connected() {
 				return s.r.unconnected()
--- a/pkg/control/replica/errors.go
+++ b/pkg/control/replica/errors.go
@@ -14,7 +14,6 @@
 
 var (
 	errOutcomeUnknown = errors.New("leadership ended before the change was confirmed")
-	errStopping       = status.Error(codes.Unavailable, "replica is stopping: connect to another replica")
 	errRemoved        = status.Error(codes.Unavailable, "replica was removed from its group and gets no changes: watch another replica, and correct control.replicas in the daemon's settings")
 	errStalled        = status.Error(codes.Unavailable, "disk of the replica does not answer, so it gets no changes: watch another replica, and check the disk of its data folder")
 	errLeaderless     = status.Error(codes.Unavailable, "replica has no leader and gets no changes: watch another replica, or wait until a majority of the replicas runs")
--- a/pkg/control/replica/found.go
+++ b/pkg/control/replica/found.go
@@ -132,7 +132,7 @@
 }
 
 func (r *Replica) identify(ctx context.Context, h *controlpb.ReplicaHost) *controlpb.IdentifyReply {
-	conn, err := r.transport.conn(h.GetAddress())
+	conn, err := r.transport.Conn(h.GetAddress())
 	if err != nil {
 		return nil
 	}
--- a/pkg/control/replica/recover.go
+++ b/pkg/control/replica/recover.go
@@ -15,6 +15,7 @@
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/control/state"
+	"rosemarygate/pkg/control/transport"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/storage"
@@ -45,7 +46,7 @@
 	r := &Replica{cfg: Config{Name: name, Replicas: hosts}}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r.transport = newTransport(ctx, nil, r.address, dial)
+	r.transport = transport.New(ctx, nil, r.address, dial)
 	var running []string
 	for _, answer := range r.identifyOthers(ctx) {
 		if answer.GetGroup() == 0 {
--- a/pkg/control/replica/replica.go
+++ b/pkg/control/replica/replica.go
@@ -19,6 +19,7 @@
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/control/state"
+	"rosemarygate/pkg/control/transport"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/storage"
@@ -66,7 +67,7 @@
 	validator *validator
 	calls     chan func(*core)
 	incoming  chan agreement.Message
-	transport *transport
+	transport *transport.Transport
 	publish   *distributor
 	book      *ledger
 	status    atomic.Pointer[Status]
@@ -111,13 +112,13 @@
 		return nil, err
 	}
 	r.book = book
-	r.transport = newTransport(r.ctx, r.addresses[r.id], r.address, cfg.Dial)
+	r.transport = transport.New(r.ctx, r.addresses[r.id], r.address, cfg.Dial)
 	return r, nil
 }
 
 // Register adds the replica's services to a server.
 func (r *Replica) Register(s grpc.ServiceRegistrar) {
-	controlpb.RegisterAgreementServer(s, &agreementServer{r: r})
+	controlpb.RegisterAgreementServer(s, &transport.Server{Context: r.ctx, Introduce: r.introduce, Receive: r.receive})
 	controlpb.RegisterReplicationServer(s, &replicationServer{r: r})
 	controlpb.RegisterOperatorServer(s, &operator{r: r})
 	controlpb.RegisterDistributionServer(s, &distributionServer{r: r})
@@ -203,6 +204,21 @@
 	}
 }
 
+// introduce remembers the address of a replica that neither the settings nor the log name.
+func (r *Replica) introduce(name, address string) {
+	if _, known := r.address(ident.Daemon(name)); !known {
+		r.know([]*controlpb.ReplicaHost{{Name: name, Address: address}})
+	}
+}
+
+func (r *Replica) receive(m agreement.Message) {
+	r.transport.Received(m.From.ID)
+	select {
+	case r.incoming <- m:
+	default:
+	}
+}
+
 func (r *Replica) address(id ident.DaemonID) (string, bool) {
 	r.addrMu.Lock()
 	defer r.addrMu.Unlock()
--- a/pkg/control/replica/share.go
+++ b/pkg/control/replica/share.go
@@ -13,6 +13,7 @@
 
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/control/totals"
+	"rosemarygate/pkg/control/transport"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 )
@@ -169,7 +170,7 @@
 // call calls another replica. A connection on which a call timed out, or was given up by f, is
 // made anew.
 func (r *Replica) call(ctx context.Context, h *controlpb.ReplicaHost, limit time.Duration, f func(context.Context, controlpb.ReplicationClient) error) error {
-	conn, err := r.transport.conn(h.GetAddress())
+	conn, err := r.transport.Conn(h.GetAddress())
 	if err != nil {
 		return err
 	}
@@ -177,7 +178,7 @@
 	defer cancel()
 	err = f(limited, controlpb.NewReplicationClient(conn))
 	if code := status.Code(err); ctx.Err() == nil && (code == codes.Canceled || code == codes.DeadlineExceeded) {
-		r.transport.drop(h.GetAddress())
+		r.transport.Drop(h.GetAddress())
 	}
 	return err
 }
@@ -192,7 +193,7 @@
 func (s *replicationServer) Identify(context.Context, *controlpb.IdentifyRequest) (*controlpb.IdentifyReply, error) {
 	id := s.r.identity.Load()
 	if id.GetId() == 0 {
-		return nil, errStopping
+		return nil, transport.ErrStopping
 	}
 	return id, nil
 }
--- a/pkg/control/subscription/subscription.go
+++ b/pkg/control/subscription/subscription.go
@@ -18,7 +18,7 @@
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/control/distribution"
-	"rosemarygate/pkg/control/replica"
+	"rosemarygate/pkg/control/transport"
 	"rosemarygate/pkg/events"
 )
 
@@ -211,7 +211,7 @@
 
 // follow watches one replica until that fails. It returns nil to begin again with the first.
 func (s *Subscription) follow(ctx context.Context, h *controlpb.ReplicaHost) error {
-	conn, err := grpc.NewClient(h.GetAddress(), replica.DialOptions(s.cfg.Dial)...)
+	conn, err := grpc.NewClient(h.GetAddress(), transport.DialOptions(s.cfg.Dial)...)
 	if err != nil {
 		return errors.WithStack(err)
 	}
--- a/pkg/control/replica/transport.go
+++ b/pkg/control/transport/transport.go
@@ -1,4 +1,5 @@
-package replica
+// Package transport carries the messages of the agreement protocol between control replicas.
+package transport
 
 import (
 	"context"
@@ -9,7 +10,9 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	controlpb "rosemarygate/api/control/v1"
@@ -35,13 +38,16 @@
 // measuring the connection with a ping for each message, a sixth of the idle traffic.
 const Window = 1 << 20
 
+// ErrStopping ends the streams of a replica that stops.
+var ErrStopping = status.Error(codes.Unavailable, "replica is stopping: connect to another replica")
+
 // MaxMessage is the largest message on control connections in bytes: a snapshot of the largest
 // folder (state.MaxFolderSize) with its history and replies.
 const MaxMessage = 48 << 20
 
-// transport sends messages to the other replicas, each over one stream, and drops what a
+// Transport sends messages to the other replicas, each over one stream, and drops what a
 // replica does not take in time: the protocol repeats it.
-type transport struct {
+type Transport struct {
 	ctx     context.Context
 	self    *controlpb.ReplicaHost
 	resolve func(ident.DaemonID) (string, bool)
@@ -57,8 +63,10 @@
 	heard atomic.Int64 // Unix nanoseconds of the last message from the peer
 }
 
-func newTransport(ctx context.Context, self *controlpb.ReplicaHost, resolve func(ident.DaemonID) (string, bool), options []grpc.DialOption) *transport {
-	t := &transport{
+// New returns a transport that runs until ctx ends. self is introduced to the other replicas, and
+// resolve returns the address of one of them.
+func New(ctx context.Context, self *controlpb.ReplicaHost, resolve func(ident.DaemonID) (string, bool), options []grpc.DialOption) *Transport {
+	t := &Transport{
 		ctx: ctx, self: self, resolve: resolve, options: DialOptions(options),
 		peers: map[ident.DaemonID]*peer{}, conns: map[string]*grpc.ClientConn{},
 	}
@@ -76,7 +84,7 @@
 	}, options...)
 }
 
-func (t *transport) close() {
+func (t *Transport) close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range t.conns {
@@ -84,8 +92,8 @@
 	}
 }
 
-// conn returns the connection for unary calls to an address.
-func (t *transport) conn(address string) (*grpc.ClientConn, error) {
+// Conn returns the connection for unary calls to an address.
+func (t *Transport) Conn(address string) (*grpc.ClientConn, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c := t.conns[address]; c != nil {
@@ -99,8 +107,8 @@
 	return c, nil
 }
 
-// drop closes the connection for unary calls to an address after one of them timed out.
-func (t *transport) drop(address string) {
+// Drop closes the connection for unary calls to an address after one of them timed out.
+func (t *Transport) Drop(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c := t.conns[address]; c != nil {
@@ -109,7 +117,7 @@
 	}
 }
 
-func (t *transport) peer(id ident.DaemonID) *peer {
+func (t *Transport) peer(id ident.DaemonID) *peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[id]
@@ -121,22 +129,22 @@
 	return p
 }
 
-// send queues a message, or drops it when the queue is full.
-func (t *transport) send(m *agreement.Message) {
+// Send queues a message, or drops it when the queue is full.
+func (t *Transport) Send(m *agreement.Message) {
 	select {
 	case t.peer(m.To.ID).queue <- agreement.MessageProto(m):
 	default:
 	}
 }
 
-// received notes that a replica is heard.
-func (t *transport) received(id ident.DaemonID) {
+// Received notes that a replica is heard.
+func (t *Transport) Received(id ident.DaemonID) {
 	if _, known := t.resolve(id); known {
 		t.peer(id).heard.Store(time.Now().UnixNano())
 	}
 }
 
-func (t *transport) run(id ident.DaemonID, p *peer) {
+func (t *Transport) run(id ident.DaemonID, p *peer) {
 	for t.ctx.Err() == nil {
 		select {
 		case <-t.ctx.Done():
@@ -155,7 +163,7 @@
 
 // sendFrom sends messages from m on to a peer whose address is known, and returns the first one that
 // needs a new stream, nil if there is none.
-func (t *transport) sendFrom(id ident.DaemonID, p *peer, m *controlpb.AgreementMessage) *controlpb.AgreementMessage {
+func (t *Transport) sendFrom(id ident.DaemonID, p *peer, m *controlpb.AgreementMessage) *controlpb.AgreementMessage {
 	address, ok := t.resolve(id)
 	if !ok {
 		return nil
@@ -167,7 +175,7 @@
 // for a while. It returns the message that it did not send in the last two cases. An idle connection
 // may have been lost meanwhile without notice, though the peer is heard over its own: a replica that
 // was removed during a partition was never told, because the answer went over the old stream.
-func (t *transport) stream(address string, p *peer, m *controlpb.AgreementMessage) *controlpb.AgreementMessage {
+func (t *Transport) stream(address string, p *peer, m *controlpb.AgreementMessage) *controlpb.AgreementMessage {
 	conn, err := grpc.NewClient(address, t.options...)
 	if err != nil {
 		return nil
@@ -230,15 +238,20 @@
 	h.from, h.to, h.group = m.GetFrom(), m.GetTo(), m.GetGroup()
 }
 
-// agreementServer receives the messages of other replicas.
-type agreementServer struct {
+// Server receives the messages of other replicas.
+type Server struct {
 	controlpb.UnimplementedAgreementServer
-	r *Replica
+	// Context ends the streams.
+	Context context.Context
+	// Introduce learns the name and the address of a sender.
+	Introduce func(name, address string)
+	// Receive takes a message; it must not block.
+	Receive func(agreement.Message)
 }
 
 // Exchange takes messages until the stream or the replica ends.
-func (s *agreementServer) Exchange(stream grpc.ClientStreamingServer[controlpb.AgreementMessage, controlpb.ExchangeReply]) error {
-	s.r.introduce(stream.Context())
+func (s *Server) Exchange(stream grpc.ClientStreamingServer[controlpb.AgreementMessage, controlpb.ExchangeReply]) error {
+	s.introduce(stream.Context())
 	ended := make(chan error, 1)
 	go func() {
 		var header header
@@ -249,33 +262,21 @@
 				return
 			}
 			header.complete(m)
-			s.r.receive(agreement.MessageFromProto(m))
+			s.Receive(agreement.MessageFromProto(m))
 		}
 	}()
 	select {
 	case err := <-ended:
 		return err
-	case <-s.r.ctx.Done():
-		return errStopping
+	case <-s.Context.Done():
+		return ErrStopping
 	}
 }
 
-// introduce remembers the address of a replica that neither the settings nor the log name.
-func (r *Replica) introduce(ctx context.Context) {
+func (s *Server) introduce(ctx context.Context) {
 	in, _ := metadata.FromIncomingContext(ctx)
 	name, address := in.Get(nameKey), in.Get(addressKey)
-	if len(name) != 1 || len(address) != 1 {
-		return
-	}
-	if _, known := r.address(ident.Daemon(name[0])); !known {
-		r.know([]*controlpb.ReplicaHost{{Name: name[0], Address: address[0]}})
-	}
-}
-
-func (r *Replica) receive(m agreement.Message) {
-	r.transport.received(m.From.ID)
-	select {
-	case r.incoming <- m:
-	default:
+	if len(name) == 1 && len(address) == 1 {
+		s.Introduce(name[0], address[0])
 	}
 }
--- a/pkg/control/replica/transport_test.go
+++ b/pkg/control/transport/transport_test.go
@@ -1,4 +1,4 @@
-package replica
+package transport
 
 import (
 	"testing"
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -21,6 +21,7 @@
 	upstreampb "rosemarygate/api/upstream/v1"
 	"rosemarygate/pkg/config"
 	"rosemarygate/pkg/control/replica"
+	"rosemarygate/pkg/control/transport"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/membership"
@@ -273,7 +274,7 @@
 
 func (d *Daemon) addServers(g *run.Group) {
 	options := append(d.identity.RequirePeer(append(controlServices(), peerpb.Peer_ServiceDesc.ServiceName)...),
-		d.identity.Server(), grpc.InitialWindowSize(replica.Window), grpc.InitialConnWindowSize(replica.Window), grpc.MaxRecvMsgSize(replica.MaxMessage), grpc.MaxSendMsgSize(replica.MaxMessage))
+		d.identity.Server(), grpc.InitialWindowSize(transport.Window), grpc.InitialConnWindowSize(transport.Window), grpc.MaxRecvMsgSize(transport.MaxMessage), grpc.MaxSendMsgSize(transport.MaxMessage))
 	server := grpc.NewServer(options...)
 	upstreampb.RegisterRegistryServer(server, &registry{d: d})
 	peerpb.RegisterPeerServer(server, &peerServer{d: d})
