Run on the users' platform: entry daemons, control hosts and the adapter

First path: packet forwarding by cookies, registrations of upstreams as soft state on control hosts, a whole configuration on the agreement log, founded from seeds.

--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -227,3 +227,23 @@
 		Entries:   []Entry{first},
 	}
 }
+
+// MemberStatus is what a leader knows of a member.
+type MemberStatus struct {
+	Member
+	Answers  bool // answered one of the latest heartbeats
+	CaughtUp bool // holds every committed entry and answers
+}
+
+// Members returns the status of the members; empty unless this node leads.
+func (n *Node) Members() []MemberStatus {
+	if n.role != Leader {
+		return nil
+	}
+	out := make([]MemberStatus, 0, len(n.membership()))
+	for _, m := range n.membership() {
+		self := m.Replica == n.self
+		out = append(out, MemberStatus{Member: m, Answers: n.answersNow(m.Replica), CaughtUp: self || n.caughtUp(m.Replica)})
+	}
+	return out
+}
--- a/pkg/agreement/node.go
+++ b/pkg/agreement/node.go
@@ -315,3 +315,6 @@
 
 // EntriesAfter returns the log entries after an index that is not before the snapshot.
 func (n *Node) EntriesAfter(index uint64) []Entry { return n.log.between(index, n.log.lastIndex()) }
+
+// Group returns the group that the node belongs to, 0 before it joined.
+func (n *Node) Group() uint64 { return n.group }
--- /dev/null
+++ b/pkg/control/directory/directory.go
@@ -0,0 +1,262 @@
+package directory
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Outcome says what an announcement changed.
+type Outcome uint8
+
+// Outcomes of announcements.
+const (
+	Refreshed    Outcome = iota // nothing but the time of the last announcement
+	Changed                     // the registration is new or says something else
+	Superseded                  // a later announcement or incarnation is known; nothing changed
+	Contradicted                // the incarnation announced another service or address before; nothing changed
+)
+
+// String returns the outcome as logs show it.
+func (o Outcome) String() string {
+	return [...]string{"refreshed", "changed", "superseded", "contradicted"}[o]
+}
+
+// Config holds the times of a directory.
+type Config struct {
+	// SilentAfter is the time without an announcement after which an upstream counts as silent. 0
+	// stands for an entry daemon, which takes this judgement from the control host that it follows.
+	SilentAfter time.Duration
+	// ForgetAfter is how long a silent or ended upstream is remembered: the longest life of a flow,
+	// so that its packets are still recognised.
+	ForgetAfter time.Duration
+}
+
+type record struct {
+	Registration
+	revision uint64
+	since    time.Duration // when the incarnation was found to be gone or silent
+}
+
+// Directory holds the registrations that one process knows. It is not safe for concurrent use.
+type Directory struct {
+	cfg      Config
+	records  map[Incarnation]*record
+	latest   map[Key]int64              // latest start of each key
+	holders  map[netip.AddrPort]*record // latest process at each address
+	revision uint64
+	lastTick time.Duration
+}
+
+// New returns an empty directory.
+func New(cfg Config) *Directory {
+	return &Directory{
+		cfg: cfg, records: map[Incarnation]*record{}, latest: map[Key]int64{}, holders: map[netip.AddrPort]*record{},
+	}
+}
+
+// Revision grows with every change that entry daemons need to know.
+func (d *Directory) Revision() uint64 { return d.revision }
+
+// Len returns the number of incarnations that are remembered.
+func (d *Directory) Len() int { return len(d.records) }
+
+// Get returns the registration of an incarnation.
+func (d *Directory) Get(i Incarnation) (Registration, bool) {
+	r := d.records[i]
+	if r == nil {
+		return Registration{}, false
+	}
+	return r.Registration, true
+}
+
+// Latest returns the latest incarnation of a key.
+func (d *Directory) Latest(k Key) (Incarnation, bool) {
+	born, ok := d.latest[k]
+	return Incarnation{k, born}, ok
+}
+
+// Changes returns the registrations that changed after a revision, oldest change first.
+func (d *Directory) Changes(after uint64) []Registration {
+	var found []*record
+	for _, r := range d.records {
+		if r.revision > after {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(a, b *record) int { return cmp.Compare(a.revision, b.revision) })
+	out := make([]Registration, len(found))
+	for i, r := range found {
+		out[i] = r.Registration
+	}
+	return out
+}
+
+// Announce merges a registration, from the upstream itself or from another process.
+func (d *Directory) Announce(r Registration) Outcome {
+	if born, known := d.latest[r.Key]; known && r.Born < born {
+		return Superseded
+	}
+	old := d.records[r.Incarnation]
+	if old != nil {
+		return d.update(old, r)
+	}
+	if holder := d.holders[r.Address]; holder != nil && holder.Key != r.Key && holder.Born > r.Born {
+		return Superseded
+	}
+	d.add(r)
+	return Changed
+}
+
+func (d *Directory) update(old *record, r Registration) Outcome {
+	if r.State == Gone {
+		if old.State == Gone {
+			return Refreshed
+		}
+		d.end(old, r.Heard)
+		return Changed
+	}
+	if old.State == Gone || r.Sequence < old.Sequence {
+		return Superseded
+	}
+	silent := old.Silent && d.judges() && r.Sequence == old.Sequence || r.Silent && !d.judges()
+	if r.Sequence == old.Sequence {
+		old.Heard = max(old.Heard, r.Heard)
+		return d.setSilent(old, silent, r.Heard)
+	}
+	if r.Service != old.Service || r.Address != old.Address {
+		return Contradicted
+	}
+	changed := r.State != old.State || r.Slots != old.Slots || r.DataCentre != old.DataCentre || r.WarmAt > old.WarmAt+warmupStep
+	old.State, old.Slots, old.DataCentre, old.Sequence = r.State, r.Slots, r.DataCentre, r.Sequence
+	old.WarmAt, old.Heard = r.WarmAt, max(old.Heard, r.Heard)
+	if d.setSilent(old, silent, r.Heard) == Changed {
+		return Changed
+	}
+	if !changed {
+		return Refreshed
+	}
+	d.touch(old)
+	return Changed
+}
+
+// warmupStep is the smallest extension of a warm-up that entry daemons need to know: announcements
+// are late by up to a few hundred milliseconds.
+const warmupStep = time.Second
+
+func (d *Directory) judges() bool { return d.cfg.SilentAfter > 0 }
+
+func (d *Directory) setSilent(r *record, silent bool, at time.Duration) Outcome {
+	if r.Silent == silent {
+		return Refreshed
+	}
+	r.Silent, r.since = silent, at
+	d.touch(r)
+	return Changed
+}
+
+// add remembers a new incarnation. Earlier processes of the key or at the address have ended.
+func (d *Directory) add(r Registration) {
+	next := &record{Registration: r, since: r.Heard}
+	d.records[r.Incarnation] = next
+	if born, known := d.latest[r.Key]; known {
+		d.end(d.records[Incarnation{r.Key, born}], r.Heard)
+	}
+	d.latest[r.Key] = r.Born
+	if r.State != Gone {
+		d.end(d.holders[r.Address], r.Heard)
+		d.holders[r.Address] = next
+	}
+	d.touch(next)
+}
+
+func (d *Directory) end(r *record, at time.Duration) {
+	if r == nil || r.State == Gone {
+		return
+	}
+	r.State, r.since = Gone, at
+	d.touch(r)
+}
+
+func (d *Directory) touch(r *record) {
+	d.revision++
+	r.revision = d.revision
+}
+
+// Hear notes that another process heard an incarnation, and reports whether the incarnation is known.
+func (d *Directory) Hear(i Incarnation, sequence uint64, at time.Duration) bool {
+	r := d.records[i]
+	if r == nil {
+		return false
+	}
+	if r.State == Gone || sequence < r.Sequence {
+		return true
+	}
+	r.Sequence, r.Heard = sequence, max(r.Heard, at)
+	d.setSilent(r, false, at)
+	return true
+}
+
+// Deregister notes that an upstream process has ended. A born of 0 stands for the latest process.
+func (d *Directory) Deregister(k Key, born int64, now time.Duration) bool {
+	if born == 0 {
+		born = d.latest[k]
+	}
+	r := d.records[Incarnation{k, born}]
+	if r == nil {
+		return false
+	}
+	d.end(r, now)
+	return true
+}
+
+// pauseLimit is the time between ticks above which the process itself was held up, so that the
+// silence of upstreams proves nothing.
+const pauseLimit = time.Second
+
+// Tick finds silent upstreams and forgets old ones. It returns the incarnations that became silent.
+func (d *Directory) Tick(now time.Duration) []Registration {
+	paused := now - d.lastTick
+	d.lastTick = now
+	var silent []Registration
+	for i, r := range d.records {
+		if paused > pauseLimit {
+			r.Heard = min(now, r.Heard+paused)
+		}
+		if r.State != Gone && d.judges() && !r.Silent && now-r.Heard > d.cfg.SilentAfter {
+			d.setSilent(r, true, now)
+			silent = append(silent, r.Registration)
+		}
+		if d.expired(r, now) {
+			d.forget(i, r)
+		}
+	}
+	return silent
+}
+
+// Expire forgets old incarnations on an entry daemon and returns them.
+func (d *Directory) Expire(now time.Duration) []Incarnation {
+	var out []Incarnation
+	for i, r := range d.records {
+		if d.expired(r, now) {
+			d.forget(i, r)
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (d *Directory) expired(r *record, now time.Duration) bool {
+	return (r.State == Gone || r.Silent) && now-r.since > d.cfg.ForgetAfter
+}
+
+func (d *Directory) forget(i Incarnation, r *record) {
+	delete(d.records, i)
+	if d.latest[i.Key] == i.Born {
+		delete(d.latest, i.Key)
+	}
+	if d.holders[r.Address] == r {
+		delete(d.holders, r.Address)
+	}
+}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -20,7 +20,6 @@
 	peerpb "rosemarygate/api/peer/v1"
 	upstreampb "rosemarygate/api/upstream/v1"
 	"rosemarygate/pkg/config"
-	"rosemarygate/pkg/control/replica"
 	"rosemarygate/pkg/control/transport"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
--- /dev/null
+++ b/pkg/edge/feed.go
@@ -0,0 +1,263 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	feedpb "rosemarygate/api/feed/v1"
+	"rosemarygate/pkg/control/directory"
+	"rosemarygate/pkg/control/transport"
+	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/routing"
+)
+
+const (
+	// feedStreams is the number of control hosts that a daemon follows. With two, the loss of one
+	// does not delay changes; the cost does not grow with the fleet.
+	feedStreams = 2
+	// connectTimeout bounds the connection to a control host.
+	connectTimeout = 700 * time.Millisecond
+	// feedSilence is the time without an update, three status periods, after which a control host
+	// is given up.
+	feedSilence = 1500 * time.Millisecond
+	// leaveOutdated is how long a control host may be without contact to its leader before the daemon
+	// looks for another one. An election takes about as long.
+	leaveOutdated = time.Second
+	// redialPause is the wait after a control host did not answer.
+	redialPause = 100 * time.Millisecond
+	// settleTime is how long a daemon waits for a settled control host when every service has an
+	// upstream already.
+	settleTime = time.Second
+)
+
+var errOutdated = errors.New("control host has no contact to its leader: another one is tried")
+
+// feed follows control hosts.
+type feed struct {
+	d       *Daemon
+	last    atomic.Int64 // steady clock of the latest update of a current control host, in nanoseconds
+	mu      sync.Mutex
+	learned []netip.AddrPort // control hosts that others have named
+	used    [feedStreams]netip.AddrPort
+	live    [feedStreams]bool // connected
+
+	firstCurrent time.Duration
+	settled      bool
+}
+
+func newFeed(d *Daemon) *feed { return &feed{d: d} }
+
+// heard returns when a current control host last sent an update.
+func (f *feed) heard() time.Duration { return time.Duration(f.last.Load()) }
+
+func (f *feed) run(ctx context.Context) error {
+	var all sync.WaitGroup
+	for slot := range feedStreams {
+		all.Go(func() { f.runSlot(ctx, slot) })
+	}
+	all.Wait()
+	return nil
+}
+
+// runSlot follows one control host after the other.
+func (f *feed) runSlot(ctx context.Context, slot int) {
+	for ctx.Err() == nil {
+		host, ok := f.pick(slot)
+		if ok {
+			err := f.follow(ctx, slot, host)
+			f.setLive(slot, false)
+			if ctx.Err() == nil {
+				events.WatchEnded.Log(f.d.log, logrus.Fields{"host": host, "error": err})
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialPause):
+		}
+	}
+}
+
+// pick returns a control host that the other slots do not use: another one than before if there is one.
+func (f *feed) pick(slot int) (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.used[slot]
+	var hosts []netip.AddrPort
+	for _, a := range slices.Concat(f.learned, f.d.cfg.Seeds()) {
+		if !slices.Contains(hosts, a) && !f.usedElsewhere(slot, a) {
+			hosts = append(hosts, a)
+		}
+	}
+	if len(hosts) > 1 {
+		hosts = slices.DeleteFunc(hosts, func(a netip.AddrPort) bool { return a == before })
+	}
+	if len(hosts) == 0 {
+		f.used[slot] = netip.AddrPort{}
+		return netip.AddrPort{}, false
+	}
+	f.used[slot] = hosts[rand.IntN(len(hosts))]
+	return f.used[slot], true
+}
+
+func (f *feed) usedElsewhere(slot int, a netip.AddrPort) bool {
+	for i, u := range f.used {
+		if i != slot && u == a {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *feed) setLive(slot int, live bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live[slot] = live
+}
+
+func (f *feed) otherLive(slot int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, live := range f.live {
+		if i != slot && live {
+			return true
+		}
+	}
+	return false
+}
+
+// follow takes the updates of a control host until it fails, goes silent or is outdated for long
+// while another one is connected.
+func (f *feed) follow(ctx context.Context, slot int, host netip.AddrPort) error {
+	conn, err := grpc.NewClient(host.String(), transport.DialOptions([]grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+	})...)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	limit := time.AfterFunc(connectTimeout, cancel)
+	defer limit.Stop()
+	f.d.mu.Lock()
+	version := f.d.core.Version()
+	f.d.mu.Unlock()
+	stream, err := feedpb.NewFeedClient(conn).Watch(ctx, &feedpb.WatchRequest{Daemon: f.d.cfg.Name, Version: version}, grpc.WaitForReady(true))
+	if err != nil {
+		return err
+	}
+	var outdatedSince time.Duration
+	for first := true; ; first = false {
+		u, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		limit.Reset(feedSilence)
+		if first {
+			f.setLive(slot, true)
+			events.WatchStarted.Log(f.d.log, logrus.Fields{"host": host, "current": u.GetStatus().GetCurrent(), "settled": u.GetStatus().GetSettled()})
+		}
+		f.apply(host, u)
+		now := f.d.clock()
+		switch {
+		case u.GetStatus().GetCurrent():
+			outdatedSince = 0
+		case outdatedSince == 0:
+			outdatedSince = now
+		case now-outdatedSince > leaveOutdated && f.otherLive(slot):
+			return errOutdated
+		}
+	}
+}
+
+// apply merges an update into what the daemon knows.
+func (f *feed) apply(host netip.AddrPort, u *feedpb.Update) {
+	d, now := f.d, f.d.clock()
+	if u.GetStatus().GetCurrent() {
+		f.last.Store(int64(now))
+	}
+	f.learn(u.GetStatus().GetControlHosts())
+	d.mu.Lock()
+	if t := u.GetTable(); t != nil {
+		table := routing.FromProto(t)
+		if d.core.SetTable(table) {
+			events.ConfigInForce.Log(d.log, logrus.Fields{"version": table.Version, "routes": len(table.Routes), "host": host})
+		}
+	}
+	for _, p := range u.GetRegistrations() {
+		d.directory.Announce(directory.FromProto(p, now))
+	}
+	changes := d.directory.Changes(d.revision)
+	d.revision = d.directory.Revision()
+	for _, r := range changes {
+		d.core.SetUpstream(r)
+	}
+	holding := d.core.Holding()
+	d.mu.Unlock()
+	for _, r := range changes {
+		events.UpstreamChanged.Log(d.log, logrus.Fields{
+			"upstream": r.Name, "born": r.Born, "sequence": r.Sequence, "service": r.Service, "address": r.Address,
+			"state": r.State.String(), "silent": r.Silent, "age_ms": (now - r.Heard).Milliseconds(), "host": host,
+		})
+	}
+	if holding && len(changes) > 0 {
+		d.releaseHeld()
+	}
+	f.prepare(now, u.GetStatus())
+}
+
+func (f *feed) learn(hosts []string) {
+	if len(hosts) == 0 {
+		return
+	}
+	var learned []netip.AddrPort
+	for _, s := range hosts {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			events.UpdateRefused.Log(f.d.log, logrus.Fields{"error": errors.Wrap(err, "address of a control host")})
+			continue
+		}
+		learned = append(learned, a)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.learned = learned
+}
+
+// prepare makes the daemon ready once it knows what a daemon in touch with the control hosts knows:
+// the table of a current control host, and the registrations of a settled one, or at least an
+// upstream for every service in use.
+func (f *feed) prepare(now time.Duration, s *feedpb.Status) {
+	d := f.d
+	if d.prepared.Load() || !s.GetCurrent() {
+		return
+	}
+	f.mu.Lock()
+	if f.firstCurrent == 0 {
+		f.firstCurrent = now
+	}
+	f.settled = f.settled || s.GetSettled()
+	known := f.settled || now-f.firstCurrent > settleTime
+	settled := f.settled
+	f.mu.Unlock()
+	d.mu.Lock()
+	version, upstreams := d.core.Version(), d.core.Upstreams()
+	served := d.core.EveryServiceHasUpstream()
+	d.mu.Unlock()
+	if version == 0 || !known || !settled && !served {
+		return
+	}
+	if d.prepared.CompareAndSwap(false, true) {
+		events.DaemonReady.Log(d.log, logrus.Fields{"version": version, "upstreams": upstreams, "settled": settled})
+	}
+}
--- /dev/null
+++ b/pkg/forward/flows.go
@@ -0,0 +1,132 @@
+package forward
+
+import (
+	"time"
+
+	"rosemarygate/pkg/control/directory"
+)
+
+const (
+	// idleFlow is the time without packets after which a flow does not count as load any more.
+	idleFlow = 15 * time.Second
+	// unanswered is the time after which a repeated packet says that the first one was not answered.
+	// Callers repeat a packet after 200 ms.
+	unanswered = 150 * time.Millisecond
+	// suspectTime is how long unanswered packets speak against an upstream. Longer than it takes a
+	// daemon to hear from the control hosts that an upstream was replaced.
+	suspectTime = 2 * time.Second
+	// strikeLimit is the number of flows with unanswered packets that speak against an upstream.
+	// A single one may be a lost datagram.
+	strikeLimit = 2
+)
+
+// flowState is what this daemon has seen of one flow.
+type flowState struct {
+	upstream *Upstream
+	tried    []*Upstream // by copies of the SYN
+	seen     time.Duration
+	dataAt   time.Duration // arrival of the latest payload
+	dataSeq  uint32        // its sequence number
+	ack      uint32        // latest acknowledgement
+	waiting  bool          // a request has no answer yet
+	struck   bool          // the latest payload was repeated
+}
+
+// attach makes a flow count at an upstream.
+func (c *Core) attach(now time.Duration, f Flow, u *Upstream) *flowState {
+	s := c.flows[f]
+	if s != nil && s.upstream == u {
+		s.seen = now
+		return s
+	}
+	if s != nil {
+		s.detach()
+	} else {
+		if len(c.flows) >= maxFlows {
+			return &flowState{upstream: &Upstream{}} // counts nowhere
+		}
+		s = &flowState{}
+		c.flows[f] = s
+	}
+	s.upstream, s.seen, s.waiting, s.struck = u, now, false, false
+	u.flows++
+	return s
+}
+
+func (s *flowState) detach() {
+	s.upstream.flows--
+	s.setWaiting(false)
+}
+
+func (s *flowState) setWaiting(waiting bool) {
+	if s.waiting == waiting {
+		return
+	}
+	s.waiting = waiting
+	if waiting {
+		s.upstream.inProgress++
+	} else {
+		s.upstream.inProgress--
+	}
+}
+
+func (c *Core) close(f Flow) {
+	if s := c.flows[f]; s != nil {
+		s.detach()
+		delete(c.flows, f)
+	}
+}
+
+// observe learns from a packet of an open flow. The daemon sees only the caller's half: payload
+// starts a request, an acknowledgement that moves shows an answer, and repeated payload shows that
+// the upstream has not answered.
+func (c *Core) observe(now time.Duration, p *Packet, u *Upstream) {
+	if p.Flags&(FIN|RST) != 0 {
+		c.close(p.Flow())
+		return
+	}
+	s := c.attach(now, p.Flow(), u)
+	s.tried = nil
+	if p.Ack != s.ack {
+		s.ack = p.Ack
+		s.setWaiting(false)
+		u.strikes = 0
+		u.suspectUntil = min(u.suspectUntil, now)
+	}
+	switch {
+	case p.Length == 0:
+	case p.Seq == s.dataSeq && s.dataAt > 0:
+		if now-s.dataAt >= unanswered && !s.struck {
+			s.struck = true
+			u.strike(now)
+		}
+	default:
+		s.dataSeq, s.dataAt, s.struck = p.Seq, now, false
+		s.setWaiting(true)
+	}
+}
+
+// strike notes that a packet to the upstream was not answered in time.
+func (u *Upstream) strike(now time.Duration) {
+	u.strikes++
+	if u.strikes >= strikeLimit {
+		u.suspectUntil = now + suspectTime
+	}
+}
+
+// suspect reports whether unanswered packets speak against the upstream.
+func (u *Upstream) suspect(now time.Duration) bool { return now < u.suspectUntil }
+
+// sweep removes idle flows.
+func (c *Core) sweep(now time.Duration) {
+	if now-c.swept < sweepPeriod {
+		return
+	}
+	c.swept = now
+	for f, s := range c.flows {
+		if now-s.seen > idleFlow || s.upstream.State == directory.Gone {
+			s.detach()
+			delete(c.flows, f)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/routing/routing.go
@@ -0,0 +1,190 @@
+// Package routing defines the routing table that entry daemons act on: which addresses callers
+// reach, and which services may serve them.
+package routing
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	feedpb "rosemarygate/api/feed/v1"
+)
+
+// Table is one version of the configuration. It is immutable once it is validated.
+type Table struct {
+	Version  uint64
+	Routes   []Route
+	Services []string
+	// FlowIdle is how long a flow may be without packets before it may be discarded.
+	FlowIdle time.Duration
+}
+
+// Route sends the flows of one address to services.
+type Route struct {
+	Name string
+	// Address is what callers send to.
+	Address netip.AddrPort
+	// Timeout is the longest time that a request on the route may take.
+	Timeout time.Duration
+	// Objective is the latency within which a request is to be answered.
+	Objective time.Duration
+	// Priority orders routes under overload; 0 is the most urgent.
+	Priority uint8
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	Split      []Share
+}
+
+// Share is the part of a route's new flows that a service gets.
+type Share struct {
+	Service string
+	Weight  uint32
+}
+
+// InvalidError says why a table is refused.
+type InvalidError struct {
+	// Route is the name of the route that is wrong, empty if the whole table is.
+	Route  string
+	Reason string
+}
+
+// Error names the route and the fault.
+func (e *InvalidError) Error() string {
+	if e.Route == "" {
+		return "configuration is invalid: " + e.Reason
+	}
+	return fmt.Sprintf("configuration is invalid: route %q: %s", e.Route, e.Reason)
+}
+
+// Validate returns an *InvalidError for the first fault of a table.
+func (t *Table) Validate() error {
+	if t.Version == 0 {
+		return &InvalidError{Reason: "version is missing; number the configurations from 1"}
+	}
+	services := map[string]bool{}
+	for _, s := range t.Services {
+		if s == "" {
+			return &InvalidError{Reason: "a service has no name"}
+		}
+		services[s] = true
+	}
+	owner := map[netip.AddrPort]string{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if err := r.validate(services); err != nil {
+			return err
+		}
+		if other, taken := owner[r.Address]; taken {
+			return &InvalidError{r.Name, fmt.Sprintf("address %s belongs to route %q already", r.Address, other)}
+		}
+		owner[r.Address] = r.Name
+	}
+	return nil
+}
+
+func (r *Route) validate(services map[string]bool) error {
+	if !r.Address.IsValid() || !r.Address.Addr().Is4() || r.Address.Port() == 0 {
+		return &InvalidError{r.Name, "address is not an IPv4 address and a port"}
+	}
+	if r.Timeout <= 0 {
+		return &InvalidError{r.Name, "timeout is not positive"}
+	}
+	total := uint64(0)
+	for _, s := range r.Split {
+		if !services[s.Service] {
+			return &InvalidError{r.Name, fmt.Sprintf("service %q is not declared", s.Service)}
+		}
+		total += uint64(s.Weight)
+	}
+	if total == 0 {
+		return &InvalidError{r.Name, "weights of its services add up to 0"}
+	}
+	return nil
+}
+
+// Index finds the routes of a table by address. It is immutable.
+type Index struct {
+	table  *Table
+	routes map[netip.AddrPort]*Route
+}
+
+// NewIndex returns the index of a validated table.
+func NewIndex(t *Table) *Index {
+	x := &Index{table: t, routes: make(map[netip.AddrPort]*Route, len(t.Routes))}
+	for i := range t.Routes {
+		x.routes[t.Routes[i].Address] = &t.Routes[i]
+	}
+	return x
+}
+
+// Table returns the indexed table.
+func (x *Index) Table() *Table { return x.table }
+
+// Route returns the route of an address, nil if there is none.
+func (x *Index) Route(a netip.AddrPort) *Route { return x.routes[a] }
+
+// Service returns the service for a flow with the given hash. Flows keep their service as long as
+// the weights stay the same.
+func (r *Route) Service(hash uint64) string {
+	total := uint64(0)
+	for _, s := range r.Split {
+		total += uint64(s.Weight)
+	}
+	at := hash % total
+	for _, s := range r.Split {
+		if at < uint64(s.Weight) {
+			return s.Service
+		}
+		at -= uint64(s.Weight)
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Proto returns the protobuf form of a table, which leaves out the declared services.
+func (t *Table) Proto() *feedpb.RoutingTable {
+	out := &feedpb.RoutingTable{Version: t.Version, FlowIdleMs: t.FlowIdle.Milliseconds()}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		p := &feedpb.Route{
+			Name: r.Name, Address: AddressNumber(r.Address.Addr()), Port: uint32(r.Address.Port()),
+			TimeoutMs: r.Timeout.Milliseconds(), ObjectiveMs: r.Objective.Milliseconds(),
+			Priority: uint32(r.Priority), Idempotent: r.Idempotent,
+		}
+		for _, s := range r.Split {
+			p.Split = append(p.Split, &feedpb.Share{Service: s.Service, Weight: s.Weight})
+		}
+		out.Routes = append(out.Routes, p)
+	}
+	return out
+}
+
+// FromProto is the inverse of Proto.
+func FromProto(p *feedpb.RoutingTable) *Table {
+	t := &Table{Version: p.GetVersion(), FlowIdle: time.Duration(p.GetFlowIdleMs()) * time.Millisecond}
+	for _, r := range p.GetRoutes() {
+		route := Route{
+			Name: r.GetName(), Address: netip.AddrPortFrom(NumberAddress(r.GetAddress()), uint16(r.GetPort())),
+			Timeout: time.Duration(r.GetTimeoutMs()) * time.Millisecond, Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond,
+			Priority: uint8(r.GetPriority()), Idempotent: r.GetIdempotent(),
+		}
+		for _, s := range r.GetSplit() {
+			route.Split = append(route.Split, Share{Service: s.GetService(), Weight: s.GetWeight()})
+		}
+		t.Routes = append(t.Routes, route)
+	}
+	return t
+}
+
+// AddressNumber returns an IPv4 address as a number, 0 for any other address.
+func AddressNumber(a netip.Addr) uint32 {
+	if !a.Is4() {
+		return 0
+	}
+	b := a.As4()
+	return uint32(b[0])<<24 | uint32(b[1])<<16 | uint32(b[2])<<8 | uint32(b[3])
+}
+
+// NumberAddress is the inverse of AddressNumber.
+func NumberAddress(n uint32) netip.Addr {
+	return netip.AddrFrom4([4]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)})
+}
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -25,6 +25,11 @@
 	s.set.GetOrCreateGauge(metricName(name, labels), f)
 }
 
+// Histogram returns the histogram rosemarygate_<name>.
+func (s *Set) Histogram(name string, labels ...string) *metrics.Histogram {
+	return s.set.GetOrCreateHistogram(metricName(name, labels))
+}
+
 // Write writes all metrics in the Prometheus text format.
 func (s *Set) Write(w io.Writer) { s.set.WritePrometheus(w) }
 
