--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -121,6 +121,7 @@
 	events.DaemonStarted.Log(h.log, logrus.Fields{
 		"daemon": h.cfg.Name, "control": h.cfg.Control, "peer": h.cfg.Peer, "seeds": h.cfg.Seeds(), "found": h.cfg.Found,
 	})
+	h.restore()
 	server := grpc.NewServer(grpc.InitialWindowSize(transport.Window), grpc.InitialConnWindowSize(transport.Window),
 		grpc.MaxRecvMsgSize(transport.MaxMessage), grpc.MaxSendMsgSize(transport.MaxMessage),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAlive / 2, PermitWithoutStream: true}),
@@ -150,6 +151,7 @@
 	add(h.follow)
 	add(h.watchDirectory)
 	add(h.sharing.run)
+	add(h.keep)
 	g.Add(func() error { return server.Serve(peerListener) }, func(error) { server.Stop() })
 	g.Add(func() error { return ignoreClosed(web.Serve(controlListener)) }, func(error) { web.Close() })
 	err = g.Run()
--- /dev/null
+++ b/pkg/controlhost/keep.go
@@ -0,0 +1,91 @@
+package controlhost
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	feedpb "rosemarygate/api/feed/v1"
+	"rosemarygate/pkg/control/directory"
+	"rosemarygate/pkg/events"
+)
+
+const (
+	// keepPeriod is how often changed registrations are written to the disk.
+	keepPeriod = time.Second
+	keptFile   = "registrations.bin"
+	keptMode   = 0o600
+)
+
+// keep writes the registrations to the disk when they have changed. After the loss of all control
+// hosts at once, entry daemons then know the upstreams of open flows before these announce
+// themselves again.
+func (h *Host) keep(ctx context.Context) error {
+	ticker := time.NewTicker(keepPeriod)
+	defer ticker.Stop()
+	var kept uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		h.mu.Lock()
+		revision := h.directory.Revision()
+		all := h.directory.Changes(0)
+		h.mu.Unlock()
+		if revision == kept {
+			continue
+		}
+		if err := h.writeKept(all); err != nil {
+			events.RegistrationsNotKept.Log(h.log, logrus.Fields{"error": err})
+			continue
+		}
+		kept = revision
+	}
+}
+
+func (h *Host) keptPath() string { return filepath.Join(h.cfg.Dir, keptFile) }
+
+func (h *Host) writeKept(all []directory.Registration) error {
+	b := &feedpb.Batch{}
+	now := h.clock()
+	for i := range all {
+		b.Registrations = append(b.Registrations, all[i].Proto(now))
+	}
+	data, err := proto.Marshal(b)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.Wrap(renameio.WriteFile(h.keptPath(), data, keptMode, renameio.WithTempDir(h.cfg.Dir)), "write registrations")
+}
+
+// restore reads the registrations of the process before. Each counts as silent until its upstream
+// announces itself, since it may have left meanwhile.
+func (h *Host) restore() {
+	data, err := os.ReadFile(h.keptPath())
+	if errors.Is(err, os.ErrNotExist) {
+		return
+	}
+	var b feedpb.Batch
+	if err == nil {
+		err = proto.Unmarshal(data, &b)
+	}
+	if err != nil {
+		events.RegistrationsNotRestored.Log(h.log, logrus.Fields{"error": err})
+		return
+	}
+	now := h.clock()
+	for _, p := range b.GetRegistrations() {
+		r := directory.FromProto(p, now)
+		r.Silent = r.State != directory.Gone
+		h.directory.Announce(r)
+	}
+	events.RegistrationsRestored.Log(h.log, logrus.Fields{"registrations": len(b.GetRegistrations())})
+}
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -38,6 +38,8 @@
 	// settleTime is how long a daemon waits for a settled control host when every service has an
 	// upstream already.
 	settleTime = time.Second
+	// outdatedTime is how long a daemon waits for a current control host. Two elections fit in.
+	outdatedTime = 2 * time.Second
 )
 
 var errOutdated = errors.New("control host has no contact to its leader: another one is tried")
@@ -51,8 +53,9 @@
 	used    [feedStreams]netip.AddrPort
 	live    [feedStreams]bool // connected
 
-	firstCurrent time.Duration
-	settled      bool
+	firstUpdate time.Duration
+	current     bool // a current control host was heard
+	settled     bool // a settled control host was heard
 }
 
 func newFeed(d *Daemon) *feed { return &feed{d: d} }
@@ -236,28 +239,30 @@
 
 // prepare makes the daemon ready once it knows what a daemon in touch with the control hosts knows:
 // the table of a current control host, and the registrations of a settled one, or at least an
-// upstream for every service in use.
+// upstream for every service in use. A daemon that finds no such host in time serves with what it
+// has: its data centre may be cut off.
 func (f *feed) prepare(now time.Duration, s *feedpb.Status) {
 	d := f.d
-	if d.prepared.Load() || !s.GetCurrent() {
+	if d.prepared.Load() {
 		return
 	}
 	f.mu.Lock()
-	if f.firstCurrent == 0 {
-		f.firstCurrent = now
+	if f.firstUpdate == 0 {
+		f.firstUpdate = now
 	}
+	f.current = f.current || s.GetCurrent()
 	f.settled = f.settled || s.GetSettled()
-	known := f.settled || now-f.firstCurrent > settleTime
-	settled := f.settled
+	waited, current, settled := now-f.firstUpdate, f.current, f.settled
 	f.mu.Unlock()
 	d.mu.Lock()
-	version, upstreams := d.core.Version(), d.core.Upstreams()
-	served := d.core.EveryServiceHasUpstream()
-	d.mu.Unlock()
-	if version == 0 || !known || !settled && !served {
+	defer d.mu.Unlock()
+	served := settled || d.core.EveryServiceHasUpstream() && (current || waited > settleTime)
+	if d.core.Version() == 0 || !served || !current && waited < outdatedTime {
 		return
 	}
-	if d.prepared.CompareAndSwap(false, true) {
-		events.DaemonReady.Log(d.log, logrus.Fields{"version": version, "upstreams": upstreams, "settled": settled})
-	}
+	d.core.SetPrepared()
+	d.prepared.Store(true)
+	events.DaemonReady.Log(d.log, logrus.Fields{
+		"version": d.core.Version(), "upstreams": d.core.Upstreams(), "settled": settled, "current": current,
+	})
 }
--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -39,6 +39,7 @@
 	flows     map[Flow]*flowState
 	held      []heldPacket
 	swept     time.Duration
+	prepared  bool
 }
 
 type heldPacket struct {
@@ -63,6 +64,9 @@
 	return c.routes.Table().Version
 }
 
+// SetPrepared tells the core that its table and its upstreams are complete.
+func (c *Core) SetPrepared() { c.prepared = true }
+
 // Upstreams returns the number of incarnations that may get new flows.
 func (c *Core) Upstreams() int {
 	n := 0
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -7,6 +7,8 @@
 //     table, the load or the health of that incarnation says.
 //   - A flow is reset only if its upstream process has ended for certain or its route was removed.
 //     An unknown cookie is no proof: the daemon's registrations may be behind.
+//   - A daemon that has just started refuses nothing: what it does not know yet may exist. The caller
+//     repeats its packet.
 //   - New flows are never placed on an upstream that is draining or gone.
 package forward
 
@@ -77,13 +79,14 @@
 	UnknownCookie                // no registration has this cookie, and none came in time
 	NoCookie                     // packet of an unknown flow without a cookie
 	AwaitingCookie               // no registration has this cookie yet
+	Unprepared                   // the daemon does not know enough to place or refuse the flow
 	HoldBufferFull               // too many packets wait for registrations
 	reasons
 )
 
 var reasonNames = [reasons]string{
 	"placed", "placed_again", "known", "known_flow", "no_table", "no_route", "route_removed",
-	"no_upstream", "upstream_gone", "unknown_cookie", "no_cookie", "awaiting_cookie", "hold_buffer_full",
+	"no_upstream", "upstream_gone", "unknown_cookie", "no_cookie", "awaiting_cookie", "unprepared", "hold_buffer_full",
 }
 
 // String returns the reason as counters and logs name it.
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -27,8 +27,7 @@
 	}
 	route := c.routes.Route(p.Dest)
 	if route == nil {
-		c.close(p.Flow())
-		return Action{Verdict: Reset, Reason: NoRoute}
+		return c.refuse(p, NoRoute)
 	}
 	var tried []*Upstream
 	if s := c.flows[p.Flow()]; s != nil && now-s.seen < copyLifetime {
@@ -37,8 +36,7 @@
 	}
 	u := c.choose(now, route.Service(flowHash(p.Flow())), tried)
 	if u == nil {
-		c.close(p.Flow())
-		return Action{Verdict: Reset, Reason: NoUpstream}
+		return c.refuse(p, NoUpstream)
 	}
 	s := c.attach(now, p.Flow(), u)
 	s.tried = append(tried, u)
@@ -49,6 +47,15 @@
 	return Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: u.cookie}
 }
 
+// refuse resets a new flow, so that its caller need not wait.
+func (c *Core) refuse(p *Packet, reason Reason) Action {
+	c.close(p.Flow())
+	if !c.prepared {
+		return Action{Verdict: Drop, Reason: Unprepared}
+	}
+	return Action{Verdict: Reset, Reason: reason}
+}
+
 // suspectTried holds the missing answer to a SYN against the upstream that got the latest copy.
 func (c *Core) suspectTried(now time.Duration, p *Packet, tried []*Upstream) {
 	if p.Ack > 0 && len(tried) > 0 {
