--- a/pkg/controlhost/keep.go
+++ b/pkg/controlhost/keep.go
@@ -66,8 +66,8 @@
 	return errors.Wrap(renameio.WriteFile(h.keptPath(), data, keptMode, renameio.WithTempDir(h.cfg.Dir)), "write registrations")
 }
 
-// restore reads the registrations of the process before. Each counts as silent until its upstream
-// announces itself, since it may have left meanwhile.
+// restore reads the registrations of the process before. Each counts as heard now: were the restored
+// upstreams silent, the first one that announces itself would get all new flows.
 func (h *Host) restore() {
 	data, err := os.ReadFile(h.keptPath())
 	if errors.Is(err, os.ErrNotExist) {
@@ -84,7 +84,7 @@
 	now := h.clock()
 	for _, p := range b.GetRegistrations() {
 		r := directory.FromProto(p, now)
-		r.Silent = r.State != directory.Gone
+		r.Silent, r.Heard = false, now
 		h.directory.Announce(r)
 	}
 	events.RegistrationsRestored.Log(h.log, logrus.Fields{"registrations": len(b.GetRegistrations())})
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -25,8 +25,11 @@
 	// feedStreams is the number of control hosts that a daemon follows. With two, the loss of one
 	// does not delay changes; the cost does not grow with the fleet.
 	feedStreams = 2
-	// connectTimeout bounds the connection to a control host.
-	connectTimeout = 700 * time.Millisecond
+	// connectTimeout bounds the first connection to a control host, and slowConnectTimeout those
+	// after many failures: the opening packet to a host without power is lost, and TCP repeats it only
+	// after a second, so a short attempt finds a host that has just started sooner.
+	connectTimeout     = 150 * time.Millisecond
+	slowConnectTimeout = time.Second
 	// feedSilence is the time without an update, three status periods, after which a control host
 	// is given up.
 	feedSilence = 1500 * time.Millisecond
@@ -74,11 +77,15 @@
 
 // runSlot follows one control host after the other.
 func (f *feed) runSlot(ctx context.Context, slot int) {
+	limit := connectTimeout
 	for ctx.Err() == nil {
 		host, ok := f.pick(slot)
 		if ok {
-			err := f.follow(ctx, slot, host)
+			connected, err := f.follow(ctx, slot, host, limit)
 			f.setLive(slot, false)
+			if limit = min(limit*3/2, slowConnectTimeout); connected {
+				limit = connectTimeout
+			}
 			if ctx.Err() == nil {
 				events.WatchEnded.Log(f.d.log, logrus.Fields{"host": host, "error": err})
 			}
@@ -139,34 +146,35 @@
 }
 
 // follow takes the updates of a control host until it fails, goes silent or is outdated for long
-// while another one is connected.
-func (f *feed) follow(ctx context.Context, slot int, host netip.AddrPort) error {
+// while another one is connected. It reports whether the host answered.
+func (f *feed) follow(ctx context.Context, slot int, host netip.AddrPort, connect time.Duration) (connected bool, err error) {
 	conn, err := grpc.NewClient(host.String(), transport.DialOptions([]grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 	})...)
 	if err != nil {
-		return err
+		return connected, err
 	}
 	defer conn.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	limit := time.AfterFunc(connectTimeout, cancel)
+	limit := time.AfterFunc(connect, cancel)
 	defer limit.Stop()
 	f.d.mu.Lock()
 	version := f.d.core.Version()
 	f.d.mu.Unlock()
 	stream, err := feedpb.NewFeedClient(conn).Watch(ctx, &feedpb.WatchRequest{Daemon: f.d.cfg.Name, Version: version}, grpc.WaitForReady(true))
 	if err != nil {
-		return err
+		return connected, err
 	}
 	var outdatedSince time.Duration
 	for first := true; ; first = false {
 		u, err := stream.Recv()
 		if err != nil {
-			return err
+			return connected, err
 		}
 		limit.Reset(feedSilence)
 		if first {
+			connected = true
 			f.setLive(slot, true)
 			events.WatchStarted.Log(f.d.log, logrus.Fields{"host": host, "current": u.GetStatus().GetCurrent(), "settled": u.GetStatus().GetSettled()})
 		}
@@ -178,7 +186,7 @@
 		case outdatedSince == 0:
 			outdatedSince = now
 		case now-outdatedSince > leaveOutdated && f.otherLive(slot):
-			return errOutdated
+			return connected, errOutdated
 		}
 	}
 }
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,12 @@
 	// spillMargin is the load for each slot by which the own data centre may exceed another one
 	// before new flows go there.
 	spillMargin = 1.0
+	// suspectMargin is the additional load for each slot of an upstream that did not answer packets
+	// lately, and silentMargin of one whose announcements are missing: about what its queue holds.
+	suspectMargin = 3.0
+	silentMargin  = 6.0
+	// triedMargin keeps copies of a SYN from an upstream that did not answer the SYN before.
+	triedMargin = 1000.0
 )
 
 // open places a new flow, or one whose SYN was not answered.
@@ -72,17 +79,17 @@
 	return xxhash.Sum64(b)
 }
 
-// choose picks the upstream of a service for a new flow: the least loaded of the best tier. nil
-// means that no upstream takes new flows.
+// choose picks the upstream of a service for a new flow, the one with the lowest cost. nil means that
+// no upstream takes new flows.
 func (c *Core) choose(now time.Duration, service string, tried []*Upstream) *Upstream {
 	var best *Upstream
-	bestTier, bestCost, ties := tiers, 0.0, 0
+	lowest, ties := math.Inf(1), 0
 	for _, u := range c.services[service] {
-		t, cost := u.tier(now, tried), c.cost(now, u)
+		cost := c.cost(now, u, tried)
 		switch {
-		case t < bestTier || t == bestTier && cost < bestCost:
-			best, bestTier, bestCost, ties = u, t, cost, 1
-		case t == bestTier && cost == bestCost:
+		case cost < lowest:
+			best, lowest, ties = u, cost, 1
+		case cost == lowest:
 			ties++
 			if c.rng.IntN(ties) == 0 {
 				best = u
@@ -92,37 +99,26 @@
 	return best
 }
 
-// Tiers of upstreams, best first.
-const (
-	tierHealthy = iota
-	tierSuspect // packets were not answered lately
-	tierSilent  // announcements are missing
-	tierTried   // an earlier copy of the same SYN was not answered
-	tiers
-)
-
-func (u *Upstream) tier(now time.Duration, tried []*Upstream) int {
-	switch {
-	case slices.Contains(tried, u):
-		return tierTried
-	case u.Silent:
-		return tierSilent
-	case u.suspect(now):
-		return tierSuspect
-	}
-	return tierHealthy
-}
-
-// cost is the load of an upstream for each of its slots as far as this daemon sees it, and a margin
-// for upstreams of other data centres: a partition would cut their flows off.
-func (c *Core) cost(now time.Duration, u *Upstream) float64 {
+// cost is the load of an upstream for each of its slots as far as this daemon sees it. What speaks
+// against an upstream counts as additional load and does not exclude it: when most upstreams are under
+// suspicion, the others must not get all flows.
+func (c *Core) cost(now time.Duration, u *Upstream, tried []*Upstream) float64 {
 	load := float64(u.inProgress) + idleFlowWeight*float64(u.flows)
 	if now < u.WarmAt {
 		load = (load + 1) * coldWeight
 	}
 	load /= float64(max(u.Slots, 1))
 	if u.DataCentre != c.cfg.DataCentre {
-		load += spillMargin
+		load += spillMargin // a partition would cut the flow off
+	}
+	if u.suspect(now) {
+		load += suspectMargin
+	}
+	if u.Silent {
+		load += silentMargin
+	}
+	if slices.Contains(tried, u) {
+		load += triedMargin
 	}
 	return load
 }
