Tests of routing tables, registrations and packet decisions

A duplicate of a SYN now stays at its upstream: a second upstream would have answered (TestDuplicateOfSYNStays failed before), and a payload at time 0 counts.

--- /dev/null
+++ b/pkg/control/directory/directory_test.go
@@ -0,0 +1,179 @@
+package directory
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosemarygate/pkg/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var testConfig = Config{SilentAfter: 3 * time.Second, ForgetAfter: time.Minute}
+
+func registration(key Key, born int64, sequence uint64) Registration {
+	return Registration{
+		Incarnation: Incarnation{key, born}, Name: key.String(), Service: "a", DataCentre: "north", Slots: 2,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(key)}), 8080), Sequence: sequence, State: Ready,
+	}
+}
+
+func stateOf(t *testing.T, d *Directory, i Incarnation) State {
+	t.Helper()
+	r, ok := d.Get(i)
+	assert.Assert(t, ok)
+	return r.State
+}
+
+// Guards against a delayed announcement of an ended process that takes its place back.
+func TestLateAnnouncementOfEarlierProcess(t *testing.T) {
+	d := New(testConfig)
+	d.Announce(registration(1, 100, 50))
+	assert.Equal(t, d.Announce(registration(1, 200, 1)), Changed)
+	assert.Equal(t, d.Announce(registration(1, 100, 51)), Superseded)
+	assert.Equal(t, stateOf(t, d, Incarnation{1, 100}), Gone)
+	assert.Equal(t, stateOf(t, d, Incarnation{1, 200}), Ready)
+}
+
+// Guards against a delayed announcement that takes a draining upstream back into service.
+func TestLateAnnouncementOfSameProcess(t *testing.T) {
+	d := New(testConfig)
+	d.Announce(registration(1, 100, 1))
+	draining := registration(1, 100, 3)
+	draining.State = Draining
+	assert.Equal(t, d.Announce(draining), Changed)
+	assert.Equal(t, d.Announce(registration(1, 100, 2)), Superseded)
+	assert.Equal(t, stateOf(t, d, Incarnation{1, 100}), Draining)
+}
+
+// Guards against flows that stay with a process whose address belongs to another one.
+func TestAddressGoesToAnotherUpstream(t *testing.T) {
+	d := New(testConfig)
+	d.Announce(registration(1, 100, 1))
+	next := registration(2, 200, 1)
+	next.Address, next.Service = registration(1, 0, 0).Address, "b"
+	assert.Equal(t, d.Announce(next), Changed)
+	assert.Equal(t, stateOf(t, d, Incarnation{1, 100}), Gone)
+	late := registration(1, 100, 2)
+	assert.Equal(t, d.Announce(late), Superseded, "the address belongs to a later process")
+	earlier := registration(3, 150, 1)
+	earlier.Address = next.Address
+	assert.Equal(t, d.Announce(earlier), Superseded)
+	assert.Equal(t, stateOf(t, d, Incarnation{2, 200}), Ready)
+}
+
+// Guards against another writer that moves an upstream to its own address or service.
+func TestContradiction(t *testing.T) {
+	d := New(testConfig)
+	d.Announce(registration(1, 100, 1))
+	other := registration(1, 100, 2)
+	other.Service = "b"
+	assert.Equal(t, d.Announce(other), Contradicted)
+	assert.Equal(t, stateOf(t, d, Incarnation{1, 100}), Ready)
+}
+
+// Guards against silence that is taken for an end, and against silence that is not noticed.
+func TestSilence(t *testing.T) {
+	d := New(testConfig)
+	d.Announce(registration(1, 100, 1))
+	var silent []Registration
+	for now := time.Duration(0); now <= 3500*time.Millisecond; now += 500 * time.Millisecond {
+		silent = append(silent, d.Tick(now)...)
+	}
+	assert.Equal(t, len(silent), 1)
+	assert.Equal(t, stateOf(t, d, Incarnation{1, 100}), Ready)
+	again := registration(1, 100, 2)
+	again.Heard = 4 * time.Second
+	assert.Equal(t, d.Announce(again), Changed)
+	r, _ := d.Get(Incarnation{1, 100})
+	assert.Assert(t, !r.Silent)
+}
+
+// Guards against a control host that stood still and takes every upstream for silent when it wakes.
+func TestOwnPauseIsNoSilence(t *testing.T) {
+	d := New(testConfig)
+	d.Announce(registration(1, 100, 1))
+	d.Tick(500 * time.Millisecond)
+	assert.Equal(t, len(d.Tick(10*time.Second)), 0)
+}
+
+// Guards against a directory that grows with every upstream that ever was.
+func TestForget(t *testing.T) {
+	d := New(testConfig)
+	d.Announce(registration(1, 100, 1))
+	d.Deregister(1, 0, 0)
+	d.Tick(0)
+	for now := time.Duration(0); now <= testConfig.ForgetAfter+time.Second; now += 500 * time.Millisecond {
+		d.Tick(now)
+	}
+	assert.Equal(t, d.Len(), 0)
+	assert.Equal(t, len(d.latest)+len(d.holders), 0)
+}
+
+// Guards against a cookie of 0, which packets without a cookie carry, and cookies that do not tell
+// incarnations apart.
+func TestCookies(t *testing.T) {
+	seen := map[Cookie]bool{}
+	for key := range Key(150) {
+		for born := range int64(4) {
+			c := Incarnation{key, born}.Cookie()
+			assert.Assert(t, c != 0 && !seen[c])
+			seen[c] = true
+		}
+	}
+}
+
+// Guards against control hosts that end with different registrations because announcements reached
+// them in another order, twice, or through another host.
+func TestRandomOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Registration
+		states := map[Incarnation]State{}
+		for range rapid.IntRange(1, 30).Draw(t, "announcements") {
+			r := registration(Key(rapid.IntRange(1, 3).Draw(t, "key")), rapid.Int64Range(1, 3).Draw(t, "born"), rapid.Uint64Range(1, 5).Draw(t, "sequence"))
+			// Within an incarnation the content follows from the sequence number.
+			r.State = Ready
+			if r.Sequence > 3 {
+				r.State = Draining
+			}
+			if states[r.Incarnation] == Gone || rapid.IntRange(0, 9).Draw(t, "leave") == 0 {
+				r.State = Gone
+			}
+			states[r.Incarnation] = r.State
+			all = append(all, r)
+		}
+		views := make([]map[Incarnation]State, 2)
+		for v := range views {
+			d := New(testConfig)
+			order := slices.Clone(all)
+			if v > 0 {
+				order = append(rapid.Permutation(all).Draw(t, "order"), all[:rapid.IntRange(0, len(all)).Draw(t, "again")]...)
+			}
+			for _, r := range order {
+				d.Announce(r)
+			}
+			views[v] = map[Incarnation]State{}
+			for _, r := range d.Changes(0) {
+				if latest, _ := d.Latest(r.Key); latest == r.Incarnation {
+					views[v][r.Incarnation] = r.State
+				}
+			}
+		}
+		assert.DeepEqual(t, views[0], views[1])
+	})
+}
+
+// Guards against registrations that change on their way to another process.
+func TestProtoKeepsRegistration(t *testing.T) {
+	r := registration(9, 1234, 5)
+	r.State, r.Silent = Draining, true
+	r.WarmAt, r.Heard = 7*time.Second, 3*time.Second
+	got := FromProto(r.Proto(5*time.Second), 5*time.Second)
+	assert.DeepEqual(t, got, r, cmpopts.EquateComparable(netip.AddrPort{}))
+}
--- /dev/null
+++ b/pkg/forward/core_test.go
@@ -0,0 +1,292 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygate/pkg/control/directory"
+	"rosemarygate/pkg/routing"
+	"rosemarygate/pkg/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var (
+	route443 = netip.MustParseAddrPort("198.18.0.1:443")
+	route80  = netip.MustParseAddrPort("198.18.0.1:80")
+)
+
+func table(version uint64, addresses ...netip.AddrPort) *routing.Table {
+	t := &routing.Table{Version: version, Services: []string{"a"}}
+	for _, a := range addresses {
+		t.Routes = append(t.Routes, routing.Route{Name: a.String(), Address: a, Timeout: time.Second, Split: []routing.Share{{Service: "a", Weight: 1}}})
+	}
+	return t
+}
+
+func upstream(key directory.Key, dataCentre string, state directory.State) directory.Registration {
+	return directory.Registration{
+		Incarnation: directory.Incarnation{Key: key, Born: 1}, Name: key.String(), Service: "a", DataCentre: dataCentre,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(key >> 8), byte(key)}), 8080), Slots: 2, State: state,
+	}
+}
+
+// newCore returns a prepared core with two routes and some upstreams in its data centre.
+func newCore(upstreams int) *Core {
+	c := New(Config{DataCentre: "north"}, rand.New(rand.NewPCG(1, 2)))
+	c.SetTable(table(1, route443, route80))
+	for key := range upstreams {
+		c.SetUpstream(upstream(directory.Key(key+1), "north", directory.Ready))
+	}
+	c.SetPrepared()
+	return c
+}
+
+func caller(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), 40000)
+}
+
+func syn(n int, copies uint32) *Packet {
+	return &Packet{Caller: caller(n), Dest: route443, Flags: SYN, Ack: copies}
+}
+
+func data(n int, seq uint32, cookie directory.Cookie) *Packet {
+	return &Packet{Caller: caller(n), Dest: route443, Flags: ACK, Seq: seq, Length: 100, Cookie: cookie}
+}
+
+// Guards against packets of an open flow that leave their upstream when it drains, goes silent, comes
+// under suspicion, or when the configuration changes.
+func TestOpenFlowStays(t *testing.T) {
+	c := newCore(5)
+	a := c.Packet(0, syn(1, 0))
+	assert.Equal(t, a.Verdict, Forward)
+	key, cookie := a.Upstream.Key, a.Cookie
+	draining := upstream(key, "north", directory.Draining)
+	draining.Silent = true
+	c.SetUpstream(draining)
+	c.SetTable(table(2, route443))
+	for i := range uint32(5) {
+		a = c.Packet(time.Duration(i)*300*time.Millisecond, data(1, 1, cookie))
+		assert.Equal(t, a.Verdict, Forward)
+		assert.Equal(t, a.Upstream.Key, key)
+	}
+}
+
+// Guards against a daemon that cannot route the packets of flows that another daemon has placed.
+func TestFlowOfAnotherDaemon(t *testing.T) {
+	first, second := newCore(5), newCore(5)
+	for n := range 100 {
+		a := first.Packet(0, syn(n, 0))
+		b := second.Packet(0, data(n, 1, a.Cookie))
+		assert.Equal(t, b.Verdict, Forward)
+		assert.Equal(t, b.Upstream.Incarnation, a.Upstream.Incarnation)
+	}
+}
+
+// Guards against a reset of a flow whose upstream may live: a daemon may lack its registration.
+func TestUnknownCookieIsNeverReset(t *testing.T) {
+	c := newCore(2)
+	other := upstream(77, "north", directory.Ready)
+	assert.Equal(t, c.Packet(0, data(1, 1, other.Cookie())).Verdict, Hold)
+	assert.Equal(t, c.Packet(0, data(2, 1, 12345)).Verdict, Hold)
+	assert.Equal(t, len(c.Release(10*time.Millisecond)), 0)
+	c.SetUpstream(other)
+	released := c.Release(20 * time.Millisecond)
+	assert.Equal(t, len(released), 1)
+	assert.Equal(t, released[0].Action.Upstream.Key, other.Key)
+	released = c.Release(holdTime)
+	assert.Equal(t, len(released), 1)
+	assert.Equal(t, released[0].Action, Action{Verdict: Drop, Reason: UnknownCookie})
+	assert.Assert(t, !c.Holding())
+}
+
+// Guards against held packets that take memory without bound.
+func TestHoldIsBounded(t *testing.T) {
+	c := newCore(1)
+	for n := range 10 * maxHeld {
+		c.Packet(0, data(n, 1, 999))
+	}
+	assert.Equal(t, len(c.held), maxHeld)
+	assert.Equal(t, c.Packet(0, data(1, 1, 999)), Action{Verdict: Drop, Reason: HoldBufferFull})
+}
+
+// Guards against callers that wait for an upstream that has certainly ended, or for a removed route.
+func TestResetWhenCertain(t *testing.T) {
+	c := newCore(1)
+	cookie := c.Packet(0, syn(1, 0)).Cookie
+	c.SetUpstream(upstream(1, "north", directory.Gone))
+	assert.Equal(t, c.Packet(0, data(1, 1, cookie)), Action{Verdict: Reset, Reason: UpstreamGone})
+	c = newCore(1)
+	cookie = c.Packet(0, syn(1, 0)).Cookie
+	c.SetTable(table(2, route80))
+	assert.Equal(t, c.Packet(0, data(1, 1, cookie)), Action{Verdict: Reset, Reason: RouteRemoved})
+	rst := data(1, 1, cookie)
+	rst.Flags = RST
+	assert.Equal(t, c.Packet(0, rst).Verdict, Drop, "a reset is not answered by a reset")
+}
+
+// Guards against an old table that a daemon gets from a control host that lags.
+func TestOlderTableIsIgnored(t *testing.T) {
+	c := newCore(1)
+	assert.Assert(t, c.SetTable(table(5, route80)))
+	assert.Assert(t, !c.SetTable(table(4, route443, route80)))
+	assert.Equal(t, c.Packet(0, syn(1, 0)), Action{Verdict: Reset, Reason: NoRoute})
+	assert.Assert(t, c.SetTable(table(6, route443)))
+	assert.Equal(t, c.Packet(0, syn(1, 0)).Verdict, Forward, "a route that came back")
+}
+
+// Guards against new work for an upstream that leaves, and callers that wait for nothing when none is
+// left.
+func TestNoNewFlowsWhileDraining(t *testing.T) {
+	c := newCore(2)
+	c.SetUpstream(upstream(1, "north", directory.Draining))
+	for n := range 50 {
+		assert.Equal(t, c.Packet(0, syn(n, 0)).Upstream.Key, directory.Key(2))
+	}
+	c.SetUpstream(upstream(2, "north", directory.Draining))
+	assert.Equal(t, c.Packet(0, syn(99, 0)), Action{Verdict: Reset, Reason: NoUpstream})
+}
+
+// Guards against refusals by a daemon that has just started: what it does not know yet may exist.
+func TestUnpreparedDaemonRefusesNothing(t *testing.T) {
+	c := New(Config{DataCentre: "north"}, rand.New(rand.NewPCG(1, 2)))
+	assert.Equal(t, c.Packet(0, syn(1, 0)), Action{Verdict: Drop, Reason: NoTable})
+	c.SetTable(table(1, route80))
+	assert.Equal(t, c.Packet(0, syn(1, 0)), Action{Verdict: Drop, Reason: Unprepared})
+	c.SetTable(table(2, route443))
+	assert.Equal(t, c.Packet(0, syn(1, 0)), Action{Verdict: Drop, Reason: Unprepared})
+	c.SetUpstream(upstream(1, "north", directory.Ready))
+	assert.Equal(t, c.Packet(0, syn(1, 0)).Verdict, Forward)
+}
+
+// Guards against a SYN that is sent again and again to an upstream that has died.
+func TestCopyOfSYNGoesElsewhere(t *testing.T) {
+	c := newCore(3)
+	seen := map[directory.Key]bool{}
+	for copies := range uint32(3) {
+		a := c.Packet(time.Duration(copies)*200*time.Millisecond, syn(1, copies))
+		assert.Assert(t, !seen[a.Upstream.Key])
+		seen[a.Upstream.Key] = true
+	}
+}
+
+// Guards against a SYN that the network has duplicated: two upstreams would answer.
+func TestDuplicateOfSYNStays(t *testing.T) {
+	c := newCore(10)
+	for n := range 20 {
+		first, again := c.Packet(0, syn(n, 0)), c.Packet(time.Millisecond, syn(n, 0))
+		assert.Equal(t, first.Upstream.Key, again.Upstream.Key)
+	}
+}
+
+// Guards against new flows that wait for a dead upstream: unanswered packets of two flows speak
+// against it, and an answer speaks for it.
+func TestUnansweredPackets(t *testing.T) {
+	c := newCore(2)
+	dead := c.cookies[c.upstreams[directory.Incarnation{Key: 1, Born: 1}].cookie]
+	for n := range 2 {
+		c.Packet(0, data(n, 7, dead.cookie))
+		c.Packet(200*time.Millisecond, data(n, 7, dead.cookie))
+	}
+	assert.Assert(t, dead.suspect(210*time.Millisecond))
+	for n := range 2 {
+		assert.Equal(t, c.Packet(210*time.Millisecond, syn(100+n, 0)).Upstream.Key, directory.Key(2))
+	}
+	answered := data(0, 8, dead.cookie)
+	answered.Ack = 5
+	c.Packet(220*time.Millisecond, answered)
+	assert.Assert(t, !dead.suspect(221*time.Millisecond))
+	assert.Equal(t, dead.inProgress, 2)
+}
+
+// Guards against counts of load that drift when flows close, move or go idle.
+func TestLoadReturnsToZero(t *testing.T) {
+	c := newCore(4)
+	rng := rand.New(rand.NewPCG(3, 4))
+	now := time.Duration(0)
+	for range 20_000 {
+		now += time.Duration(rng.IntN(2000)) * time.Microsecond
+		n := rng.IntN(300)
+		u := c.upstreams[directory.Incarnation{Key: directory.Key(1 + rng.IntN(4)), Born: 1}]
+		switch rng.IntN(5) {
+		case 0:
+			c.Packet(now, syn(n, uint32(rng.IntN(3))))
+		case 1:
+			fin := data(n, rng.Uint32(), u.cookie)
+			fin.Flags |= FIN
+			c.Packet(now, fin)
+		default:
+			p := data(n, uint32(rng.IntN(3)), u.cookie)
+			p.Ack = uint32(rng.IntN(3))
+			c.Packet(now, p)
+		}
+		flows, waiting := 0, 0
+		for _, s := range c.flows {
+			flows++
+			if s.waiting {
+				waiting++
+			}
+		}
+		for _, u := range c.upstreams {
+			flows -= u.flows
+			waiting -= u.inProgress
+		}
+		assert.Equal(t, flows, 0)
+		assert.Equal(t, waiting, 0)
+	}
+	c.Packet(now+time.Hour, syn(1, 0))
+	c.close(syn(1, 0).Flow())
+	for _, u := range c.upstreams {
+		assert.Equal(t, u.flows+u.inProgress, 0)
+	}
+}
+
+// Guards against two incarnations with one cookie, whose packets would reach the wrong one.
+func TestCookieCollision(t *testing.T) {
+	c := newCore(1)
+	first := c.upstreams[directory.Incarnation{Key: 1, Born: 1}]
+	second := &Upstream{cookie: first.cookie, Registration: upstream(2, "north", directory.Ready)}
+	c.upstreams[second.Incarnation] = second
+	c.SetUpstream(second.Registration)
+	for n := range 50 {
+		assert.Equal(t, c.Packet(0, syn(n, 0)).Upstream, first)
+	}
+}
+
+// Guards against allocations on the path of packets of open flows.
+func TestPacketAllocatesNothing(t *testing.T) {
+	c := newCore(5)
+	a := c.Packet(0, syn(1, 0))
+	p := data(1, 1, a.Cookie)
+	c.Packet(0, p)
+	assert.Equal(t, testing.AllocsPerRun(1000, func() { p.Seq++; c.Packet(time.Millisecond, p) }), 0.0)
+}
+
+// Measures a packet of an open flow among the upstreams of a data centre of the target size.
+func BenchmarkPacket(b *testing.B) {
+	c := newCore(3930)
+	a := c.Packet(0, syn(1, 0))
+	p := data(1, 1, a.Cookie)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Seq++
+		c.Packet(time.Millisecond, p)
+	}
+}
+
+// Measures the placement of a flow among so many upstreams of one service.
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range []int{14, 120, 1000} {
+		b.Run(netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(size)).String(), func(b *testing.B) {
+			c := newCore(size)
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				c.Packet(time.Duration(n)*time.Millisecond, syn(n%20000, 0))
+			}
+		})
+	}
+}
--- a/pkg/forward/flows.go
+++ b/pkg/forward/flows.go
@@ -24,9 +24,11 @@
 type flowState struct {
 	upstream *Upstream
 	tried    []*Upstream // by copies of the SYN
+	copy     uint32      // number of the latest copy
 	seen     time.Duration
 	dataAt   time.Duration // arrival of the latest payload
 	dataSeq  uint32        // its sequence number
+	sent     bool          // there was a payload
 	ack      uint32        // latest acknowledgement
 	waiting  bool          // a request has no answer yet
 	struck   bool          // the latest payload was repeated
@@ -48,7 +50,7 @@
 		s = &flowState{}
 		c.flows[f] = s
 	}
-	s.upstream, s.seen, s.waiting, s.struck = u, now, false, false
+	s.upstream, s.seen, s.sent, s.struck = u, now, false, false
 	u.flows++
 	return s
 }
@@ -95,13 +97,13 @@
 	}
 	switch {
 	case p.Length == 0:
-	case p.Seq == s.dataSeq && s.dataAt > 0:
+	case s.sent && p.Seq == s.dataSeq:
 		if now-s.dataAt >= unanswered && !s.struck {
 			s.struck = true
 			u.strike(now)
 		}
 	default:
-		s.dataSeq, s.dataAt, s.struck = p.Seq, now, false
+		s.dataSeq, s.dataAt, s.sent, s.struck = p.Seq, now, true, false
 		s.setWaiting(true)
 	}
 }
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"rosemarygate/pkg/control/directory"
 )
 
 const (
@@ -39,14 +41,18 @@
 	var tried []*Upstream
 	if s := c.flows[p.Flow()]; s != nil && now-s.seen < copyLifetime {
 		tried = s.tried
-		c.suspectTried(now, p, tried)
+		if len(tried) > 0 && p.Ack <= s.copy && s.upstream.State == directory.Ready {
+			// The network has duplicated the packet; a second upstream must not answer it.
+			return Action{Verdict: Forward, Reason: Placed, Upstream: s.upstream, Cookie: s.upstream.cookie}
+		}
+		c.suspectTried(now, tried)
 	}
 	u := c.choose(now, route.Service(flowHash(p.Flow())), tried)
 	if u == nil {
 		return c.refuse(p, NoUpstream)
 	}
 	s := c.attach(now, p.Flow(), u)
-	s.tried = append(tried, u)
+	s.tried, s.copy = append(tried, u), p.Ack
 	reason := Placed
 	if len(tried) > 0 {
 		reason = PlacedAgain
@@ -64,8 +70,8 @@
 }
 
 // suspectTried holds the missing answer to a SYN against the upstream that got the latest copy.
-func (c *Core) suspectTried(now time.Duration, p *Packet, tried []*Upstream) {
-	if p.Ack > 0 && len(tried) > 0 {
+func (c *Core) suspectTried(now time.Duration, tried []*Upstream) {
+	if len(tried) > 0 {
 		tried[len(tried)-1].suspectUntil = now + suspectTime
 	}
 }
--- /dev/null
+++ b/pkg/routing/routing_test.go
@@ -0,0 +1,77 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func validTable() *Table {
+	return &Table{
+		Version: 7, Services: []string{"a", "b"}, FlowIdle: 15 * time.Second,
+		Routes: []Route{
+			{Name: "r1", Address: netip.MustParseAddrPort("198.18.0.1:443"), Timeout: time.Second, Objective: time.Millisecond, Priority: 2, Idempotent: true, Split: []Share{{"a", 90}, {"b", 10}}},
+			{Name: "r2", Address: netip.MustParseAddrPort("198.18.0.1:80"), Timeout: time.Second, Split: []Share{{"b", 1}}},
+		},
+	}
+}
+
+// Guards against an invalid configuration in force.
+func TestValidate(t *testing.T) {
+	assert.NilError(t, validTable().Validate())
+	faults := map[string]func(*Table){
+		"no version":      func(t *Table) { t.Version = 0 },
+		"unnamed service": func(t *Table) { t.Services[0] = "" },
+		"unknown service": func(t *Table) { t.Routes[1].Split[0].Service = "c" },
+		"no service":      func(t *Table) { t.Routes[1].Split = nil },
+		"zero weights":    func(t *Table) { t.Routes[0].Split = []Share{{"a", 0}, {"b", 0}} },
+		"no timeout":      func(t *Table) { t.Routes[0].Timeout = 0 },
+		"same address":    func(t *Table) { t.Routes[1].Address = t.Routes[0].Address },
+		"no port":         func(t *Table) { t.Routes[1].Address = netip.MustParseAddrPort("198.18.0.1:0") },
+		"IPv6 address":    func(t *Table) { t.Routes[1].Address = netip.MustParseAddrPort("[2001:db8::1]:80") },
+	}
+	for name, spoil := range faults {
+		table := validTable()
+		spoil(table)
+		var invalid *InvalidError
+		assert.Assert(t, errors.As(table.Validate(), &invalid), name)
+	}
+}
+
+// Guards against a table that changes on its way to an entry daemon.
+func TestProtoKeepsTable(t *testing.T) {
+	table := validTable()
+	got := FromProto(table.Proto())
+	got.Services = table.Services // declared services stay on the control hosts
+	assert.DeepEqual(t, got, table, compareAddresses())
+}
+
+// Guards against flows that change their service between copies of a packet, and weights that do not
+// hold.
+func TestServiceFollowsWeights(t *testing.T) {
+	r := &validTable().Routes[0]
+	counts := map[string]int{}
+	for hash := range uint64(1000) {
+		assert.Equal(t, r.Service(hash), r.Service(hash))
+		counts[r.Service(hash)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
+}
+
+// Measures the look-up of a route with the addresses of the target size.
+func BenchmarkRoute(b *testing.B) {
+	t := &Table{Version: 1, Services: []string{"a"}}
+	for i := range 24_000 {
+		a := netip.AddrPortFrom(NumberAddress(uint32(198<<24|18<<16+i/100)), uint16(1000+i%100))
+		t.Routes = append(t.Routes, Route{Name: fmt.Sprint(i), Address: a, Timeout: time.Second, Split: []Share{{"a", 1}}})
+	}
+	x := NewIndex(t)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		x.Route(t.Routes[i%len(t.Routes)].Address)
+	}
+}
