--- a/pkg/control/ensemble/core.go
+++ b/pkg/control/ensemble/core.go
@@ -41,7 +41,7 @@
 	confirmed   []confirmedRead
 	role        agreement.Role
 	leader      agreement.Replica
-	answered    map[agreement.Replica]time.Time // when a member last answered this leader
+	answered    answered
 	ledSince    time.Time
 	joinDue     time.Time
 }
@@ -57,7 +57,7 @@
 	}
 	c := &core{
 		g: g, store: store, node: node, applied: st.Snapshot.Index, snapshotted: st.Snapshot.Index,
-		waiters: map[uint64]waiter{}, reads: map[uint64]chan struct{}{}, answered: map[agreement.Replica]time.Time{},
+		waiters: map[uint64]waiter{}, reads: map[uint64]chan struct{}{}, answered: answered{},
 	}
 	if st.Snapshot.Index > 0 {
 		if c.document, err = unmarshal(st.Snapshot.Data); err != nil {
@@ -143,34 +143,25 @@
 	}
 }
 
-// passedOn is the Hint of a request to join that a host passed on to its leader, which happens once.
-const passedOn = 1
-
-// admit takes a newcomer in as a learner, or passes its request to the leader: the newcomer knows
-// only the seeds.
+// admit takes a newcomer in as a learner, or passes its request to the leader.
 func (c *core) admit(m agreement.Message) {
 	st := c.node.Status()
-	if st.Role != agreement.Leader {
-		if st.Leader != agreement.None && m.Hint != passedOn {
-			m.To, m.Hint = st.Leader, passedOn
-			c.g.transport.Send(&m)
-		}
-		return
+	passOn, add := decideJoin(&st, m)
+	if passOn != nil {
+		c.g.transport.Send(passOn)
 	}
-	if st.Membership.Contains(m.From) {
+	if !add {
 		return
 	}
 	_, err := c.node.ProposeChange(agreement.Change{Kind: agreement.AddLearner, Replica: m.From})
 	if errors.Is(err, agreement.ErrStaleReplica) {
 		c.g.transport.Send(&agreement.Message{
-			Kind: agreement.MsgJoinRefused, From: st.Self, To: m.From, Term: st.Term, Group: c.group(),
+			Kind: agreement.MsgJoinRefused, From: st.Self, To: m.From, Term: st.Term, Group: c.node.Group(),
 		})
 	}
 	events.ReplicaAdmitted.Log(c.g.log, logrus.Fields{"member": memberName(m.From), "error": err})
 }
 
-func (c *core) group() uint64 { return c.node.Group() }
-
 // join asks for membership while the host is no member.
 func (c *core) join() {
 	st := c.node.Status()
@@ -193,15 +184,7 @@
 		clear(c.answered)
 		return
 	}
-	now := time.Now()
-	views := make([]memberView, 0, len(members))
-	for _, m := range members {
-		if at, known := c.answered[m.Replica]; m.Answers || !known || now.Before(at) {
-			c.answered[m.Replica] = now
-		}
-		views = append(views, memberView{m, now.Sub(c.answered[m.Replica])})
-	}
-	change, ok := nextChange(views, c.g.cfg.ToleratedDisks)
+	change, ok := nextChange(c.answered.views(time.Now(), members), c.g.cfg.ToleratedDisks)
 	if !ok {
 		return
 	}
--- a/pkg/control/ensemble/policy.go
+++ b/pkg/control/ensemble/policy.go
@@ -25,6 +25,38 @@
 	silent time.Duration // since the member last answered
 }
 
+// answered holds when each member last answered this leader.
+type answered map[agreement.Replica]time.Time
+
+// views returns what the policy needs to know of the members. A member counts as answering from the
+// moment when it is first seen.
+func (a answered) views(now time.Time, members []agreement.MemberStatus) []memberView {
+	views := make([]memberView, 0, len(members))
+	for _, m := range members {
+		if _, known := a[m.Replica]; m.Answers || !known {
+			a[m.Replica] = now
+		}
+		views = append(views, memberView{m, now.Sub(a[m.Replica])})
+	}
+	return views
+}
+
+// passedOn is the Hint of a request to join that a host passed on to its leader, which happens once.
+const passedOn = 1
+
+// decideJoin says what a host does with a request to join: the leader adds the newcomer, and another
+// host passes the request on, since the newcomer knows only the seeds.
+func decideJoin(st *agreement.Status, m agreement.Message) (passOn *agreement.Message, add bool) {
+	if st.Role == agreement.Leader {
+		return nil, !st.Membership.Contains(m.From)
+	}
+	if st.Leader == agreement.None || m.Hint == passedOn {
+		return nil, false
+	}
+	m.To, m.Hint = st.Leader, passedOn
+	return &m, false
+}
+
 // votersFor returns the fewest voters of which a majority survives the loss of so many disks.
 func votersFor(tolerated int) int { return max(fewestVoters, 2*tolerated+1) }
 
