--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -50,29 +50,39 @@
 func newEdge() *cobra.Command {
 	return nodeCommand(platform.EntryDaemon, "edge", "Run an entry daemon on the users' platform", `edge forwards the packets of flows to upstreams. It keeps no durable state: the routes and the
 registrations of upstreams come from control hosts. On SIGTERM it serves what still arrives until the
-fabric has turned away.`, func(n *node) func(context.Context) error {
+fabric has turned away.`, func(n *node) (func(context.Context) error, error) {
 		s := n.settings.Load()
 		return edge.New(edge.Config{
 			Name: s.Name, DataCentre: s.DataCentre, Packets: s.Packets, Readiness: s.Readiness,
 			ReadinessHandler: platform.ReadinessHandler, Seeds: n.seeds, Grace: s.Grace, FlowLifetime: s.FlowLifetime,
 			Codec: platform.Codec{}, Log: n.log, Metrics: n.metrics,
-		}).Run
+		}).Run, nil
 	})
 }
 
 func newControl() *cobra.Command {
-	return nodeCommand(platform.ControlHost, "control", "Run a control host on the users' platform", `control takes the announcements of upstreams and the configurations of operators. Control hosts found
-their group from the seeds, take newcomers in and replace lost hosts without an operator.`, func(n *node) func(context.Context) error {
+	var listen string
+	cmd := nodeCommand(platform.ControlHost, "control", "Run a control host on the users' platform", `control takes the announcements of upstreams and the configurations of operators. Control hosts found
+their group from the seeds, take newcomers in and replace lost hosts without an operator.`, func(n *node) (func(context.Context) error, error) {
 		s := n.settings.Load()
+		var peerListen netip.AddrPort
+		if listen != "" {
+			var err error
+			if peerListen, err = netip.ParseAddrPort(listen); err != nil {
+				return nil, errors.Wrap(err, "--peer-listen is no address: write it as 10.0.0.1:7720")
+			}
+		}
 		return controlhost.New(controlhost.Config{
-			Name: s.Name, Control: s.Control, Peer: s.Peer, Seeds: n.seeds, Found: s.FirstStart, Dir: s.DataDir,
+			Name: s.Name, Control: s.Control, Peer: s.Peer, PeerListen: peerListen, Seeds: n.seeds, Found: s.FirstStart, Dir: s.DataDir,
 			ToleratedDisks: s.ToleratedDisks, Heartbeat: s.Heartbeat, FlowLifetime: s.FlowLifetime,
 			Decode: platform.DecodeConfig, Handler: platform.ControlHandler, Log: n.log, Metrics: n.metrics,
-		}).Run
+		}).Run, nil
 	})
+	cmd.Flags().StringVar(&listen, "peer-listen", "", "IP:port that serves other daemons, if an address translation or a proxy stands before it")
+	return cmd
 }
 
-func nodeCommand(role platform.Role, name, short, long string, build func(*node) func(context.Context) error) *cobra.Command {
+func nodeCommand(role platform.Role, name, short, long string, build func(*node) (func(context.Context) error, error)) *cobra.Command {
 	var level, path string
 	var port uint16
 	cmd := &cobra.Command{
@@ -83,7 +93,11 @@
 			if err := n.start(level); err != nil {
 				return usageError(err)
 			}
-			return n.run(cmd.OutOrStdout(), build(n))
+			serve, err := build(n)
+			if err != nil {
+				return usageError(err)
+			}
+			return n.run(cmd.OutOrStdout(), serve)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file; without it the platform's environment variable names it")
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -50,6 +50,7 @@
 	Name string
 	// Control is the address for operators and upstreams, and Peer that for other daemons.
 	Control, Peer  netip.AddrPort
+	PeerListen     netip.AddrPort          // where Peer is served if an address translation or proxy stands before it
 	Seeds          func() []netip.AddrPort // peer addresses of control hosts
 	Found          bool                    // the deployment starts for the first time
 	Dir            string
@@ -110,7 +111,11 @@
 // Run runs the host until ctx ends, then hands its leadership over and stops.
 func (h *Host) Run(ctx context.Context) error {
 	defer h.stop()
-	peerListener, err := net.Listen("tcp4", h.cfg.Peer.String())
+	listen := h.cfg.Peer
+	if h.cfg.PeerListen.IsValid() {
+		listen = h.cfg.PeerListen
+	}
+	peerListener, err := net.Listen("tcp4", listen.String())
 	if err != nil {
 		return errors.Wrap(err, "peer address cannot be used: check that no other process uses the port")
 	}
