--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -36,7 +36,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newVersion(), newConfig(), newDaemon(), newUpstream(), newStatus(), newDemo(), newLoad(),
-		newTotals(), newKeys(), newReplicas(), newCall(), newFeed(), newCertificates(), newDrain(), newEdge(), newControl())
+		newTotals(), newKeys(), newReplicas(), newCall(), newFeed(), newCertificates(), newDrain(), newEdge(), newControl(), newLogs())
 	return root
 }
 
--- a/pkg/control/ensemble/core.go
+++ b/pkg/control/ensemble/core.go
@@ -365,7 +365,7 @@
 
 // foundingTime is how long a new leader waits for the voters that the tolerated losses need. A
 // deployment that has fewer control hosts is served without that tolerance afterwards.
-const foundingTime = 10 * time.Second
+const foundingTime = 4 * time.Second
 
 // propose appends a document to the leader's log.
 func (c *core) propose(d Document) (chan error, error) {
--- a/pkg/control/ensemble/policy.go
+++ b/pkg/control/ensemble/policy.go
@@ -13,7 +13,8 @@
 	replaceAfter = 3 * time.Second
 	// dropLearnerAfter is the silence after which a learner is no member any more; it may join again.
 	dropLearnerAfter = 30 * time.Second
-	// fewestVoters is the size of the smallest group that tolerates the loss of one voter.
+	// fewestVoters is the size of the smallest group that tolerates the loss of one voter. A group of
+	// fewer hosts keeps every voter that it has.
 	fewestVoters = 3
 	// mostVoters bounds the copies that each change is synced to.
 	mostVoters = 7
@@ -58,14 +59,14 @@
 }
 
 // votersFor returns the fewest voters of which a majority survives the loss of so many disks.
-func votersFor(tolerated int) int { return max(fewestVoters, 2*tolerated+1) }
+func votersFor(tolerated int) int { return 2*tolerated + 1 }
 
 // wantedVoters returns how many voters a group with so many live members has: as many as possible,
 // since a majority of all hosts then holds a majority of the voters, and an odd number, since an even
 // one tolerates no more losses.
 func wantedVoters(live, tolerated int) int {
 	odd := live - 1 + live%2
-	return min(mostVoters, max(odd, votersFor(tolerated)))
+	return min(mostVoters, max(odd, fewestVoters, votersFor(tolerated)))
 }
 
 // nextChange returns the next membership change of a group without operators, if there is one:
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -67,11 +67,10 @@
 
 // Host is one control host.
 type Host struct {
-	cfg     Config
-	log     logrus.FieldLogger
-	group   *ensemble.Group
-	clock   func() time.Duration
-	started time.Duration
+	cfg   Config
+	log   logrus.FieldLogger
+	group *ensemble.Group
+	clock func() time.Duration
 
 	mu        sync.Mutex // guards directory and changed
 	directory *directory.Directory
