--- a/pkg/decisionlog/decisionlog.go
+++ b/pkg/decisionlog/decisionlog.go
@@ -70,7 +70,7 @@
 	log := logrus.New()
 	log.SetOutput(w)
 	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00", DisableHTMLEscape: true})
 	return log
 }
 
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -91,6 +91,7 @@
 	counters        []*metrics.Counter // by forward.Reason
 	malformed       *metrics.Counter
 	sendErrors      *metrics.Counter
+	suspicions      *metrics.Counter
 	latency         *metrics.Histogram
 }
 
@@ -117,6 +118,7 @@
 	}
 	d.malformed = m.Counter("packets", "decision", "malformed")
 	d.sendErrors = m.Counter("send_errors")
+	d.suspicions = m.Counter("suspicions")
 	d.latency = m.Histogram("packet_seconds")
 	locked := func(f func() int) func() float64 {
 		return func() float64 {
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -214,7 +214,9 @@
 		d.core.SetUpstream(r)
 	}
 	holding := d.core.Holding()
+	ended := d.core.TakeEnded()
 	d.mu.Unlock()
+	d.resetAll(ended)
 	for _, r := range changes {
 		events.UpstreamChanged.Log(d.log, logrus.Fields{
 			"upstream": r.Name, "born": r.Born, "sequence": r.Sequence, "service": r.Service, "address": r.Address,
--- a/pkg/edge/packets.go
+++ b/pkg/edge/packets.go
@@ -51,7 +51,7 @@
 	d.lastPacket.Store(int64(now))
 	d.mu.Lock()
 	a := d.core.Packet(now, p)
-	line := d.line(now, p, a)
+	line, suspicion := d.line(now, p, a), d.suspicion(p, a)
 	if a.Verdict == forward.Hold {
 		d.release.Reset(releasePause)
 	}
@@ -60,6 +60,7 @@
 	d.mu.Unlock()
 	d.counters[a.Reason].Inc()
 	d.send(out, to)
+	d.write(suspicion)
 	d.write(line)
 }
 
@@ -114,6 +115,19 @@
 	}
 }
 
+// resetAll resets flows whose upstream has ended.
+func (d *Daemon) resetAll(flows []forward.Packet) {
+	for i := range flows {
+		p := &flows[i]
+		d.counters[forward.UpstreamGone].Inc()
+		d.send(d.cfg.Codec.Reset(nil, p), netip.AddrPortFrom(p.Caller.Addr(), d.cfg.Packets.Port()))
+		d.mu.Lock()
+		line := d.line(d.clock(), p, forward.Action{Verdict: forward.Reset, Reason: forward.UpstreamGone})
+		d.mu.Unlock()
+		d.write(line)
+	}
+}
+
 // decision is a log line that is written outside the lock.
 type decision struct {
 	event  events.Event
@@ -126,6 +140,22 @@
 	}
 }
 
+// suspicion returns the log line of a suspicion that begins, nil if none does.
+func (d *Daemon) suspicion(p *forward.Packet, a forward.Action) *decision {
+	u := a.Suspected
+	if u == nil {
+		return nil
+	}
+	d.suspicions.Inc()
+	inProgress, flows := u.Load()
+	return &decision{events.UpstreamSuspected, logrus.Fields{
+		"upstream": u.Name, "born": u.Born, "service": u.Service, "sequence": u.Sequence, "silent": u.Silent,
+		"in_progress": inProgress, "flows": flows, "flow": flowName(p),
+	}}
+}
+
+func flowName(p *forward.Packet) string { return p.Caller.String() + ">" + p.Dest.String() }
+
 // line returns the log line of a decision, nil for packets that go the way of those before them.
 func (d *Daemon) line(now time.Duration, p *forward.Packet, a forward.Action) *decision {
 	limiter, event := d.refused, events.FlowRefused
@@ -140,7 +170,7 @@
 		return nil
 	}
 	fields := logrus.Fields{
-		"flow": p.Caller.String() + ">" + p.Dest.String(), "reason": a.Reason.String(), "version": d.core.Version(),
+		"flow": flowName(p), "reason": a.Reason.String(), "version": d.core.Version(),
 		"feed_age_ms": (now - d.feed.heard()).Milliseconds(),
 	}
 	if suppressed > 0 {
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -54,6 +54,7 @@
 	SettingsReloaded         = add(Event{1006, logrus.InfoLevel, "settings were read again", ""})
 	SettingsRefused          = add(Event{1007, logrus.ErrorLevel, "changed settings cannot be used; the former ones stay", "read the error field and correct the settings file"})
 	MetricsFailed            = add(Event{1008, logrus.WarnLevel, "metrics cannot be served; the process runs without them", "free the port or change --metrics-port"})
+	UpstreamSuspected        = add(Event{2009, logrus.WarnLevel, "upstream has not answered packets; it gets fewer new flows for 2 s", "check the upstream, and the connections to it, if it repeats"})
 	FlowPlaced               = add(Event{2007, logrus.InfoLevel, "flow placed on an upstream", ""})
 	FlowRefused              = add(Event{2008, logrus.WarnLevel, "packet of a flow refused or dropped", "the reason field says why; see docs/OPERATIONS.md"})
 	UpstreamConnected        = add(Event{2001, logrus.InfoLevel, "upstream connected", ""})
--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -38,6 +38,7 @@
 	services  map[string][]*Upstream // those that may get new flows
 	flows     map[Flow]*flowState
 	held      []heldPacket
+	ended     []Packet // to be reset
 	swept     time.Duration
 	prepared  bool
 }
@@ -125,6 +126,9 @@
 			c.cookies[u.cookie] = u
 		}
 	}
+	if r.State == directory.Gone && u.State != directory.Gone {
+		c.endFlows(u)
+	}
 	u.Registration = r
 	of := c.services[r.Service]
 	i := slices.Index(of, u)
@@ -137,6 +141,26 @@
 	}
 }
 
+// endFlows collects the open flows of an upstream that has ended. A flow that is not open yet may open
+// at another upstream that got a copy of its SYN.
+func (c *Core) endFlows(u *Upstream) {
+	for f, s := range c.flows {
+		if s.upstream == u && s.tried == nil {
+			c.ended = append(c.ended, Packet{Caller: f.Caller, Dest: f.Dest, Flags: ACK, Ack: s.ack, Cookie: u.cookie})
+			s.detach()
+			delete(c.flows, f)
+		}
+	}
+}
+
+// TakeEnded returns the flows to reset because their upstream has ended, each as its caller's latest
+// packet: the caller then need not find out with its next request.
+func (c *Core) TakeEnded() []Packet {
+	out := c.ended
+	c.ended = nil
+	return out
+}
+
 // Forget removes an incarnation.
 func (c *Core) Forget(i directory.Incarnation) {
 	u := c.upstreams[i]
@@ -186,8 +210,11 @@
 		c.close(p.Flow())
 		return resetUnless(p, RouteRemoved)
 	}
-	c.observe(now, p, u)
-	return Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: p.Cookie}
+	a := Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: p.Cookie}
+	if c.observe(now, p, u) {
+		a.Suspected = u
+	}
+	return a
 }
 
 // resetUnless resets the flow of a packet, unless the caller itself has just reset it.
--- a/pkg/forward/core_test.go
+++ b/pkg/forward/core_test.go
@@ -290,3 +290,25 @@
 		})
 	}
 }
+
+// Guards against requests that callers send on idle flows whose upstream has ended: the flows are reset
+// as soon as the end is certain, but none that may have opened at another upstream.
+func TestFlowsOfEndedUpstreamAreReset(t *testing.T) {
+	c := newCore(2)
+	ended, other := c.upstreams[directory.Incarnation{Key: 1, Born: 1}], c.upstreams[directory.Incarnation{Key: 2, Born: 1}]
+	open := data(1, 7, ended.cookie)
+	open.Ack = 4321
+	c.Packet(0, open)
+	c.Packet(0, data(2, 7, other.cookie))
+	half := c.Packet(0, syn(3, 0)) // one of both; its flow may open elsewhere after a copy
+	c.SetUpstream(upstream(1, "north", directory.Draining))
+	assert.Equal(t, len(c.TakeEnded()), 0)
+	c.SetUpstream(upstream(1, "north", directory.Gone))
+	got := c.TakeEnded()
+	assert.Equal(t, len(got), 1, "the half-open flow is at %v", half.Upstream.Key)
+	assert.Equal(t, got[0].Caller, caller(1))
+	assert.Equal(t, got[0].Dest, route443)
+	assert.Equal(t, got[0].Ack, uint32(4321))
+	assert.Equal(t, len(c.TakeEnded()), 0)
+	assert.Equal(t, len(c.flows), 2)
+}
--- a/pkg/forward/flows.go
+++ b/pkg/forward/flows.go
@@ -81,11 +81,11 @@
 
 // observe learns from a packet of an open flow. The daemon sees only the caller's half: payload
 // starts a request, an acknowledgement that moves shows an answer, and repeated payload shows that
-// the upstream has not answered.
-func (c *Core) observe(now time.Duration, p *Packet, u *Upstream) {
+// the upstream has not answered. It returns whether the upstream came under suspicion.
+func (c *Core) observe(now time.Duration, p *Packet, u *Upstream) bool {
 	if p.Flags&(FIN|RST) != 0 {
 		c.close(p.Flow())
-		return
+		return false
 	}
 	s := c.attach(now, p.Flow(), u)
 	s.tried = nil
@@ -100,20 +100,27 @@
 	case s.sent && p.Seq == s.dataSeq:
 		if now-s.dataAt >= unanswered && !s.struck {
 			s.struck = true
-			u.strike(now)
+			return u.strike(now)
 		}
 	default:
 		s.dataSeq, s.dataAt, s.sent, s.struck = p.Seq, now, true, false
 		s.setWaiting(true)
 	}
+	return false
 }
 
-// strike notes that a packet to the upstream was not answered in time.
-func (u *Upstream) strike(now time.Duration) {
+// strike notes that a packet to the upstream was not answered in time, and reports whether that
+// begins a suspicion.
+func (u *Upstream) strike(now time.Duration) bool {
 	u.strikes++
-	if u.strikes >= strikeLimit {
-		u.suspectUntil = now + suspectTime
-	}
+	return u.strikes >= strikeLimit && u.distrust(now)
+}
+
+// distrust begins or prolongs a suspicion and reports whether it begins.
+func (u *Upstream) distrust(now time.Duration) bool {
+	begins := !u.suspect(now)
+	u.suspectUntil = now + suspectTime
+	return begins
 }
 
 // suspect reports whether unanswered packets speak against the upstream.
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -108,6 +108,8 @@
 	// Upstream is the receiver of a forwarded packet, and Cookie what the packet is to carry.
 	Upstream *Upstream
 	Cookie   directory.Cookie
+	// Suspected is an upstream that came under suspicion with this packet, nil if none did.
+	Suspected *Upstream
 }
 
 // Released is a held packet that was decided.
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -39,13 +39,16 @@
 		return c.refuse(p, NoRoute)
 	}
 	var tried []*Upstream
+	var suspected *Upstream
 	if s := c.flows[p.Flow()]; s != nil && now-s.seen < copyLifetime {
 		tried = s.tried
 		if len(tried) > 0 && p.Ack <= s.copy && s.upstream.State == directory.Ready {
 			// The network has duplicated the packet; a second upstream must not answer it.
 			return Action{Verdict: Forward, Reason: Placed, Upstream: s.upstream, Cookie: s.upstream.cookie}
 		}
-		c.suspectTried(now, tried)
+		if last := len(tried) - 1; last >= 0 && tried[last].distrust(now) {
+			suspected = tried[last]
+		}
 	}
 	u := c.choose(now, route.Service(flowHash(p.Flow())), tried)
 	if u == nil {
@@ -57,7 +60,7 @@
 	if len(tried) > 0 {
 		reason = PlacedAgain
 	}
-	return Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: u.cookie}
+	return Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: u.cookie, Suspected: suspected}
 }
 
 // refuse resets a new flow, so that its caller need not wait.
@@ -69,13 +72,6 @@
 	return Action{Verdict: Reset, Reason: reason}
 }
 
-// suspectTried holds the missing answer to a SYN against the upstream that got the latest copy.
-func (c *Core) suspectTried(now time.Duration, tried []*Upstream) {
-	if len(tried) > 0 {
-		tried[len(tried)-1].suspectUntil = now + suspectTime
-	}
-}
-
 // flowHash is the same on every daemon, so that copies of a SYN get the same service of a split.
 func flowHash(f Flow) uint64 {
 	b := make([]byte, 0, 12)
