Notice connections between control hosts that went silent in one direction

Ruled out: the lost disk of the third (its successor asked to join all the time) and the election itself.

--- a/pkg/control/transport/transport.go
+++ b/pkg/control/transport/transport.go
@@ -28,6 +28,9 @@
 	// silence is how long a peer may be silent while messages go to it before the connection is
 	// made anew. After a partition TCP would repeat its segments only after minutes.
 	silence = 1500 * time.Millisecond
+	// confirmPeriod is the shortest time between two confirmations of a stream, so that they cost less
+	// than the messages.
+	confirmPeriod = 500 * time.Millisecond
 	// The sender of a stream names itself: a joining replica does not know the address of a leader
 	// that its settings do not list any more, and would otherwise never answer it.
 	nameKey    = "rosemarygate-name"
@@ -190,6 +193,17 @@
 		return nil
 	}
 	opened := time.Now()
+	var confirmed atomic.Int64 // Unix nanoseconds of the latest confirmation
+	confirmed.Store(opened.UnixNano())
+	go func() {
+		for {
+			if _, err := stream.Recv(); err != nil {
+				cancel()
+				return
+			}
+			confirmed.Store(time.Now().UnixNano())
+		}
+	}()
 	var header header
 	for {
 		header.shorten(m)
@@ -207,7 +221,9 @@
 		}
 		heard := time.Unix(0, p.heard.Load())
 		silent := time.Since(opened) > silence && time.Since(heard) > silence
-		if silent || time.Since(sent) > silence {
+		// The peer may be heard over its own connection while this one has gone silent.
+		unconfirmed := time.Since(time.Unix(0, confirmed.Load())) > silence
+		if silent || unconfirmed || time.Since(sent) > silence {
 			return m
 		}
 	}
@@ -250,20 +266,11 @@
 }
 
 // Exchange takes messages until the stream or the replica ends.
-func (s *Server) Exchange(stream grpc.ClientStreamingServer[controlpb.AgreementMessage, controlpb.ExchangeReply]) error {
+func (s *Server) Exchange(stream grpc.BidiStreamingServer[controlpb.AgreementMessage, controlpb.ExchangeReply]) error {
 	s.introduce(stream.Context())
 	ended := make(chan error, 1)
 	go func() {
-		var header header
-		for {
-			m, err := stream.Recv()
-			if err != nil {
-				ended <- err
-				return
-			}
-			header.complete(m)
-			s.Receive(agreement.MessageFromProto(m))
-		}
+		ended <- s.take(stream)
 	}()
 	select {
 	case err := <-ended:
@@ -273,6 +280,27 @@
 	}
 }
 
+// take takes and confirms messages until the stream ends.
+func (s *Server) take(stream grpc.BidiStreamingServer[controlpb.AgreementMessage, controlpb.ExchangeReply]) error {
+	var header header
+	var last time.Time
+	for received := uint64(1); ; received++ {
+		m, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		header.complete(m)
+		s.Receive(agreement.MessageFromProto(m))
+		if time.Since(last) < confirmPeriod {
+			continue
+		}
+		last = time.Now()
+		if err := stream.Send(&controlpb.ExchangeReply{Received: received}); err != nil {
+			return err
+		}
+	}
+}
+
 func (s *Server) introduce(ctx context.Context) {
 	in, _ := metadata.FromIncomingContext(ctx)
 	name, address := in.Get(nameKey), in.Get(addressKey)
