Pass only changed registrations on to entry daemons

Cause: the end of an upstream's warm-up counted from each announcement, so every announcement moved it by more than the step and went to every daemon and log (found with logs flow).

--- a/pkg/cli/logs.go
+++ b/pkg/cli/logs.go
@@ -106,52 +106,52 @@
 		return logLine{}, false
 	}
 	var l logLine
-	if json.Unmarshal([]byte("{"+object), &l.fields) != nil {
+	decoder := json.NewDecoder(strings.NewReader("{" + object))
+	decoder.UseNumber() // times and cookies are printed as they were written
+	if decoder.Decode(&l.fields) != nil {
+		return logLine{}, false
+	}
+	number, _ := l.fields["event"].(json.Number) // without one the conversion below fails
+	event, err := number.Int64()
+	if err != nil {
 		return logLine{}, false
 	}
-	number, isEvent := l.fields["event"].(float64)
 	at, err := time.Parse(time.RFC3339, l.text("time"))
-	if err != nil || !isEvent {
+	if err != nil {
 		return logLine{}, false
 	}
-	l.at, l.daemon, l.event = at, l.text("daemon"), int(number)
+	l.at, l.daemon, l.event = at, l.text("daemon"), int(event)
 	return l, true
 }
 
 // flowStory returns the lines that belong to the flows of a caller, in the order of time.
 func flowStory(lines []logLine, caller string) []logLine {
-	var first, last time.Time
+	var packets []time.Time
 	upstreams, daemons := map[string]bool{}, map[string]bool{}
 	for i := range lines {
 		l := &lines[i]
 		if !isOfCaller(l, caller) {
 			continue
 		}
-		if first.IsZero() || l.at.Before(first) {
-			first = l.at
-		}
-		if l.at.After(last) {
-			last = l.at
-		}
+		packets = append(packets, l.at)
 		daemons[l.daemon] = true
 		if u := l.text("upstream"); u != "" {
 			upstreams[u] = true
 		}
 	}
-	if first.IsZero() {
-		return nil
+	isNear := func(at time.Time) bool {
+		return slices.ContainsFunc(packets, func(p time.Time) bool { return at.Sub(p).Abs() <= storyMargin })
 	}
-	from, to := first.Add(-storyMargin), last.Add(storyMargin)
 	lifecycle := []int{
 		events.DaemonStarted.Number, events.DaemonStopping.Number, events.DaemonStopped.Number, events.DaemonReady.Number,
 		events.ConfigInForce.Number, events.WatchEnded.Number,
 	}
 	var story []logLine
 	for _, l := range lines {
-		near := !l.at.Before(from) && !l.at.After(to)
-		ofUpstream := l.text("flow") == "" && upstreams[l.text("upstream")]
+		elsewhere := l.event == events.UpstreamChanged.Number && !daemons[l.daemon]
+		ofUpstream := l.text("flow") == "" && upstreams[l.text("upstream")] && !elsewhere
 		ofDaemon := daemons[l.daemon] && slices.Contains(lifecycle, l.event)
-		if isOfCaller(&l, caller) || near && (ofUpstream || ofDaemon) {
+		if isOfCaller(&l, caller) || (ofUpstream || ofDaemon) && isNear(l.at) {
 			story = append(story, l)
 		}
 	}
--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -128,7 +128,8 @@
 	if r.Service != old.Service || r.Address != old.Address {
 		return Contradicted
 	}
-	changed := r.State != old.State || r.Slots != old.Slots || r.DataCentre != old.DataCentre || r.WarmAt > old.WarmAt+warmupStep
+	colder := r.WarmAt > r.Heard && r.WarmAt > old.WarmAt+warmupStep
+	changed := r.State != old.State || r.Slots != old.Slots || r.DataCentre != old.DataCentre || colder
 	old.State, old.Slots, old.DataCentre, old.Sequence = r.State, r.Slots, r.DataCentre, r.Sequence
 	old.WarmAt, old.Heard = r.WarmAt, max(old.Heard, r.Heard)
 	if d.setSilent(old, silent, r.Heard) == Changed {
--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -78,6 +78,20 @@
 	assert.Equal(t, stateOf(t, d, Incarnation{1, 100}), Ready)
 }
 
+// Guards against regular announcements that are passed on to every entry daemon although they say
+// nothing new.
+func TestRegularAnnouncementChangesNothing(t *testing.T) {
+	d := New(testConfig)
+	for i := range 20 {
+		r := registration(1, 100, uint64(i+1))
+		r.Heard = time.Duration(i) * 1200 * time.Millisecond
+		r.WarmAt = max(r.Heard, 3*time.Second) // the process is slow for 3 s after its start
+		outcome := d.Announce(r)
+		assert.Equal(t, outcome == Changed, i == 0, "announcement %d: %v", i, outcome)
+	}
+	assert.Equal(t, d.Revision(), uint64(1))
+}
+
 // Guards against silence that is taken for an end, and against silence that is not noticed.
 func TestSilence(t *testing.T) {
 	d := New(testConfig)
