--- a/pkg/controlhost/calls.go
+++ b/pkg/controlhost/calls.go
@@ -34,6 +34,7 @@
 
 // Announce takes the announcement of an upstream. WarmAt of the registration counts from now on.
 func (h *Host) Announce(ctx context.Context, r directory.Registration) error {
+	defer h.observe("announce", time.Now())
 	now := h.clock()
 	r.Heard, r.WarmAt = now, now+r.WarmAt
 	if err := h.checkService(r.Service); err != nil {
@@ -90,6 +91,7 @@
 
 // Deregister takes the last word of an upstream process. A born of 0 stands for the latest process.
 func (h *Host) Deregister(ctx context.Context, k directory.Key, born int64) error {
+	defer h.observe("deregister", time.Now())
 	now := h.clock()
 	h.mu.Lock()
 	if latest, known := h.directory.Latest(k); born == 0 && known {
@@ -126,6 +128,7 @@
 // and ensemble.ErrNoMajority if its fate is not known.
 func (h *Host) ReplaceConfig(ctx context.Context, content []byte) error {
 	begin := time.Now()
+	defer h.observe("replace_config", begin)
 	t, err := h.cfg.Decode(content)
 	if err != nil {
 		h.logConfig("refused", 0, begin, err)
@@ -141,6 +144,11 @@
 	return nil
 }
 
+// observe records how long a call took.
+func (h *Host) observe(call string, begin time.Time) {
+	h.cfg.Metrics.Histogram("call_seconds", "call", call).UpdateDuration(begin)
+}
+
 func (h *Host) logConfig(outcome string, version uint64, begin time.Time, err error) {
 	h.count("config_changes", "outcome", outcome)
 	fields := logrus.Fields{
@@ -154,6 +162,7 @@
 
 // ReadConfig returns the content of the configuration in force, confirmed by a majority.
 func (h *Host) ReadConfig(ctx context.Context) ([]byte, error) {
+	defer h.observe("read_config", time.Now())
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	d, err := h.group.Read(limited)
