Registrations outlive a loss of power

Ruled out: upstreams that had not announced themselves before. The test fails without the sync of the folder.

--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -24,6 +24,7 @@
 	"rosemarygate/pkg/control/transport"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/routing"
+	"rosemarygate/pkg/storage"
 	"rosemarygate/pkg/telemetry"
 )
 
@@ -63,6 +64,8 @@
 	Handler func(*Host) http.Handler
 	Log     logrus.FieldLogger
 	Metrics *telemetry.Set
+	// FS keeps the log and the registrations; nil stands for the operating system's file system.
+	FS storage.FS
 }
 
 // Host is one control host.
@@ -92,6 +95,9 @@
 			SilentAfter: time.Duration(missedAnnouncements * float64(cfg.Heartbeat)), ForgetAfter: cfg.FlowLifetime,
 		}),
 	}
+	if h.cfg.FS == nil {
+		h.cfg.FS = storage.OS{}
+	}
 	h.ctx, h.stop = context.WithCancel(context.Background())
 	h.table.Store(&routing.Table{})
 	dial := []grpc.DialOption{
@@ -100,7 +106,7 @@
 	}
 	h.group = ensemble.New(ensemble.Config{
 		Self: cfg.Peer, Found: cfg.Found, Seeds: cfg.Seeds, Dir: cfg.Dir, ToleratedDisks: cfg.ToleratedDisks,
-		Dial: dial, Log: cfg.Log,
+		Dial: dial, Log: cfg.Log, FS: h.cfg.FS,
 	})
 	h.sharing = newSharing(h, transport.DialOptions(dial))
 	h.registerMetrics()
--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,6 +19,7 @@
 	feedpb "rosemarygate/api/feed/v1"
 	"rosemarygate/pkg/control/directory"
 	"rosemarygate/pkg/routing"
+	"rosemarygate/pkg/storage/faultfs"
 	"rosemarygate/pkg/telemetry"
 )
 
@@ -178,20 +180,32 @@
 }
 
 // Guards against entry daemons that do not recognise the upstreams of open flows after every control
-// host was restarted, and against a damaged file that keeps a host from starting.
-func TestRegistrationsAreKept(t *testing.T) {
-	cfg := Config{Dir: t.TempDir(), Heartbeat: time.Second, FlowLifetime: time.Minute, Log: logrus.New(), Metrics: telemetry.NewSet(), Seeds: func() []netip.AddrPort { return nil }, Peer: freeAddress(t)}
-	before := New(cfg)
+// host has lost power: the registrations came back as they were long before, because the renamed file
+// was not synced with its folder.
+func TestRegistrationsOutliveLossOfPower(t *testing.T) {
+	disk := faultfs.New(rand.New(rand.NewPCG(1, 2)))
+	host := func() *Host {
+		return New(Config{
+			Dir: "/data", FS: disk, Heartbeat: time.Second, FlowLifetime: time.Minute, Log: logrus.New(), Metrics: telemetry.NewSet(),
+			Seeds: func() []netip.AddrPort { return nil }, Peer: netip.MustParseAddrPort("127.0.0.1:1"),
+		})
+	}
+	before := host()
 	before.restore() // there is nothing yet
-	before.directory.Announce(ready(1, 100, 1))
-	before.directory.Announce(ready(2, 100, 1))
-	before.directory.Deregister(2, 100, 0)
-	assert.NilError(t, before.writeKept(before.directory.Changes(0)))
-	cfg.Metrics = telemetry.NewSet()
-	after := New(cfg)
-	after.restore()
-	r, ok := after.directory.Get(directory.Incarnation{Key: 1, Born: 100})
-	assert.Assert(t, ok && r.State == directory.Ready && !r.Silent)
-	r, ok = after.directory.Get(directory.Incarnation{Key: 2, Born: 100})
-	assert.Assert(t, ok && r.State == directory.Gone)
+	for i := range directory.Key(10) {
+		before.directory.Announce(ready(i+1, 100, 1))
+		before.directory.Deregister(i, 100, 0)
+		assert.NilError(t, before.writeKept(before.directory.Changes(0)))
+		disk.Crash()
+		after := host()
+		after.restore()
+		r, ok := after.directory.Get(directory.Incarnation{Key: i + 1, Born: 100})
+		assert.Assert(t, ok && r.State == directory.Ready && !r.Silent)
+		r, ok = after.directory.Get(directory.Incarnation{Key: i, Born: 100})
+		assert.Assert(t, i == 0 || ok && r.State == directory.Gone)
+	}
+	assert.Assert(t, disk.Corrupt("/data/"+keptFile, 0))
+	damaged := host()
+	damaged.restore()
+	assert.Equal(t, damaged.directory.Len(), 0)
 }
--- a/pkg/controlhost/keep.go
+++ b/pkg/controlhost/keep.go
@@ -6,7 +6,6 @@
 	"path/filepath"
 	"time"
 
-	"github.com/google/renameio/v2"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
@@ -14,13 +13,13 @@
 	feedpb "rosemarygate/api/feed/v1"
 	"rosemarygate/pkg/control/directory"
 	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/storage"
 )
 
 const (
 	// keepPeriod is how often changed registrations are written to the disk.
 	keepPeriod = time.Second
 	keptFile   = "registrations.bin"
-	keptMode   = 0o600
 )
 
 // keep writes the registrations to the disk when they have changed. After the loss of all control
@@ -63,13 +62,13 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	return errors.Wrap(renameio.WriteFile(h.keptPath(), data, keptMode, renameio.WithTempDir(h.cfg.Dir)), "write registrations")
+	return errors.Wrap(storage.WriteAtomic(h.cfg.FS, h.keptPath(), data), "write registrations")
 }
 
 // restore reads the registrations of the process before. Each counts as heard now: were the restored
 // upstreams silent, the first one that announces itself would get all new flows.
 func (h *Host) restore() {
-	data, err := os.ReadFile(h.keptPath())
+	data, err := h.cfg.FS.ReadFile(h.keptPath())
 	if errors.Is(err, os.ErrNotExist) {
 		return
 	}
--- a/pkg/storage/fs.go
+++ b/pkg/storage/fs.go
@@ -87,8 +87,8 @@
 	return d.Close()
 }
 
-// writeAtomic creates a file that, after a crash, either does not exist or is complete.
-func writeAtomic(fs FS, path string, contents []byte) error {
+// WriteAtomic creates a file that, after a crash, either does not exist or is complete.
+func WriteAtomic(fs FS, path string, contents []byte) error {
 	tmp := path + tmpSuffix
 	f, err := fs.Create(tmp)
 	if err != nil {
--- a/pkg/storage/recovery.go
+++ b/pkg/storage/recovery.go
@@ -35,7 +35,7 @@
 		return errors.WithStack(err)
 	}
 	path := filepath.Join(dir, snapshotName(st.Snapshot.Index))
-	return errors.Wrap(writeAtomic(fs, path, appendRecord(nil, payload)), "write recovered state")
+	return errors.Wrap(WriteAtomic(fs, path, appendRecord(nil, payload)), "write recovered state")
 }
 
 // startsGroup reports whether a recovered snapshot begins a group to which the segments do not
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -182,7 +182,7 @@
 		return err
 	}
 	path := filepath.Join(s.dir, snapshotName(snap.Index))
-	if err := writeAtomic(s.fs, path, appendRecord(nil, payload)); err != nil {
+	if err := WriteAtomic(s.fs, path, appendRecord(nil, payload)); err != nil {
 		return err
 	}
 	s.hard.Commit = max(s.hard.Commit, snap.Index)
@@ -216,7 +216,7 @@
 		}
 	}
 	path := filepath.Join(s.dir, segmentName(s.number+1))
-	if err := writeAtomic(s.fs, path, contents); err != nil {
+	if err := WriteAtomic(s.fs, path, contents); err != nil {
 		return err
 	}
 	s.number++
