--- a/pkg/controlhost/feed.go
+++ b/pkg/controlhost/feed.go
@@ -8,6 +8,7 @@
 
 	feedpb "rosemarygate/api/feed/v1"
 	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/routing"
 )
 
 const (
@@ -55,7 +56,8 @@
 // watcher knows what one entry daemon has been sent.
 type watcher struct {
 	h        *Host
-	version  uint64
+	version  uint64         // that the daemon has
+	sent     *routing.Table // on this stream, nil before the first one
 	revision uint64
 	started  bool
 }
@@ -72,7 +74,12 @@
 	}
 	w.started = true
 	if t := h.table.Load(); t.Version > w.version {
-		u.Table, w.version = t.Proto(), t.Version
+		if w.sent == nil {
+			u.Table = t.Proto()
+		} else {
+			u.Table = t.Difference(w.sent)
+		}
+		w.sent, w.version = t, t.Version
 	}
 	now := h.clock()
 	h.mu.Lock()
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -167,6 +167,7 @@
 		return connected, err
 	}
 	var outdatedSince time.Duration
+	var table *routing.Table // of this stream, from which its differences count
 	for first := true; ; first = false {
 		u, err := stream.Recv()
 		if err != nil {
@@ -178,7 +179,13 @@
 			f.setLive(slot, true)
 			events.WatchStarted.Log(f.d.log, logrus.Fields{"host": host, "current": u.GetStatus().GetCurrent(), "settled": u.GetStatus().GetSettled()})
 		}
-		f.apply(host, u)
+		if u.GetTable() != nil {
+			if table, err = routing.Apply(table, u.GetTable()); err != nil {
+				events.UpdateRefused.Log(f.d.log, logrus.Fields{"host": host, "error": err})
+				return connected, err
+			}
+		}
+		f.apply(host, u, table)
 		now := f.d.clock()
 		switch {
 		case u.GetStatus().GetCurrent():
@@ -191,19 +198,17 @@
 	}
 }
 
-// apply merges an update into what the daemon knows.
-func (f *feed) apply(host netip.AddrPort, u *feedpb.Update) {
+// apply merges an update into what the daemon knows. table is the latest one of the control host, nil if
+// it has sent none.
+func (f *feed) apply(host netip.AddrPort, u *feedpb.Update, table *routing.Table) {
 	d, now := f.d, f.d.clock()
 	if u.GetStatus().GetCurrent() {
 		f.last.Store(int64(now))
 	}
 	f.learn(u.GetStatus().GetControlHosts())
 	d.mu.Lock()
-	if t := u.GetTable(); t != nil {
-		table := routing.FromProto(t)
-		if d.core.SetTable(table) {
-			events.ConfigInForce.Log(d.log, logrus.Fields{"version": table.Version, "routes": len(table.Routes), "host": host})
-		}
+	if table != nil && d.core.SetTable(table) {
+		events.ConfigInForce.Log(d.log, logrus.Fields{"version": table.Version, "routes": len(table.Routes), "host": host})
 	}
 	for _, p := range u.GetRegistrations() {
 		d.directory.Announce(directory.FromProto(p, now))
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"net/netip"
 	"time"
-
-	feedpb "rosemarygate/api/feed/v1"
 )
 
 // Table is one version of the configuration. It is immutable once it is validated.
@@ -139,52 +137,3 @@
 	}
 	return r.Split[len(r.Split)-1].Service
 }
-
-// Proto returns the protobuf form of a table, which leaves out the declared services.
-func (t *Table) Proto() *feedpb.RoutingTable {
-	out := &feedpb.RoutingTable{Version: t.Version, FlowIdleMs: t.FlowIdle.Milliseconds()}
-	for i := range t.Routes {
-		r := &t.Routes[i]
-		p := &feedpb.Route{
-			Name: r.Name, Address: AddressNumber(r.Address.Addr()), Port: uint32(r.Address.Port()),
-			TimeoutMs: r.Timeout.Milliseconds(), ObjectiveMs: r.Objective.Milliseconds(),
-			Priority: uint32(r.Priority), Idempotent: r.Idempotent,
-		}
-		for _, s := range r.Split {
-			p.Split = append(p.Split, &feedpb.Share{Service: s.Service, Weight: s.Weight})
-		}
-		out.Routes = append(out.Routes, p)
-	}
-	return out
-}
-
-// FromProto is the inverse of Proto.
-func FromProto(p *feedpb.RoutingTable) *Table {
-	t := &Table{Version: p.GetVersion(), FlowIdle: time.Duration(p.GetFlowIdleMs()) * time.Millisecond}
-	for _, r := range p.GetRoutes() {
-		route := Route{
-			Name: r.GetName(), Address: netip.AddrPortFrom(NumberAddress(r.GetAddress()), uint16(r.GetPort())),
-			Timeout: time.Duration(r.GetTimeoutMs()) * time.Millisecond, Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond,
-			Priority: uint8(r.GetPriority()), Idempotent: r.GetIdempotent(),
-		}
-		for _, s := range r.GetSplit() {
-			route.Split = append(route.Split, Share{Service: s.GetService(), Weight: s.GetWeight()})
-		}
-		t.Routes = append(t.Routes, route)
-	}
-	return t
-}
-
-// AddressNumber returns an IPv4 address as a number, 0 for any other address.
-func AddressNumber(a netip.Addr) uint32 {
-	if !a.Is4() {
-		return 0
-	}
-	b := a.As4()
-	return uint32(b[0])<<24 | uint32(b[1])<<16 | uint32(b[2])<<8 | uint32(b[3])
-}
-
-// NumberAddress is the inverse of AddressNumber.
-func NumberAddress(n uint32) netip.Addr {
-	return netip.AddrFrom4([4]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)})
-}
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -4,12 +4,18 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosemarygate/pkg/testseed"
 )
 
+func TestMain(m *testing.M) { testseed.Main(m) }
+
 func validTable() *Table {
 	return &Table{
 		Version: 7, Services: []string{"a", "b"}, FlowIdle: 15 * time.Second,
@@ -45,11 +51,44 @@
 // Guards against a table that changes on its way to an entry daemon.
 func TestProtoKeepsTable(t *testing.T) {
 	table := validTable()
-	got := FromProto(table.Proto())
+	got, err := Apply(nil, table.Proto())
+	assert.NilError(t, err)
 	got.Services = table.Services // declared services stay on the control hosts
 	assert.DeepEqual(t, got, table, compareAddresses())
 }
 
+// Guards against daemons that hold another table than the control host after differences, and
+// differences that are applied to another version.
+func TestRandomDifferences(t *testing.T) {
+	byAddress := func(a, b Route) int { return a.Address.Compare(b.Address) }
+	rapid.Check(t, func(t *rapid.T) {
+		from := &Table{}
+		held := from
+		for version := range uint64(8) {
+			next := &Table{Version: version + 1, FlowIdle: time.Duration(rapid.IntRange(1, 3).Draw(t, "idle")) * time.Second}
+			for port := range uint16(6) {
+				if rapid.Bool().Draw(t, "route") {
+					next.Routes = append(next.Routes, Route{
+						Name: "r", Address: netip.AddrPortFrom(NumberAddress(7), port+1), Timeout: time.Second,
+						Priority: uint8(rapid.IntRange(0, 1).Draw(t, "priority")), Split: []Share{{"a", rapid.Uint32Range(1, 2).Draw(t, "weight")}},
+					})
+				}
+			}
+			got, err := Apply(held, next.Difference(from))
+			assert.NilError(t, err)
+			slices.SortFunc(got.Routes, byAddress)
+			assert.Equal(t, got.Version, next.Version)
+			assert.Equal(t, got.FlowIdle, next.FlowIdle)
+			assert.Assert(t, slices.EqualFunc(got.Routes, next.Routes, func(a, b Route) bool { return a.equal(&b) }))
+			if version > 0 {
+				_, err = Apply(&Table{Version: version + 7}, next.Difference(from))
+				assert.ErrorContains(t, err, "does not have")
+			}
+			from, held = next, got
+		}
+	})
+}
+
 // Guards against flows that change their service between copies of a packet, and weights that do not
 // hold.
 func TestServiceFollowsWeights(t *testing.T) {
