--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -46,9 +46,16 @@
 	latest   map[Key]int64              // latest start of each key
 	holders  map[netip.AddrPort]*record // latest process at each address
 	revision uint64
+	history  []change // by revision; the latest change of each record counts
 	lastTick time.Duration
 }
 
+// change is one change of a record.
+type change struct {
+	revision uint64
+	record   *record
+}
+
 // New returns an empty directory.
 func New(cfg Config) *Directory {
 	return &Directory{
@@ -77,19 +84,16 @@
 	return Incarnation{k, born}, ok
 }
 
-// Changes returns the registrations that changed after a revision, oldest change first.
+// Changes returns the registrations that changed after a revision, oldest change first. It costs as much
+// as there are such changes.
 func (d *Directory) Changes(after uint64) []Registration {
-	var found []*record
-	for _, r := range d.records {
-		if r.revision > after {
-			found = append(found, r)
+	from, _ := slices.BinarySearchFunc(d.history, after+1, func(c change, revision uint64) int { return cmp.Compare(c.revision, revision) })
+	out := make([]Registration, 0, len(d.history)-from)
+	for _, c := range d.history[from:] {
+		if c.record.revision == c.revision {
+			out = append(out, c.record.Registration)
 		}
 	}
-	slices.SortFunc(found, func(a, b *record) int { return cmp.Compare(a.revision, b.revision) })
-	out := make([]Registration, len(found))
-	for i, r := range found {
-		out[i] = r.Registration
-	}
 	return out
 }
 
@@ -183,8 +187,15 @@
 func (d *Directory) touch(r *record) {
 	d.revision++
 	r.revision = d.revision
+	d.history = append(d.history, change{d.revision, r})
+	if len(d.history) > 2*len(d.records)+minHistory {
+		d.history = slices.DeleteFunc(d.history, func(c change) bool { return c.record.revision != c.revision })
+	}
 }
 
+// minHistory keeps small directories from being compacted at every change.
+const minHistory = 64
+
 // Hear notes that another process heard an incarnation, and reports whether the incarnation is known.
 func (d *Directory) Hear(i Incarnation, sequence uint64, at time.Duration) bool {
 	r := d.records[i]
@@ -254,6 +265,7 @@
 
 func (d *Directory) forget(i Incarnation, r *record) {
 	delete(d.records, i)
+	r.revision = 0 // its entry in the history does not count any more
 	if d.latest[i.Key] == i.Born {
 		delete(d.latest, i.Key)
 	}
--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -183,6 +184,61 @@
 	})
 }
 
+// Guards against changes that a daemon misses because the history was compacted or records were
+// forgotten: a follower that merges the changes since its revision holds what the directory holds.
+func TestRandomFollower(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := New(testConfig)
+		held := map[Incarnation]Registration{}
+		revision := uint64(0)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+			r := registration(Key(rapid.IntRange(1, 5).Draw(t, "key")), rapid.Int64Range(1, 3).Draw(t, "born"), uint64(now))
+			r.Heard = now
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				r.State = Draining
+				d.Announce(r)
+			case 1:
+				d.Deregister(r.Key, 0, now)
+			case 2:
+				d.Tick(now)
+			default:
+				d.Announce(r)
+			}
+			if rapid.IntRange(0, 3).Draw(t, "follow") > 0 {
+				continue
+			}
+			for _, c := range d.Changes(revision) {
+				held[c.Incarnation] = c
+			}
+			revision = d.Revision()
+			for i, r := range d.records {
+				assert.Equal(t, held[i].State, r.State)
+				assert.Equal(t, held[i].Silent, r.Silent)
+			}
+		}
+	})
+}
+
+// Measures what a control host reads for an entry daemon when one of so many upstreams changed.
+func BenchmarkChanges(b *testing.B) {
+	for _, size := range []int{150, 3000, 8000} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			d := New(testConfig)
+			for key := range size {
+				d.Announce(registration(Key(key), 1, 1))
+			}
+			for b.Loop() {
+				if len(d.Changes(d.Revision()-1)) != 1 {
+					b.Fatal("one change expected")
+				}
+			}
+		})
+	}
+}
+
 // Guards against registrations that change on their way to another process.
 func TestProtoKeepsRegistration(t *testing.T) {
 	r := registration(9, 1234, 5)
