--- a/pkg/controlhost/feed.go
+++ b/pkg/controlhost/feed.go
@@ -77,7 +77,7 @@
 		if w.sent == nil {
 			u.Table = t.Proto()
 		} else {
-			u.Table = t.Difference(w.sent)
+			u.Table = h.difference(w.sent, t)
 		}
 		w.sent, w.version = t, t.Version
 	}
@@ -90,3 +90,20 @@
 	w.revision = h.directory.Revision()
 	return u
 }
+
+// tableStep is the difference between two tables.
+type tableStep struct {
+	from, to   *routing.Table
+	difference *feedpb.RoutingTable
+}
+
+// difference returns the difference between two tables. Most entry daemons need the same one, so the
+// latest is kept.
+func (h *Host) difference(from, to *routing.Table) *feedpb.RoutingTable {
+	if s := h.step.Load(); s != nil && s.from == from && s.to == to {
+		return s.difference
+	}
+	s := &tableStep{from, to, to.Difference(from)}
+	h.step.Store(s)
+	return s.difference
+}
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -80,6 +80,7 @@
 	changed   chan struct{} // closed at the next change of directory or table
 
 	table   atomic.Pointer[routing.Table]
+	step    atomic.Pointer[tableStep] // latest difference that was sent
 	settled atomic.Bool
 	sharing *sharing
 	ctx     context.Context
