--- a/api/feed/v1/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package feedpb holds what control hosts send to entry daemons and to each other: routing tables
-// and registrations of upstreams.
-package feedpb
--- a/pkg/control/directory/registration.go
+++ b/pkg/control/directory/registration.go
@@ -18,7 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	feedpb "rosemarygate/api/feed/v1"
+	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/routing"
 )
 
@@ -49,7 +49,7 @@
 // State is the state of an upstream process.
 type State uint8
 
-// States of upstreams; the values equal those of feedpb.State.
+// States of upstreams; the values equal those of entrypb.State.
 const (
 	Ready    State = 1
 	Draining State = 2 // takes no new flows
@@ -86,18 +86,18 @@
 }
 
 // Proto returns the protobuf form of a registration at a time.
-func (r *Registration) Proto(now time.Duration) *feedpb.Registration {
-	return &feedpb.Registration{
+func (r *Registration) Proto(now time.Duration) *entrypb.Registration {
+	return &entrypb.Registration{
 		Key: uint64(r.Key), Name: r.Name, Service: r.Service,
 		Address: routing.AddressNumber(r.Address.Addr()), Port: uint32(r.Address.Port()),
 		DataCentre: r.DataCentre, Slots: uint32(r.Slots), BornUnixMs: r.Born, Sequence: r.Sequence,
-		State: feedpb.State(r.State), WarmupMs: max(0, r.WarmAt-now).Milliseconds(),
+		State: entrypb.State(r.State), WarmupMs: max(0, r.WarmAt-now).Milliseconds(),
 		AgeMs: max(0, now-r.Heard).Milliseconds(), Silent: r.Silent,
 	}
 }
 
 // FromProto is the inverse of Proto at the receiver's time.
-func FromProto(p *feedpb.Registration, now time.Duration) Registration {
+func FromProto(p *entrypb.Registration, now time.Duration) Registration {
 	return Registration{
 		Incarnation: Incarnation{Key(p.GetKey()), p.GetBornUnixMs()},
 		Name:        p.GetName(), Service: p.GetService(),
--- a/pkg/control/ensemble/calls.go
+++ b/pkg/control/ensemble/calls.go
@@ -8,7 +8,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	feedpb "rosemarygate/api/feed/v1"
+	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/agreement"
 )
 
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = feedpb.NewCooperationClient(conn).Propose(ctx, &feedpb.ProposeRequest{Version: d.Version, Content: d.Content})
+	_, err = entrypb.NewCooperationClient(conn).Propose(ctx, &entrypb.ProposeRequest{Version: d.Version, Content: d.Content})
 	if ctx.Err() != nil {
 		g.transport.Drop(address)
 	}
@@ -104,12 +104,12 @@
 }
 
 // Propose serves another control host that takes this one for the leader.
-func (g *Group) Propose(ctx context.Context, q *feedpb.ProposeRequest) (*feedpb.ProposeReply, error) {
+func (g *Group) Propose(ctx context.Context, q *entrypb.ProposeRequest) (*entrypb.ProposeReply, error) {
 	err := g.submitHere(ctx, Document{q.GetVersion(), q.GetContent()})
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	return &feedpb.ProposeReply{Version: g.Document().Version}, nil
+	return &entrypb.ProposeReply{Version: g.Document().Version}, nil
 }
 
 // Read returns the document in force, confirmed by a majority after the call. The error is
--- a/pkg/control/ensemble/core.go
+++ b/pkg/control/ensemble/core.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	feedpb "rosemarygate/api/feed/v1"
+	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/agreement"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/storage"
@@ -80,7 +80,7 @@
 }
 
 func unmarshal(data []byte) (Document, error) {
-	var p feedpb.ProposeRequest
+	var p entrypb.ProposeRequest
 	if err := proto.Unmarshal(data, &p); err != nil {
 		return Document{}, errors.Wrap(err, "entry of the log cannot be read: empty the data folder; the host joins again")
 	}
@@ -88,7 +88,7 @@
 }
 
 func marshal(d Document) ([]byte, error) {
-	return proto.Marshal(&feedpb.ProposeRequest{Version: d.Version, Content: d.Content})
+	return proto.Marshal(&entrypb.ProposeRequest{Version: d.Version, Content: d.Content})
 }
 
 func (c *core) loop(ctx context.Context) error {
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -1,5 +1,5 @@
 // Package controlhost runs a control host: it takes announcements of upstreams and configurations
-// of operators, agrees on the configuration with the other control hosts, and feeds entry daemons.
+// of operators, agrees on the configuration with the other control hosts, and keeps entry daemons up to date.
 package controlhost
 
 import (
@@ -18,7 +18,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
-	feedpb "rosemarygate/api/feed/v1"
+	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/control/directory"
 	"rosemarygate/pkg/control/ensemble"
 	"rosemarygate/pkg/control/transport"
@@ -138,8 +138,8 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAlive / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: keepAliveTimeout}))
 	h.group.Register(server)
-	feedpb.RegisterFeedServer(server, &feedServer{h: h})
-	feedpb.RegisterCooperationServer(server, &cooperationServer{h: h})
+	entrypb.RegisterWatcherServer(server, &watchServer{h: h})
+	entrypb.RegisterCooperationServer(server, &cooperationServer{h: h})
 	web := &http.Server{Handler: h.cfg.Handler(h), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second}
 
 	var g run.Group
--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -16,7 +16,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"gotest.tools/v3/assert"
 
-	feedpb "rosemarygate/api/feed/v1"
+	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/control/directory"
 	"rosemarygate/pkg/routing"
 	"rosemarygate/pkg/storage/faultfs"
@@ -133,7 +133,7 @@
 	conn, err := grpc.NewClient(hosts[2].cfg.Peer.String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
 	assert.NilError(t, err)
 	defer conn.Close()
-	stream, err := feedpb.NewFeedClient(conn).Watch(t.Context(), &feedpb.WatchRequest{Daemon: "edge"})
+	stream, err := entrypb.NewWatcherClient(conn).Watch(t.Context(), &entrypb.WatchRequest{Daemon: "edge"})
 	assert.NilError(t, err)
 	first, err := stream.Recv()
 	assert.NilError(t, err)
@@ -149,7 +149,7 @@
 	for {
 		u, err := stream.Recv()
 		assert.NilError(t, err)
-		if rs := u.GetRegistrations(); len(rs) > 0 && rs[len(rs)-1].GetState() == feedpb.State_STATE_DRAINING {
+		if rs := u.GetRegistrations(); len(rs) > 0 && rs[len(rs)-1].GetState() == entrypb.State_STATE_DRAINING {
 			break
 		}
 		assert.Assert(t, time.Since(begin) < 3*time.Second, "the daemon has to know within 3 s")
--- a/pkg/controlhost/keep.go
+++ b/pkg/controlhost/keep.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	feedpb "rosemarygate/api/feed/v1"
+	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/control/directory"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/storage"
@@ -53,7 +53,7 @@
 func (h *Host) keptPath() string { return filepath.Join(h.cfg.Dir, keptFile) }
 
 func (h *Host) writeKept(all []directory.Registration) error {
-	b := &feedpb.Batch{}
+	b := &entrypb.Batch{}
 	now := h.clock()
 	for i := range all {
 		b.Registrations = append(b.Registrations, all[i].Proto(now))
@@ -72,7 +72,7 @@
 	if errors.Is(err, os.ErrNotExist) {
 		return
 	}
-	var b feedpb.Batch
+	var b entrypb.Batch
 	if err == nil {
 		err = proto.Unmarshal(data, &b)
 	}
--- a/pkg/controlhost/sharing.go
+++ b/pkg/controlhost/sharing.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
-	feedpb "rosemarygate/api/feed/v1"
+	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/control/directory"
 	"rosemarygate/pkg/events"
 )
@@ -46,7 +46,7 @@
 
 	mu          sync.Mutex
 	connected   bool
-	queue       []*feedpb.Registration
+	queue       []*entrypb.Registration
 	waiting     []chan struct{} // closed when the queue as it stands is confirmed
 	wake        chan struct{}
 	number      uint64                     // of the latest batch sent
@@ -95,7 +95,7 @@
 
 // refreshed passes on that an incarnation was heard again.
 func (s *sharing) refreshed(r directory.Registration) {
-	short := &feedpb.Registration{Key: uint64(r.Key), BornUnixMs: r.Born, Sequence: r.Sequence}
+	short := &entrypb.Registration{Key: uint64(r.Key), BornUnixMs: r.Born, Sequence: r.Sequence}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.peers {
@@ -132,7 +132,7 @@
 
 // add queues an announcement and reports whether the stream is connected. A host that is not
 // connected gets everything when it is.
-func (p *sharePeer) add(r *feedpb.Registration, confirmed chan struct{}) bool {
+func (p *sharePeer) add(r *entrypb.Registration, confirmed chan struct{}) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.connected || len(p.queue) >= maxQueued {
@@ -176,7 +176,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	limit := time.AfterFunc(shareSilence, cancel)
-	stream, err := feedpb.NewCooperationClient(conn).Share(ctx, grpc.WaitForReady(true))
+	stream, err := entrypb.NewCooperationClient(conn).Share(ctx, grpc.WaitForReady(true))
 	if err != nil {
 		limit.Stop()
 		return err
@@ -243,11 +243,11 @@
 	return time.Since(p.heard) > shareSilence
 }
 
-func (p *sharePeer) batch() *feedpb.Batch {
+func (p *sharePeer) batch() *entrypb.Batch {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.number++
-	b := &feedpb.Batch{Number: p.number, Registrations: p.queue, Settled: p.s.h.settled.Load()}
+	b := &entrypb.Batch{Number: p.number, Registrations: p.queue, Settled: p.s.h.settled.Load()}
 	if p.number == 1 {
 		b.Sender = p.s.h.cfg.Peer.String()
 	}
@@ -258,7 +258,7 @@
 	return b
 }
 
-func (p *sharePeer) confirmations(stream grpc.BidiStreamingClient[feedpb.Batch, feedpb.Confirmation]) error {
+func (p *sharePeer) confirmations(stream grpc.BidiStreamingClient[entrypb.Batch, entrypb.Confirmation]) error {
 	for {
 		c, err := stream.Recv()
 		if err != nil {
@@ -275,24 +275,24 @@
 }
 
 type cooperationServer struct {
-	feedpb.UnimplementedCooperationServer
+	entrypb.UnimplementedCooperationServer
 	h *Host
 }
 
 // Propose passes a document of another control host to the group.
-func (s *cooperationServer) Propose(ctx context.Context, q *feedpb.ProposeRequest) (*feedpb.ProposeReply, error) {
+func (s *cooperationServer) Propose(ctx context.Context, q *entrypb.ProposeRequest) (*entrypb.ProposeReply, error) {
 	return s.h.group.Propose(ctx, q)
 }
 
 // Share merges the announcements that another control host has heard.
-func (s *cooperationServer) Share(stream grpc.BidiStreamingServer[feedpb.Batch, feedpb.Confirmation]) error {
+func (s *cooperationServer) Share(stream grpc.BidiStreamingServer[entrypb.Batch, entrypb.Confirmation]) error {
 	for {
 		b, err := stream.Recv()
 		if err != nil {
 			return err
 		}
 		s.h.merge(b)
-		if err := stream.Send(&feedpb.Confirmation{Number: b.GetNumber()}); err != nil {
+		if err := stream.Send(&entrypb.Confirmation{Number: b.GetNumber()}); err != nil {
 			return err
 		}
 	}
@@ -300,12 +300,12 @@
 
 // merge takes a batch of another control host. The first batch of a settled host holds every live
 // upstream.
-func (h *Host) merge(b *feedpb.Batch) {
+func (h *Host) merge(b *entrypb.Batch) {
 	now := h.clock()
 	h.mu.Lock()
 	before := h.directory.Revision()
 	for _, p := range b.GetRegistrations() {
-		if p.GetService() == "" && p.GetState() != feedpb.State_STATE_GONE {
+		if p.GetService() == "" && p.GetState() != entrypb.State_STATE_GONE {
 			h.directory.Hear(directory.Incarnation{Key: directory.Key(p.GetKey()), Born: p.GetBornUnixMs()}, p.GetSequence(), now)
 			continue
 		}
--- a/pkg/controlhost/feed.go
+++ b/pkg/controlhost/watch.go
@@ -6,7 +6,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
-	feedpb "rosemarygate/api/feed/v1"
+	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/routing"
 )
@@ -19,13 +19,13 @@
 	joinChanges = 20 * time.Millisecond
 )
 
-type feedServer struct {
-	feedpb.UnimplementedFeedServer
+type watchServer struct {
+	entrypb.UnimplementedWatcherServer
 	h *Host
 }
 
 // Watch sends what an entry daemon needs until the stream or the host ends.
-func (s *feedServer) Watch(q *feedpb.WatchRequest, stream grpc.ServerStreamingServer[feedpb.Update]) error {
+func (s *watchServer) Watch(q *entrypb.WatchRequest, stream grpc.ServerStreamingServer[entrypb.Update]) error {
 	h := s.h
 	events.WatchStarted.Log(h.log, logrus.Fields{"daemon": q.GetDaemon(), "version": q.GetVersion()})
 	w := watcher{h: h, version: q.GetVersion()}
@@ -63,9 +63,9 @@
 }
 
 // next returns everything that changed since the last call.
-func (w *watcher) next() *feedpb.Update {
+func (w *watcher) next() *entrypb.Update {
 	h := w.h
-	u := &feedpb.Update{Snapshot: !w.started, Status: &feedpb.Status{Current: h.group.Current(), Settled: h.settled.Load()}}
+	u := &entrypb.Update{Snapshot: !w.started, Status: &entrypb.Status{Current: h.group.Current(), Settled: h.settled.Load()}}
 	if !w.started {
 		u.Status.ControlHosts = append(u.Status.ControlHosts, h.cfg.Peer.String())
 		for _, a := range h.group.Peers() {
@@ -94,12 +94,12 @@
 // tableStep is the difference between two tables.
 type tableStep struct {
 	from, to   *routing.Table
-	difference *feedpb.RoutingTable
+	difference *entrypb.RoutingTable
 }
 
 // difference returns the difference between two tables. Most entry daemons need the same one, so the
 // latest is kept.
-func (h *Host) difference(from, to *routing.Table) *feedpb.RoutingTable {
+func (h *Host) difference(from, to *routing.Table) *entrypb.RoutingTable {
 	if s := h.step.Load(); s != nil && s.from == from && s.to == to {
 		return s.difference
 	}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -81,7 +81,7 @@
 	revision  uint64 // of the directory that the core has
 	release   *time.Timer
 
-	feed       *feed
+	watches    *watches
 	prepared   atomic.Bool // the daemon knows enough to serve
 	stopping   atomic.Bool
 	failedAsks atomic.Int64 // readiness checks refused since the stop began
@@ -106,7 +106,7 @@
 	}
 	d.release = time.AfterFunc(time.Hour, d.releaseHeld)
 	d.release.Stop()
-	d.feed = newFeed(d)
+	d.watches = newWatches(d)
 	d.registerMetrics()
 	return d
 }
@@ -173,7 +173,7 @@
 	g.Add(func() error { return d.awaitStop(ctx) }, func(error) { stopInner() })
 	g.Add(d.readPackets, func(error) { d.conn.Close() })
 	g.Add(func() error { return ignoreClosed(web.Serve(listener)) }, func(error) { web.Close() })
-	add(d.feed.run)
+	add(d.watches.run)
 	add(d.forgetOld)
 	err = g.Run()
 	events.DaemonStopped.Log(d.log, logrus.Fields{"daemon": d.cfg.Name, "error": err})
--- a/pkg/edge/packets.go
+++ b/pkg/edge/packets.go
@@ -171,7 +171,7 @@
 	}
 	fields := logrus.Fields{
 		"flow": flowName(p), "reason": a.Reason.String(), "version": d.core.Version(),
-		"feed_age_ms": (now - d.feed.heard()).Milliseconds(),
+		"control_age_ms": (now - d.watches.heard()).Milliseconds(),
 	}
 	if suppressed > 0 {
 		fields["suppressed"] = suppressed
--- a/pkg/edge/feed.go
+++ b/pkg/edge/watch.go
@@ -14,7 +14,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
-	feedpb "rosemarygate/api/feed/v1"
+	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/control/directory"
 	"rosemarygate/pkg/control/transport"
 	"rosemarygate/pkg/events"
@@ -22,17 +22,17 @@
 )
 
 const (
-	// feedStreams is the number of control hosts that a daemon follows. With two, the loss of one
+	// watchStreams is the number of control hosts that a daemon follows. With two, the loss of one
 	// does not delay changes; the cost does not grow with the fleet.
-	feedStreams = 2
+	watchStreams = 2
 	// connectTimeout bounds the first connection to a control host, and slowConnectTimeout those
 	// after many failures: the opening packet to a host without power is lost, and TCP repeats it only
 	// after a second, so a short attempt finds a host that has just started sooner.
 	connectTimeout     = 150 * time.Millisecond
 	slowConnectTimeout = time.Second
-	// feedSilence is the time without an update, three status periods, after which a control host
+	// watchSilence is the time without an update, three status periods, after which a control host
 	// is given up.
-	feedSilence = 1500 * time.Millisecond
+	watchSilence = 1500 * time.Millisecond
 	// leaveOutdated is how long a control host may be without contact to its leader before the daemon
 	// looks for another one. An election takes about as long.
 	leaveOutdated = time.Second
@@ -47,47 +47,47 @@
 
 var errOutdated = errors.New("control host has no contact to its leader: another one is tried")
 
-// feed follows control hosts.
-type feed struct {
+// watches follows control hosts.
+type watches struct {
 	d       *Daemon
 	last    atomic.Int64 // steady clock of the latest update of a current control host, in nanoseconds
 	mu      sync.Mutex
 	learned []netip.AddrPort // control hosts that others have named
-	used    [feedStreams]netip.AddrPort
-	live    [feedStreams]bool // connected
+	used    [watchStreams]netip.AddrPort
+	live    [watchStreams]bool // connected
 
 	firstUpdate time.Duration
 	current     bool // a current control host was heard
 	settled     bool // a settled control host was heard
 }
 
-func newFeed(d *Daemon) *feed { return &feed{d: d} }
+func newWatches(d *Daemon) *watches { return &watches{d: d} }
 
 // heard returns when a current control host last sent an update.
-func (f *feed) heard() time.Duration { return time.Duration(f.last.Load()) }
+func (w *watches) heard() time.Duration { return time.Duration(w.last.Load()) }
 
-func (f *feed) run(ctx context.Context) error {
+func (w *watches) run(ctx context.Context) error {
 	var all sync.WaitGroup
-	for slot := range feedStreams {
-		all.Go(func() { f.runSlot(ctx, slot) })
+	for slot := range watchStreams {
+		all.Go(func() { w.runSlot(ctx, slot) })
 	}
 	all.Wait()
 	return nil
 }
 
 // runSlot follows one control host after the other.
-func (f *feed) runSlot(ctx context.Context, slot int) {
+func (w *watches) runSlot(ctx context.Context, slot int) {
 	limit := connectTimeout
 	for ctx.Err() == nil {
-		host, ok := f.pick(slot)
+		host, ok := w.pick(slot)
 		if ok {
-			connected, err := f.follow(ctx, slot, host, limit)
-			f.setLive(slot, false)
+			connected, err := w.follow(ctx, slot, host, limit)
+			w.setLive(slot, false)
 			if limit = min(limit*3/2, slowConnectTimeout); connected {
 				limit = connectTimeout
 			}
 			if ctx.Err() == nil {
-				events.WatchEnded.Log(f.d.log, logrus.Fields{"host": host, "error": err})
+				events.WatchEnded.Log(w.d.log, logrus.Fields{"host": host, "error": err})
 			}
 		}
 		select {
@@ -98,13 +98,13 @@
 }
 
 // pick returns a control host that the other slots do not use: another one than before if there is one.
-func (f *feed) pick(slot int) (netip.AddrPort, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	before := f.used[slot]
+func (w *watches) pick(slot int) (netip.AddrPort, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.used[slot]
 	var hosts []netip.AddrPort
-	for _, a := range slices.Concat(f.learned, f.d.cfg.Seeds()) {
-		if !slices.Contains(hosts, a) && !f.usedElsewhere(slot, a) {
+	for _, a := range slices.Concat(w.learned, w.d.cfg.Seeds()) {
+		if !slices.Contains(hosts, a) && !w.usedElsewhere(slot, a) {
 			hosts = append(hosts, a)
 		}
 	}
@@ -112,15 +112,15 @@
 		hosts = slices.DeleteFunc(hosts, func(a netip.AddrPort) bool { return a == before })
 	}
 	if len(hosts) == 0 {
-		f.used[slot] = netip.AddrPort{}
+		w.used[slot] = netip.AddrPort{}
 		return netip.AddrPort{}, false
 	}
-	f.used[slot] = hosts[rand.IntN(len(hosts))]
-	return f.used[slot], true
+	w.used[slot] = hosts[rand.IntN(len(hosts))]
+	return w.used[slot], true
 }
 
-func (f *feed) usedElsewhere(slot int, a netip.AddrPort) bool {
-	for i, u := range f.used {
+func (w *watches) usedElsewhere(slot int, a netip.AddrPort) bool {
+	for i, u := range w.used {
 		if i != slot && u == a {
 			return true
 		}
@@ -128,16 +128,16 @@
 	return false
 }
 
-func (f *feed) setLive(slot int, live bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.live[slot] = live
+func (w *watches) setLive(slot int, live bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.live[slot] = live
 }
 
-func (f *feed) otherLive(slot int) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for i, live := range f.live {
+func (w *watches) otherLive(slot int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, live := range w.live {
 		if i != slot && live {
 			return true
 		}
@@ -147,7 +147,7 @@
 
 // follow takes the updates of a control host until it fails, goes silent or is outdated for long
 // while another one is connected. It reports whether the host answered.
-func (f *feed) follow(ctx context.Context, slot int, host netip.AddrPort, connect time.Duration) (connected bool, err error) {
+func (w *watches) follow(ctx context.Context, slot int, host netip.AddrPort, connect time.Duration) (connected bool, err error) {
 	conn, err := grpc.NewClient(host.String(), transport.DialOptions([]grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 	})...)
@@ -159,10 +159,10 @@
 	defer cancel()
 	limit := time.AfterFunc(connect, cancel)
 	defer limit.Stop()
-	f.d.mu.Lock()
-	version := f.d.core.Version()
-	f.d.mu.Unlock()
-	stream, err := feedpb.NewFeedClient(conn).Watch(ctx, &feedpb.WatchRequest{Daemon: f.d.cfg.Name, Version: version}, grpc.WaitForReady(true))
+	w.d.mu.Lock()
+	version := w.d.core.Version()
+	w.d.mu.Unlock()
+	stream, err := entrypb.NewWatcherClient(conn).Watch(ctx, &entrypb.WatchRequest{Daemon: w.d.cfg.Name, Version: version}, grpc.WaitForReady(true))
 	if err != nil {
 		return connected, err
 	}
@@ -173,26 +173,26 @@
 		if err != nil {
 			return connected, err
 		}
-		limit.Reset(feedSilence)
+		limit.Reset(watchSilence)
 		if first {
 			connected = true
-			f.setLive(slot, true)
-			events.WatchStarted.Log(f.d.log, logrus.Fields{"host": host, "current": u.GetStatus().GetCurrent(), "settled": u.GetStatus().GetSettled()})
+			w.setLive(slot, true)
+			events.WatchStarted.Log(w.d.log, logrus.Fields{"host": host, "current": u.GetStatus().GetCurrent(), "settled": u.GetStatus().GetSettled()})
 		}
 		if u.GetTable() != nil {
 			if table, err = routing.Apply(table, u.GetTable()); err != nil {
-				events.UpdateRefused.Log(f.d.log, logrus.Fields{"host": host, "error": err})
+				events.UpdateRefused.Log(w.d.log, logrus.Fields{"host": host, "error": err})
 				return connected, err
 			}
 		}
-		f.apply(host, u, table)
-		now := f.d.clock()
+		w.apply(host, u, table)
+		now := w.d.clock()
 		switch {
 		case u.GetStatus().GetCurrent():
 			outdatedSince = 0
 		case outdatedSince == 0:
 			outdatedSince = now
-		case now-outdatedSince > leaveOutdated && f.otherLive(slot):
+		case now-outdatedSince > leaveOutdated && w.otherLive(slot):
 			return connected, errOutdated
 		}
 	}
@@ -200,12 +200,12 @@
 
 // apply merges an update into what the daemon knows. table is the latest one of the control host, nil if
 // it has sent none.
-func (f *feed) apply(host netip.AddrPort, u *feedpb.Update, table *routing.Table) {
-	d, now := f.d, f.d.clock()
+func (w *watches) apply(host netip.AddrPort, u *entrypb.Update, table *routing.Table) {
+	d, now := w.d, w.d.clock()
 	if u.GetStatus().GetCurrent() {
-		f.last.Store(int64(now))
+		w.last.Store(int64(now))
 	}
-	f.learn(u.GetStatus().GetControlHosts())
+	w.learn(u.GetStatus().GetControlHosts())
 	d.mu.Lock()
 	if table != nil && d.core.SetTable(table) {
 		events.ConfigInForce.Log(d.log, logrus.Fields{"version": table.Version, "routes": len(table.Routes), "host": host})
@@ -231,10 +231,10 @@
 	if holding && len(changes) > 0 {
 		d.releaseHeld()
 	}
-	f.prepare(now, u.GetStatus())
+	w.prepare(now, u.GetStatus())
 }
 
-func (f *feed) learn(hosts []string) {
+func (w *watches) learn(hosts []string) {
 	if len(hosts) == 0 {
 		return
 	}
@@ -242,33 +242,33 @@
 	for _, s := range hosts {
 		a, err := netip.ParseAddrPort(s)
 		if err != nil {
-			events.UpdateRefused.Log(f.d.log, logrus.Fields{"error": errors.Wrap(err, "address of a control host")})
+			events.UpdateRefused.Log(w.d.log, logrus.Fields{"error": errors.Wrap(err, "address of a control host")})
 			continue
 		}
 		learned = append(learned, a)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.learned = learned
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.learned = learned
 }
 
 // prepare makes the daemon ready once it knows what a daemon in touch with the control hosts knows:
 // the table of a current control host, and the registrations of a settled one, or at least an
 // upstream for every service in use. A daemon that finds no such host in time serves with what it
 // has: its data centre may be cut off.
-func (f *feed) prepare(now time.Duration, s *feedpb.Status) {
-	d := f.d
+func (w *watches) prepare(now time.Duration, s *entrypb.Status) {
+	d := w.d
 	if d.prepared.Load() {
 		return
 	}
-	f.mu.Lock()
-	if f.firstUpdate == 0 {
-		f.firstUpdate = now
+	w.mu.Lock()
+	if w.firstUpdate == 0 {
+		w.firstUpdate = now
 	}
-	f.current = f.current || s.GetCurrent()
-	f.settled = f.settled || s.GetSettled()
-	waited, current, settled := now-f.firstUpdate, f.current, f.settled
-	f.mu.Unlock()
+	w.current = w.current || s.GetCurrent()
+	w.settled = w.settled || s.GetSettled()
+	waited, current, settled := now-w.firstUpdate, w.current, w.settled
+	w.mu.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	served := settled || d.core.EveryServiceHasUpstream() && (current || waited > settleTime)
--- a/pkg/routing/convert.go
+++ b/pkg/routing/convert.go
@@ -6,12 +6,12 @@
 	"slices"
 	"time"
 
-	feedpb "rosemarygate/api/feed/v1"
+	entrypb "rosemarygate/api/entry/v1"
 )
 
 // Proto returns the protobuf form of a whole table, which leaves out the declared services.
-func (t *Table) Proto() *feedpb.RoutingTable {
-	out := &feedpb.RoutingTable{Version: t.Version, FlowIdleMs: t.FlowIdle.Milliseconds()}
+func (t *Table) Proto() *entrypb.RoutingTable {
+	out := &entrypb.RoutingTable{Version: t.Version, FlowIdleMs: t.FlowIdle.Milliseconds()}
 	for i := range t.Routes {
 		out.Routes = append(out.Routes, t.Routes[i].proto())
 	}
@@ -19,8 +19,8 @@
 }
 
 // Difference returns what a daemon that has table from needs to have t.
-func (t *Table) Difference(from *Table) *feedpb.RoutingTable {
-	out := &feedpb.RoutingTable{Version: t.Version, FromVersion: from.Version, FlowIdleMs: t.FlowIdle.Milliseconds()}
+func (t *Table) Difference(from *Table) *entrypb.RoutingTable {
+	out := &entrypb.RoutingTable{Version: t.Version, FromVersion: from.Version, FlowIdleMs: t.FlowIdle.Milliseconds()}
 	before := make(map[netip.AddrPort]*Route, len(from.Routes))
 	for i := range from.Routes {
 		before[from.Routes[i].Address] = &from.Routes[i]
@@ -34,14 +34,14 @@
 	}
 	for i := range from.Routes {
 		if a := from.Routes[i].Address; before[a] != nil {
-			out.Removed = append(out.Removed, &feedpb.RouteAddress{Address: AddressNumber(a.Addr()), Port: uint32(a.Port())})
+			out.Removed = append(out.Removed, &entrypb.RouteAddress{Address: AddressNumber(a.Addr()), Port: uint32(a.Port())})
 		}
 	}
 	return out
 }
 
 // Apply returns the table that a whole table or a difference from base stands for. base may be nil.
-func Apply(base *Table, p *feedpb.RoutingTable) (*Table, error) {
+func Apply(base *Table, p *entrypb.RoutingTable) (*Table, error) {
 	t := &Table{Version: p.GetVersion(), FlowIdle: time.Duration(p.GetFlowIdleMs()) * time.Millisecond}
 	if p.GetFromVersion() > 0 {
 		if base == nil || base.Version != p.GetFromVersion() {
@@ -56,7 +56,7 @@
 }
 
 // without returns the routes that a difference leaves as they are.
-func (t *Table) without(p *feedpb.RoutingTable) []Route {
+func (t *Table) without(p *entrypb.RoutingTable) []Route {
 	replaced := make(map[netip.AddrPort]bool, len(p.GetRoutes())+len(p.GetRemoved()))
 	for _, r := range p.GetRoutes() {
 		replaced[addressOf(r.GetAddress(), r.GetPort())] = true
@@ -82,19 +82,19 @@
 		r.Priority == other.Priority && r.Idempotent == other.Idempotent && slices.Equal(r.Split, other.Split)
 }
 
-func (r *Route) proto() *feedpb.Route {
-	p := &feedpb.Route{
+func (r *Route) proto() *entrypb.Route {
+	p := &entrypb.Route{
 		Name: r.Name, Address: AddressNumber(r.Address.Addr()), Port: uint32(r.Address.Port()),
 		TimeoutMs: r.Timeout.Milliseconds(), ObjectiveMs: r.Objective.Milliseconds(),
 		Priority: uint32(r.Priority), Idempotent: r.Idempotent,
 	}
 	for _, s := range r.Split {
-		p.Split = append(p.Split, &feedpb.Share{Service: s.Service, Weight: s.Weight})
+		p.Split = append(p.Split, &entrypb.Share{Service: s.Service, Weight: s.Weight})
 	}
 	return p
 }
 
-func routeFromProto(p *feedpb.Route) Route {
+func routeFromProto(p *entrypb.Route) Route {
 	r := Route{
 		Name: p.GetName(), Address: addressOf(p.GetAddress(), p.GetPort()),
 		Timeout: time.Duration(p.GetTimeoutMs()) * time.Millisecond, Objective: time.Duration(p.GetObjectiveMs()) * time.Millisecond,
