Reset no flow before its upstream has exited

Ruled out: the cookie (the right upstream) and silence. The upstream takes no new flows from the deregistration on and is gone 1.5 s later.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -37,6 +37,7 @@
 	Registration
 	revision uint64
 	since    time.Duration // when the incarnation was found to be gone or silent
+	exitsAt  time.Duration // when it is gone after its deregistration, 0 before that
 }
 
 // Directory holds the registrations that one process knows. It is not safe for concurrent use.
@@ -132,6 +133,9 @@
 	if r.Service != old.Service || r.Address != old.Address {
 		return Contradicted
 	}
+	if old.exitsAt > 0 {
+		r.State = Draining // a late announcement does not take the deregistration back
+	}
 	colder := r.WarmAt > r.Heard && r.WarmAt > old.WarmAt+warmupStep
 	changed := r.State != old.State || r.Slots != old.Slots || r.DataCentre != old.DataCentre || colder
 	old.State, old.Slots, old.DataCentre, old.Sequence = r.State, r.Slots, r.DataCentre, r.Sequence
@@ -210,7 +214,12 @@
 	return true
 }
 
-// Deregister notes that an upstream process has ended. A born of 0 stands for the latest process.
+// exitTime is how long an upstream process may live on after its deregistration: it exits when it has
+// the reply, for which it waits a second. Flows that are reset before would lose a living upstream.
+const exitTime = 1500 * time.Millisecond
+
+// Deregister notes that an upstream process is about to exit. It takes no new flows from now on, and is
+// gone after exitTime. A born of 0 stands for the latest process.
 func (d *Directory) Deregister(k Key, born int64, now time.Duration) bool {
 	if born == 0 {
 		born = d.latest[k]
@@ -219,7 +228,11 @@
 	if r == nil {
 		return false
 	}
-	d.end(r, now)
+	if r.State != Gone && r.exitsAt == 0 {
+		// The next sequence number makes other processes take the new state over.
+		r.State, r.Sequence, r.exitsAt = Draining, r.Sequence+1, now+exitTime
+		d.touch(r)
+	}
 	return true
 }
 
@@ -227,15 +240,20 @@
 // silence of upstreams proves nothing.
 const pauseLimit = time.Second
 
-// Tick finds silent upstreams and forgets old ones. It returns the incarnations that became silent.
-func (d *Directory) Tick(now time.Duration) []Registration {
+// Tick finds silent upstreams and those that have exited since their deregistration, and forgets old
+// ones. It returns the former two.
+func (d *Directory) Tick(now time.Duration) (silent, exited []Registration) {
 	paused := now - d.lastTick
 	d.lastTick = now
-	var silent []Registration
 	for i, r := range d.records {
 		if paused > pauseLimit {
 			r.Heard = min(now, r.Heard+paused)
 		}
+		if r.exitsAt > 0 && now >= r.exitsAt {
+			r.exitsAt = 0
+			d.end(r, now)
+			exited = append(exited, r.Registration)
+		}
 		if r.State != Gone && d.judges() && !r.Silent && now-r.Heard > d.cfg.SilentAfter {
 			d.setSilent(r, true, now)
 			silent = append(silent, r.Registration)
@@ -244,7 +262,7 @@
 			d.forget(i, r)
 		}
 	}
-	return silent
+	return silent, exited
 }
 
 // Expire forgets old incarnations on an entry daemon and returns them.
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -219,12 +219,16 @@
 			h.notify()
 		}
 		h.mu.Lock()
-		silent := h.directory.Tick(now)
+		silent, exited := h.directory.Tick(now)
 		h.mu.Unlock()
 		for _, r := range silent {
 			events.UpstreamSilent.Log(h.log, logrus.Fields{"upstream": r.Name, "born": r.Born, "age_ms": (now - r.Heard).Milliseconds()})
 		}
-		if len(silent) > 0 {
+		for _, r := range exited {
+			events.UpstreamExited.Log(h.log, logrus.Fields{"upstream": r.Name, "born": r.Born})
+			h.sharing.changed(r)
+		}
+		if len(silent)+len(exited) > 0 {
 			h.notify()
 		}
 	}
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -66,6 +66,7 @@
 	MemberChanged            = add(Event{3001, logrus.InfoLevel, "member changed state", ""})
 	UpstreamRegistered       = add(Event{3002, logrus.InfoLevel, "upstream registered", ""})
 	UpstreamLeft             = add(Event{3003, logrus.InfoLevel, "upstream left", ""})
+	UpstreamExited           = add(Event{3013, logrus.InfoLevel, "upstream has exited after its deregistration", ""})
 	UpstreamSilent           = add(Event{3004, logrus.WarnLevel, "upstream has not announced itself in time", "check the upstream, and its connections to the control hosts"})
 	Announcement             = add(Event{3005, logrus.InfoLevel, "announcement of an upstream changed its registration or was refused", ""})
 	UpstreamChanged          = add(Event{3009, logrus.InfoLevel, "registration of an upstream changed at an entry daemon", ""})
