--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,7 +13,7 @@
 fi
 # Packages whose tests run daemons in real time. They run one after the other, after the
 # rest: beside the computations of other packages their deadlines pass for want of a core.
-live='^\./(platform|pkg/(cli|controlhost|daemon|demo|load|load/flowbench|load/relaybench))$'
+live='^\./(platform|pkg/(cli|controlhost|daemon|demo|edge|load|load/flowbench|load/relaybench))$'
 
 # Tests keep their files in memory where there is room. Syncs of a shared disk stalled for up to
 # 34 s, longer than the time in which a control replica has to decide.
