--- a/pkg/controlhost/calls.go
+++ b/pkg/controlhost/calls.go
@@ -82,8 +82,20 @@
 	return ErrUnknownService
 }
 
+// logCall writes the line of a call, unless calls flood the log.
+func (h *Host) logCall(event events.Event, fields logrus.Fields) {
+	ok, suppressed := h.lines.Allow(time.Now())
+	if !ok {
+		return
+	}
+	if suppressed > 0 {
+		fields["suppressed"] = suppressed
+	}
+	event.Log(h.log, fields)
+}
+
 func (h *Host) logAnnouncement(r directory.Registration, outcome string) {
-	events.Announcement.Log(h.log, logrus.Fields{
+	h.logCall(events.Announcement, logrus.Fields{
 		"upstream": r.Name, "born": r.Born, "sequence": r.Sequence, "service": r.Service, "address": r.Address,
 		"state": r.State.String(), "outcome": outcome, "version": h.table.Load().Version,
 	})
@@ -100,7 +112,7 @@
 	found := h.directory.Deregister(k, born, now)
 	r, _ := h.directory.Get(directory.Incarnation{Key: k, Born: born})
 	h.mu.Unlock()
-	events.UpstreamLeft.Log(h.log, logrus.Fields{"upstream": r.Name, "key": k.String(), "born": born, "known": found})
+	h.logCall(events.UpstreamLeft, logrus.Fields{"upstream": r.Name, "key": k.String(), "born": born, "known": found})
 	if !found {
 		return ErrUnknownUpstream
 	}
@@ -157,7 +169,7 @@
 	if err != nil {
 		fields["error"] = err.Error()
 	}
-	events.ConfigSubmitted.Log(h.log, fields)
+	h.logCall(events.ConfigSubmitted, fields)
 }
 
 // ReadConfig returns the content of the configuration in force, confirmed by a majority.
@@ -176,7 +188,7 @@
 	} else {
 		h.count("config_reads", "outcome", "answered")
 	}
-	events.ConfigRead.Log(h.log, fields)
+	h.logCall(events.ConfigRead, fields)
 	return d.Content, err
 }
 
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -22,6 +22,7 @@
 	"rosemarygate/pkg/control/directory"
 	"rosemarygate/pkg/control/ensemble"
 	"rosemarygate/pkg/control/transport"
+	"rosemarygate/pkg/decisionlog"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/routing"
 	"rosemarygate/pkg/storage"
@@ -42,6 +43,9 @@
 	callTimeout = 900 * time.Millisecond
 	// bytesPerSecond is the rate at which large configurations get more time than callTimeout.
 	bytesPerSecond = 400 << 10
+	// linesPerSecond bounds the log lines that calls of operators and upstreams cause. 3,000 upstreams
+	// that start within a minute stay below it.
+	linesPerSecond = 100
 	// stopTimeout bounds the hand-over of the leadership at a planned stop.
 	stopTimeout = time.Second
 )
@@ -82,6 +86,7 @@
 	table   atomic.Pointer[routing.Table]
 	step    atomic.Pointer[tableStep] // latest difference that was sent
 	settled atomic.Bool
+	lines   *decisionlog.Limiter // of lines that calls cause
 	sharing *sharing
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -101,6 +106,7 @@
 	}
 	h.ctx, h.stop = context.WithCancel(context.Background())
 	h.table.Store(&routing.Table{})
+	h.lines = decisionlog.NewLimiter(linesPerSecond)
 	dial := []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: keepAliveTimeout}),
--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -209,3 +209,28 @@
 	damaged.restore()
 	assert.Equal(t, damaged.directory.Len(), 0)
 }
+
+// countingWriter counts lines.
+type countingWriter struct{ lines int }
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.lines++
+	return len(p), nil
+}
+
+// Guards against another writer's announcements that flood the log.
+func TestLogOfCallsIsBounded(t *testing.T) {
+	log, out := logrus.New(), &countingWriter{}
+	log.SetOutput(out)
+	h := New(Config{
+		Dir: t.TempDir(), Heartbeat: time.Second, FlowLifetime: time.Minute, Log: log, Metrics: telemetry.NewSet(),
+		Seeds: func() []netip.AddrPort { return nil }, Peer: netip.MustParseAddrPort("127.0.0.1:1"),
+	})
+	h.table.Store(&routing.Table{Version: 1, Services: []string{"b"}})
+	begin := time.Now()
+	for i := range 5000 {
+		assert.Assert(t, errors.Is(h.Announce(t.Context(), ready(1, 100, uint64(i))), ErrUnknownService))
+	}
+	seconds := int(time.Since(begin)/time.Second) + 2
+	assert.Assert(t, out.lines > 0 && out.lines <= seconds*linesPerSecond, "%d lines in %d s", out.lines, seconds)
+}
