--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -14,7 +14,6 @@
 	"syscall"
 	"time"
 
-	oklog "github.com/oklog/run"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
@@ -23,6 +22,7 @@
 	"rosemarygate/pkg/decisionlog"
 	"rosemarygate/pkg/edge"
 	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/supervise"
 	"rosemarygate/pkg/telemetry"
 	"rosemarygate/platform"
 )
@@ -144,15 +144,13 @@
 	}()
 	n.metrics.Gauge("log_lines_dropped", func() float64 { return float64(n.writer.Dropped()) })
 
-	var g oklog.Group
-	inner, stopInner := context.WithCancel(context.Background())
-	g.Add(func() error { return serve(ctx) }, func(error) { stop() })
-	g.Add(func() error { return n.watchSettings(inner) }, func(error) { stopInner() })
+	tree := supervise.New()
+	tree.AddStoppable(func() error { return serve(ctx) }, stop)
+	tree.Add(n.watchSettings)
 	if n.metricsPort != 0 {
-		web := &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: time.Second}
-		g.Add(func() error { return n.serveMetrics(inner, web) }, func(error) { web.Close() })
+		tree.Add(n.serveMetrics)
 	}
-	err := g.Run()
+	err := tree.Run()
 	if err != nil {
 		events.ComponentFailed.Log(n.log, logrus.Fields{"error": err})
 	}
@@ -167,20 +165,27 @@
 	return mux
 }
 
-// serveMetrics serves metrics until inner ends. A port that is taken is logged: the process serves
-// flows without metrics.
-func (n *node) serveMetrics(inner context.Context, web *http.Server) error {
+// serveMetrics serves metrics until ctx ends. A port that is taken is logged: the process serves flows
+// without metrics.
+func (n *node) serveMetrics(ctx context.Context) error {
 	address := fmt.Sprintf("%s:%d", n.settings.Load().IP, n.metricsPort)
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		events.MetricsFailed.Log(n.log, logrus.Fields{"address": address, "error": err})
-		<-inner.Done()
+		<-ctx.Done()
 		return nil
 	}
-	if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	web := &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: time.Second}
+	tree := supervise.New()
+	tree.Serve(web, listener)
+	tree.Add(func(inner context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-inner.Done():
+		}
+		return nil
+	})
+	return tree.Run()
 }
 
 // watchSettings reads the settings again after SIGHUP and when the file has changed. Seeds take
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/oklog/run"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
@@ -26,6 +25,7 @@
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/routing"
 	"rosemarygate/pkg/storage"
+	"rosemarygate/pkg/supervise"
 	"rosemarygate/pkg/telemetry"
 )
 
@@ -148,39 +148,35 @@
 	entrypb.RegisterCooperationServer(server, &cooperationServer{h: h})
 	web := &http.Server{Handler: h.cfg.Handler(h), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second}
 
-	var g run.Group
-	inner, stopInner := context.WithCancel(context.Background())
-	add := func(f func(context.Context) error) {
-		actor, cancel := context.WithCancel(inner)
-		g.Add(func() error { return f(actor) }, func(error) { cancel() })
-	}
-	g.Add(func() error {
-		<-ctx.Done()
-		events.DaemonStopping.Log(h.log, logrus.Fields{"daemon": h.cfg.Name})
-		limited, cancel := context.WithTimeout(inner, stopTimeout)
-		defer cancel()
-		if err := h.group.Transfer(limited); err != nil {
-			events.LeadershipKept.Log(h.log, logrus.Fields{"error": err})
-		}
+	tree := supervise.New()
+	tree.Add(func(inner context.Context) error {
+		h.awaitStop(ctx, inner)
 		return nil
-	}, func(error) { stopInner() })
-	add(h.group.Run)
-	add(h.follow)
-	add(h.watchDirectory)
-	add(h.sharing.run)
-	add(h.keep)
-	g.Add(func() error { return server.Serve(peerListener) }, func(error) { server.Stop() })
-	g.Add(func() error { return ignoreClosed(web.Serve(controlListener)) }, func(error) { web.Close() })
-	err = g.Run()
+	})
+	for _, part := range []func(context.Context) error{h.group.Run, h.follow, h.watchDirectory, h.sharing.run, h.keep} {
+		tree.Add(part)
+	}
+	tree.AddStoppable(func() error { return server.Serve(peerListener) }, server.Stop)
+	tree.Serve(web, controlListener)
+	err = tree.Run()
 	events.DaemonStopped.Log(h.log, logrus.Fields{"daemon": h.cfg.Name, "error": err})
 	return err
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+// awaitStop waits until ctx asks the host to stop, and hands its leadership over. inner ends when
+// another part has ended.
+func (h *Host) awaitStop(ctx, inner context.Context) {
+	select {
+	case <-inner.Done():
+		return
+	case <-ctx.Done():
+	}
+	events.DaemonStopping.Log(h.log, logrus.Fields{"daemon": h.cfg.Name})
+	limited, cancel := context.WithTimeout(inner, stopTimeout)
+	defer cancel()
+	if err := h.group.Transfer(limited); err != nil {
+		events.LeadershipKept.Log(h.log, logrus.Fields{"error": err})
 	}
-	return err
 }
 
 // follow decodes each configuration that comes into force.
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/oklog/run"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
@@ -21,6 +20,7 @@
 	"rosemarygate/pkg/decisionlog"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/forward"
+	"rosemarygate/pkg/supervise"
 	"rosemarygate/pkg/telemetry"
 )
 
@@ -163,34 +163,28 @@
 		"daemon": d.cfg.Name, "data_centre": d.cfg.DataCentre, "packets": d.cfg.Packets, "seeds": d.cfg.Seeds(),
 	})
 	web := &http.Server{Handler: d.cfg.ReadinessHandler(d.answerCheck), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second}
-	var g run.Group
-	inner, stopInner := context.WithCancel(context.Background())
-	defer stopInner()
-	add := func(f func(context.Context) error) {
-		actor, cancel := context.WithCancel(inner)
-		g.Add(func() error { return f(actor) }, func(error) { cancel() })
-	}
-	g.Add(func() error { return d.awaitStop(ctx) }, func(error) { stopInner() })
-	g.Add(d.readPackets, func(error) { d.conn.Close() })
-	g.Add(func() error { return ignoreClosed(web.Serve(listener)) }, func(error) { web.Close() })
-	add(d.watches.run)
-	add(d.forgetOld)
-	err = g.Run()
-	events.DaemonStopped.Log(d.log, logrus.Fields{"daemon": d.cfg.Name, "error": err})
-	return err
-}
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	tree := supervise.New()
+	tree.Add(func(inner context.Context) error {
+		d.awaitStop(ctx, inner)
 		return nil
-	}
+	})
+	tree.AddStoppable(d.readPackets, func() { d.conn.Close() })
+	tree.Serve(web, listener)
+	tree.Add(d.watches.run)
+	tree.Add(d.forgetOld)
+	err = tree.Run()
+	events.DaemonStopped.Log(d.log, logrus.Fields{"daemon": d.cfg.Name, "error": err})
 	return err
 }
 
 // awaitStop returns after ctx has ended and the fabric has turned away, at the latest shortly before
-// the grace ends.
-func (d *Daemon) awaitStop(ctx context.Context) error {
-	<-ctx.Done()
+// the grace ends. inner ends when another part has ended.
+func (d *Daemon) awaitStop(ctx, inner context.Context) {
+	select {
+	case <-inner.Done():
+		return
+	case <-ctx.Done():
+	}
 	d.stopping.Store(true)
 	begin := d.clock()
 	events.DaemonStopping.Log(d.log, logrus.Fields{"daemon": d.cfg.Name})
@@ -200,7 +194,7 @@
 		asked := d.failedAsks.Load() > missedChecks || now-begin > (missedChecks+2)*checkPeriod
 		quiet := now-time.Duration(d.lastPacket.Load()) > quietTime
 		if asked && quiet || now-begin > d.cfg.Grace-stopReserve {
-			return nil
+			return
 		}
 	}
 }
