--- a/pkg/control/directory/registration.go
+++ b/pkg/control/directory/registration.go
@@ -6,8 +6,8 @@
 //     incarnations of a key the later one holds; an earlier one never comes back.
 //   - Within an incarnation the announcement with the larger sequence number holds, so merging is
 //     idempotent and the order of arrival does not matter.
-//   - Gone is final and is concluded only from a deregistration, from a later incarnation of the key,
-//     or from a later process at the same address. Silence is no proof.
+//   - Gone is final and is concluded only from a deregistration, some time after it, from a later
+//     incarnation of the key, or from a later process at the same address. Silence is no proof.
 package directory
 
 import (
