Confirm messages between control hosts once a second

Ruled out: load, since the figure counts bytes. A silent stream is made anew after 2.5 s instead of 1.5 s.

--- a/pkg/control/transport/transport.go
+++ b/pkg/control/transport/transport.go
@@ -28,9 +28,12 @@
 	// silence is how long a peer may be silent while messages go to it before the connection is
 	// made anew. After a partition TCP would repeat its segments only after minutes.
 	silence = 1500 * time.Millisecond
-	// confirmPeriod is the shortest time between two confirmations of a stream, so that they cost less
-	// than the messages.
-	confirmPeriod = 500 * time.Millisecond
+	// confirmPeriod is the shortest time between two confirmations of a stream. At half of it the idle
+	// traffic of a leader grew by 200 B/s, which broke its bound.
+	confirmPeriod = time.Second
+	// unconfirmed is the time without a confirmation after which a stream is made anew: a confirmation,
+	// the message that it waits for, and one that was lost.
+	unconfirmed = 2500 * time.Millisecond
 	// The sender of a stream names itself: a joining replica does not know the address of a leader
 	// that its settings do not list any more, and would otherwise never answer it.
 	nameKey    = "rosemarygate-name"
@@ -222,8 +225,8 @@
 		heard := time.Unix(0, p.heard.Load())
 		silent := time.Since(opened) > silence && time.Since(heard) > silence
 		// The peer may be heard over its own connection while this one has gone silent.
-		unconfirmed := time.Since(time.Unix(0, confirmed.Load())) > silence
-		if silent || unconfirmed || time.Since(sent) > silence {
+		lost := time.Since(time.Unix(0, confirmed.Load())) > unconfirmed
+		if silent || lost || time.Since(sent) > silence {
 			return m
 		}
 	}
