Hear of an upstream without hiding a late announcement

Cause, found by reading: the short word that an upstream was heard again advanced the sequence number, so a draining that came later from another control host was taken for old and never applied; a stream that fell behind dropped announcements without beginning anew. TestHearingDoesNotHideLateAnnouncement failed before.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -209,7 +209,8 @@
 	if r.State == Gone || sequence < r.Sequence {
 		return true
 	}
-	r.Sequence, r.Heard = sequence, max(r.Heard, at)
+	// The sequence number stays that of the content: what the announcement said may still be on its way.
+	r.Heard = max(r.Heard, at)
 	d.setSilent(r, false, at)
 	return true
 }
--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -93,6 +93,18 @@
 	assert.Equal(t, d.Revision(), uint64(1))
 }
 
+// Guards against a host that never learns that an upstream drains: the word that the upstream was heard
+// again comes from a third host before the announcement that said so.
+func TestHearingDoesNotHideLateAnnouncement(t *testing.T) {
+	d := New(testConfig)
+	d.Announce(registration(1, 100, 1))
+	assert.Assert(t, d.Hear(Incarnation{1, 100}, 3, time.Second))
+	draining := registration(1, 100, 2)
+	draining.State = Draining
+	assert.Equal(t, d.Announce(draining), Changed)
+	assert.Equal(t, stateOf(t, d, Incarnation{1, 100}), Draining)
+}
+
 // Guards against silence that is taken for an end, and against silence that is not noticed.
 func TestSilence(t *testing.T) {
 	d := New(testConfig)
--- a/pkg/controlhost/sharing.go
+++ b/pkg/controlhost/sharing.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
@@ -30,6 +31,8 @@
 	maxQueued = 10_000
 )
 
+var errBehind = errors.New("control host does not take announcements in time: the stream begins anew with everything")
+
 // sharing passes the announcements that this host hears on to the other control hosts.
 type sharing struct {
 	h     *Host
@@ -135,7 +138,10 @@
 func (p *sharePeer) add(r *entrypb.Registration, confirmed chan struct{}) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.connected || len(p.queue) >= maxQueued {
+	if p.connected && len(p.queue) >= maxQueued {
+		p.connected, p.queue = false, nil // the stream ends and begins anew with everything
+	}
+	if !p.connected {
 		return false
 	}
 	p.queue = append(p.queue, r)
@@ -204,6 +210,9 @@
 			if p.silent() {
 				return context.DeadlineExceeded
 			}
+			if !p.isConnected() {
+				return errBehind
+			}
 			if !p.pending() && time.Since(sent) < shareIdle {
 				continue
 			}
@@ -237,6 +246,12 @@
 	return len(p.queue) > 0
 }
 
+func (p *sharePeer) isConnected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connected
+}
+
 func (p *sharePeer) silent() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
