One loop for periodic work; copy registrations only when they have changed

The loop of every() in pkg/control/replica stood again in control hosts and entry daemons; it moves to pkg/supervise. A control host copied all registrations under its lock each second before it looked whether anything had changed. The keep-alive times of gRPC are named constants. Behaviour is unchanged.

--- a/pkg/control/replica/change.go
+++ b/pkg/control/replica/change.go
@@ -9,6 +9,7 @@
 
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/agreement"
+	"rosemarygate/pkg/supervise"
 )
 
 const (
@@ -125,7 +126,7 @@
 
 // cancelOnNewLeader ends the wait for a leader that was replaced meanwhile; cancel ends ctx.
 func (r *Replica) cancelOnNewLeader(ctx context.Context, leader agreement.Replica, cancel context.CancelFunc) {
-	_ = every(ctx, leaderPoll, func() {
+	_ = supervise.Every(ctx, leaderPoll, func() {
 		if now := r.Status().Leader; now != agreement.None && now != leader {
 			cancel()
 		}
--- a/pkg/control/replica/collect.go
+++ b/pkg/control/replica/collect.go
@@ -13,6 +13,7 @@
 	controlpb "rosemarygate/api/control/v1"
 	"rosemarygate/pkg/control/totals"
 	"rosemarygate/pkg/events"
+	"rosemarygate/pkg/supervise"
 )
 
 const (
@@ -130,7 +131,7 @@
 // keepRestored restores after the start, and when a replica that owes totals is back.
 func (r *Replica) keepRestored(ctx context.Context) error {
 	r.restore(ctx)
-	return every(ctx, sharePeriod, func() { r.restore(ctx) })
+	return supervise.Every(ctx, sharePeriod, func() { r.restore(ctx) })
 }
 
 // restore asks the other replicas for totals that this one has to hold and may lack.
--- a/pkg/control/replica/distributor.go
+++ b/pkg/control/replica/distributor.go
@@ -14,6 +14,7 @@
 	"rosemarygate/pkg/control/distribution"
 	"rosemarygate/pkg/control/state"
 	"rosemarygate/pkg/control/transport"
+	"rosemarygate/pkg/supervise"
 )
 
 const (
@@ -153,7 +154,7 @@
 }
 
 func (r *Replica) tickDistribution(ctx context.Context) error {
-	return every(ctx, distributionTick, r.publish.tick)
+	return supervise.Every(ctx, distributionTick, r.publish.tick)
 }
 
 // distributionServer serves the daemons.
--- a/pkg/control/replica/recover.go
+++ b/pkg/control/replica/recover.go
@@ -19,6 +19,7 @@
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/storage"
+	"rosemarygate/pkg/supervise"
 )
 
 // groupPeriod is how often a replica without a leader asks the others for their group.
@@ -65,7 +66,7 @@
 func (r *Replica) watchGroups(ctx context.Context) error {
 	var told logLimiter
 	without := 0
-	return every(ctx, groupPeriod, func() {
+	return supervise.Every(ctx, groupPeriod, func() {
 		without++
 		group, st := r.identity.Load().GetGroup(), r.Status()
 		if !st.Loaded || st.Leader != agreement.None || group == 0 {
--- a/pkg/control/replica/share.go
+++ b/pkg/control/replica/share.go
@@ -16,6 +16,7 @@
 	"rosemarygate/pkg/control/transport"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
+	"rosemarygate/pkg/supervise"
 )
 
 const (
@@ -29,24 +30,10 @@
 	bookPeriod     = time.Minute
 )
 
-// every calls f once a period until ctx ends.
-func every(ctx context.Context, period time.Duration, f func()) error {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			f()
-		}
-	}
-}
-
 // keepBook writes the book every minute and at the end.
 func (r *Replica) keepBook(ctx context.Context) error {
 	defer r.saveBook()
-	return every(ctx, bookPeriod, r.saveBook)
+	return supervise.Every(ctx, bookPeriod, r.saveBook)
 }
 
 func (r *Replica) saveBook() {
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -30,10 +30,13 @@
 )
 
 const (
-	// keepAlive and keepAliveTimeout find connections that went silent, well within the time in
+	// keepAlive is the shortest time between two pings that gRPC sends. keepAliveTimeout also bounds the
+	// wait for TCP acknowledgements, so a connection that went silent is found well within the time in
 	// which a host has to be back in touch (4 s on the smallest deployments).
-	keepAlive        = time.Second
+	keepAlive        = 10 * time.Second
 	keepAliveTimeout = time.Second
+	// leastKeepAlive is the time between two pings that a peer may not go below.
+	leastKeepAlive = 500 * time.Millisecond
 	// missedAnnouncements is the number of announcements that an upstream may miss before it counts
 	// as silent: it may need a second to find another host.
 	missedAnnouncements = 2.6
@@ -109,7 +112,7 @@
 	h.lines = decisionlog.NewLimiter(linesPerSecond)
 	dial := []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: keepAliveTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepAlive, Timeout: keepAliveTimeout}),
 	}
 	h.group = ensemble.New(ensemble.Config{
 		Self: cfg.Peer, Found: cfg.Found, Seeds: cfg.Seeds, Dir: cfg.Dir, ToleratedDisks: cfg.ToleratedDisks,
@@ -141,8 +144,8 @@
 	h.restore()
 	server := grpc.NewServer(grpc.InitialWindowSize(transport.Window), grpc.InitialConnWindowSize(transport.Window),
 		grpc.MaxRecvMsgSize(transport.MaxMessage), grpc.MaxSendMsgSize(transport.MaxMessage),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAlive / 2, PermitWithoutStream: true}),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: keepAliveTimeout}))
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: leastKeepAlive, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAlive, Timeout: keepAliveTimeout}))
 	h.group.Register(server)
 	entrypb.RegisterWatcherServer(server, &watchServer{h: h})
 	entrypb.RegisterCooperationServer(server, &cooperationServer{h: h})
--- a/pkg/controlhost/keep.go
+++ b/pkg/controlhost/keep.go
@@ -14,6 +14,7 @@
 	"rosemarygate/pkg/control/directory"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/storage"
+	"rosemarygate/pkg/supervise"
 )
 
 const (
@@ -26,28 +27,24 @@
 // hosts at once, entry daemons then know the upstreams of open flows before these announce
 // themselves again.
 func (h *Host) keep(ctx context.Context) error {
-	ticker := time.NewTicker(keepPeriod)
-	defer ticker.Stop()
 	var kept uint64
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return supervise.Every(ctx, keepPeriod, func() {
 		h.mu.Lock()
 		revision := h.directory.Revision()
-		all := h.directory.Changes(0)
+		var all []directory.Registration
+		if revision != kept {
+			all = h.directory.Changes(0)
+		}
 		h.mu.Unlock()
 		if revision == kept {
-			continue
+			return
 		}
 		if err := h.writeKept(all); err != nil {
 			events.RegistrationsNotKept.Log(h.log, logrus.Fields{"error": err})
-			continue
+			return
 		}
 		kept = revision
-	}
+	})
 }
 
 func (h *Host) keptPath() string { return filepath.Join(h.cfg.Dir, keptFile) }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -201,18 +201,11 @@
 
 // forgetOld removes registrations that no flow can have any more.
 func (d *Daemon) forgetOld(ctx context.Context) error {
-	ticker := time.NewTicker(directoryTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return supervise.Every(ctx, directoryTick, func() {
 		d.mu.Lock()
+		defer d.mu.Unlock()
 		for _, i := range d.directory.Expire(d.clock()) {
 			d.core.Forget(i)
 		}
-		d.mu.Unlock()
-	}
+	})
 }
--- a/pkg/supervise/supervise.go
+++ b/pkg/supervise/supervise.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
@@ -50,3 +51,17 @@
 	defer t.end()
 	return t.group.Run()
 }
+
+// Every calls f once a period until ctx ends. It returns nil, so that it can be a part of a tree.
+func Every(ctx context.Context, period time.Duration, f func()) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f()
+		}
+	}
+}
