Refuse new flows while a service sheds, the least urgent first

Cause: beyond the capacity of the upstreams, rejected callers try again on new flows. The repeated tries take the places of first tries: 57% of the answers in the worst seconds are rejections, and nearly every request that is served is late. An entry daemon now recognises rejections by their size, averages their share for each service, and refuses new flows while it is above 5%, those of the most urgent routes last.

Ruled out (trials): refusing by latency. Rejections are answered fast, so the median stays low, and open flows carry the first tries, which refusals do not reach.

--- a/pkg/edge/packets.go
+++ b/pkg/edge/packets.go
@@ -57,9 +57,11 @@
 	}
 	out = d.datagram(p, a, out)
 	to := d.receiver(p, a)
+	overloads := d.core.TakeOverloads()
 	d.mu.Unlock()
 	d.counters[a.Reason].Inc()
 	d.send(out, to)
+	d.logOverloads(overloads)
 	d.write(suspicion)
 	d.write(line)
 }
@@ -154,6 +156,17 @@
 	}}
 }
 
+// logOverloads notes the services whose new flows are refused from now on, or no longer.
+func (d *Daemon) logOverloads(changes []forward.Overload) {
+	for _, o := range changes {
+		event := events.ServiceRelieved
+		if o.Refusing {
+			event = events.ServiceOverloaded
+		}
+		event.Log(d.log, logrus.Fields{"service": o.Service, "rejected_share": o.RejectedShare})
+	}
+}
+
 func flowName(p *forward.Packet) string { return p.Caller.String() + ">" + p.Dest.String() }
 
 // line returns the log line of a decision, nil for packets that go the way of those before them.
@@ -181,6 +194,9 @@
 	} else {
 		fields["cookie"] = uint32(p.Cookie)
 	}
+	if a.Reason == forward.Overloaded {
+		fields["rejected_share"] = a.RejectedShare
+	}
 	if u := a.Upstream; u != nil {
 		inProgress, flows := u.Load()
 		fields["upstream"], fields["born"], fields["service"] = u.Name, u.Born, u.Service
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -57,6 +57,8 @@
 	UpstreamSuspected        = add(Event{2009, logrus.WarnLevel, "upstream has not answered packets; it gets fewer new flows for 2 s", "check the upstream, and the connections to it, if it repeats"})
 	FlowPlaced               = add(Event{2007, logrus.InfoLevel, "flow placed on an upstream", ""})
 	FlowRefused              = add(Event{2008, logrus.WarnLevel, "packet of a flow refused or dropped", "the reason field says why; see docs/OPERATIONS.md"})
+	ServiceOverloaded        = add(Event{2010, logrus.WarnLevel, "upstreams of a service reject requests; new flows are refused, the least urgent first", "add upstreams if it repeats"})
+	ServiceRelieved          = add(Event{2011, logrus.InfoLevel, "new flows of a service are no longer refused", ""})
 	UpstreamConnected        = add(Event{2001, logrus.InfoLevel, "upstream connected", ""})
 	UpstreamDisconnected     = add(Event{2002, logrus.WarnLevel, "upstream disconnected", "check the upstream if it does not come back"})
 	HandoverStarted          = add(Event{2003, logrus.InfoLevel, "handover started", ""})
--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -29,18 +29,21 @@
 
 // Core decides on packets. It is not safe for concurrent use.
 type Core struct {
-	cfg       Config
-	rng       *rand.Rand
-	routes    *routing.Index
-	removed   map[netip.AddrPort]bool // addresses of routes that were removed
-	upstreams map[directory.Incarnation]*Upstream
-	cookies   map[directory.Cookie]*Upstream
-	services  map[string][]*Upstream // those that may get new flows
-	flows     map[Flow]*flowState
-	held      []heldPacket
-	ended     []Packet // to be reset
-	swept     time.Duration
-	prepared  bool
+	cfg        Config
+	rng        *rand.Rand
+	routes     *routing.Index
+	removed    map[netip.AddrPort]bool // addresses of routes that were removed
+	upstreams  map[directory.Incarnation]*Upstream
+	cookies    map[directory.Cookie]*Upstream
+	services   map[string][]*Upstream // those that may get new flows
+	flows      map[Flow]*flowState
+	held       []heldPacket
+	ended      []Packet                       // to be reset
+	answers    map[netip.AddrPort]*answerSize // by address of a route
+	admissions map[string]*admission          // by service
+	overloads  []Overload                     // not yet reported
+	swept      time.Duration
+	prepared   bool
 }
 
 type heldPacket struct {
@@ -111,6 +114,7 @@
 		delete(c.removed, r.Address)
 	}
 	c.routes = next
+	c.followTable(t)
 	return true
 }
 
--- a/pkg/forward/flows.go
+++ b/pkg/forward/flows.go
@@ -30,6 +30,7 @@
 	dataSeq  uint32        // its sequence number
 	sent     bool          // there was a payload
 	ack      uint32        // latest acknowledgement
+	acked    bool          // there was one
 	waiting  bool          // a request has no answer yet
 	struck   bool          // the latest payload was repeated
 }
@@ -50,7 +51,7 @@
 		s = &flowState{}
 		c.flows[f] = s
 	}
-	s.upstream, s.seen, s.sent, s.struck = u, now, false, false
+	s.upstream, s.seen, s.sent, s.acked, s.struck = u, now, false, false, false
 	u.flows++
 	return s
 }
@@ -89,8 +90,12 @@
 	}
 	s := c.attach(now, p.Flow(), u)
 	s.tried = nil
-	if p.Ack != s.ack {
-		s.ack = p.Ack
+	// An acknowledgement that the network has delayed says nothing new.
+	if moved := int32(p.Ack - s.ack); moved > 0 || !s.acked && p.Ack != 0 {
+		if s.waiting {
+			c.learnAnswer(now, p.Dest, u, uint32(moved))
+		}
+		s.ack, s.acked = p.Ack, true
 		s.setWaiting(false)
 		u.strikes = 0
 		u.suspectUntil = min(u.suspectUntil, now)
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -81,12 +81,14 @@
 	AwaitingCookie               // no registration has this cookie yet
 	Unprepared                   // the daemon does not know enough to place or refuse the flow
 	HoldBufferFull               // too many packets wait for registrations
+	Overloaded                   // the service rejects requests; a new flow would be rejected too
 	reasons
 )
 
 var reasonNames = [reasons]string{
 	"placed", "placed_again", "known", "known_flow", "no_table", "no_route", "route_removed",
 	"no_upstream", "upstream_gone", "unknown_cookie", "no_cookie", "awaiting_cookie", "unprepared", "hold_buffer_full",
+	"overloaded",
 }
 
 // String returns the reason as counters and logs name it.
@@ -110,6 +112,8 @@
 	Cookie   directory.Cookie
 	// Suspected is an upstream that came under suspicion with this packet, nil if none did.
 	Suspected *Upstream
+	// RejectedShare of recent answers is why a flow was refused as Overloaded.
+	RejectedShare float64
 }
 
 // Released is a held packet that was decided.
@@ -126,6 +130,7 @@
 	inProgress   int           // requests of these flows without an answer yet
 	suspectUntil time.Duration // unanswered packets speak against the upstream until then
 	strikes      int           // unanswered packets since the last answer
+	shedUntil    time.Duration // a rejection speaks against new flows until then
 }
 
 // Cookie returns the cookie of the upstream's flows.
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -25,6 +25,8 @@
 	// lately, and silentMargin of one whose announcements are missing: about what its queue holds.
 	suspectMargin = 3.0
 	silentMargin  = 6.0
+	// shedMargin is the additional load for each slot of an upstream that has just rejected a request.
+	shedMargin = 3.0
 	// triedMargin keeps copies of a SYN from an upstream that did not answer the SYN before.
 	triedMargin = 1000.0
 )
@@ -50,7 +52,14 @@
 			suspected = tried[last]
 		}
 	}
-	u := c.choose(now, route.Service(flowHash(p.Flow())), tried)
+	service := route.Service(flowHash(p.Flow()))
+	if p.Ack == 0 { // an earlier copy may be answered yet
+		if ok, share := c.admit(now, service, route.Priority); !ok {
+			c.close(p.Flow())
+			return Action{Verdict: Reset, Reason: Overloaded, RejectedShare: share}
+		}
+	}
+	u := c.choose(now, service, tried)
 	if u == nil {
 		return c.refuse(p, NoUpstream)
 	}
@@ -116,6 +125,9 @@
 	if u.suspect(now) {
 		load += suspectMargin
 	}
+	if now < u.shedUntil {
+		load += shedMargin
+	}
 	if u.Silent {
 		load += silentMargin
 	}
