Place fewer new flows on an upstream that rejects requests

Cause: an upstream that fails part of its requests while its health is good answers fast, is never busy and so attracts new flows. A rejection now speaks against it for 1 s, doubling up to 8 s.

Ruled out: telling it from a full upstream by the service's share of rejections; both should get fewer flows, and under overload all upstreams carry the same load.

--- a/pkg/forward/load_test.go
+++ b/pkg/forward/load_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -72,3 +73,28 @@
 	}
 	assert.Assert(t, counts[4] < 15 && counts[4] > 5, "%v", counts)
 }
+
+// Guards against an upstream that fails most of its requests, fast, while its health is good: it is
+// never busy and must not attract new flows.
+func TestFailingUpstreamGetsFewerFlows(t *testing.T) {
+	c := newCore(5)
+	rng := rand.New(rand.NewPCG(1, 5))
+	counts := map[directory.Key]int{}
+	now := time.Duration(0)
+	for n := range 2000 {
+		now += 10 * time.Millisecond
+		a := c.Packet(now, syn(n, 0))
+		counts[a.Upstream.Key]++
+		p := data(n, 1, a.Cookie)
+		p.Ack = 1
+		c.Packet(now, p)
+		p.Seq, p.Length, p.Ack = 101, 0, 1+answerBytes
+		if a.Upstream.Key == 1 && rng.IntN(10) < 6 {
+			p.Ack = 1 + rejectionBytes
+		}
+		c.Packet(now, p)
+		p.Flags |= FIN
+		c.Packet(now, p)
+	}
+	assert.Assert(t, counts[1] < 100 && counts[1] > 0, "%v", counts)
+}
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -34,9 +34,11 @@
 	otherDemand         = 0.1
 	// demandMemory is the number of new flows over which the demand of each priority is averaged.
 	demandMemory = 100
-	// shedTime is how long a rejection speaks against placing new flows on an upstream: its full queue
-	// needs about as long.
-	shedTime = 100 * time.Millisecond
+	// rejectionBackoff is how long a rejection speaks against new flows on the upstream. It doubles with
+	// each further one up to maxRejections, and answers take it back one by one: an upstream that fails
+	// part of its requests is tried again, but seldom.
+	rejectionBackoff = time.Second
+	maxRejections    = 4
 )
 
 // admission decides on the new flows of one service.
@@ -153,12 +155,20 @@
 	}
 	rejected := size.rejection(bytes)
 	a.answer(now, rejected)
-	if rejected {
-		u.shedUntil = now + shedTime
-	}
+	u.learnAnswer(now, rejected)
 	c.noteOverload(now, u.Service, a)
 }
 
+// learnAnswer takes an answer of the upstream.
+func (u *Upstream) learnAnswer(now time.Duration, rejected bool) {
+	if !rejected {
+		u.rejections = max(u.rejections-1, 0)
+		return
+	}
+	u.rejections = min(u.rejections+1, maxRejections)
+	u.rejectedUntil = now + rejectionBackoff<<(u.rejections-1)
+}
+
 func (c *Core) noteOverload(now time.Duration, service string, a *admission) {
 	refusing := a.rejectedShare(now) > refuseFrom
 	if refusing == a.refusing {
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -125,12 +125,13 @@
 // Upstream is one incarnation of an upstream with what this daemon has seen of it.
 type Upstream struct {
 	directory.Registration
-	cookie       directory.Cookie
-	flows        int           // flows that this daemon has seen lately
-	inProgress   int           // requests of these flows without an answer yet
-	suspectUntil time.Duration // unanswered packets speak against the upstream until then
-	strikes      int           // unanswered packets since the last answer
-	shedUntil    time.Duration // a rejection speaks against new flows until then
+	cookie        directory.Cookie
+	flows         int           // flows that this daemon has seen lately
+	inProgress    int           // requests of these flows without an answer yet
+	suspectUntil  time.Duration // unanswered packets speak against the upstream until then
+	strikes       int           // unanswered packets since the last answer
+	rejections    int           // recent ones, less the answers since
+	rejectedUntil time.Duration // they speak against new flows until then
 }
 
 // Cookie returns the cookie of the upstream's flows.
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -25,8 +25,9 @@
 	// lately, and silentMargin of one whose announcements are missing: about what its queue holds.
 	suspectMargin = 3.0
 	silentMargin  = 6.0
-	// shedMargin is the additional load for each slot of an upstream that has just rejected a request.
-	shedMargin = 3.0
+	// rejectionMargin is the additional load for each slot of an upstream that has rejected a request
+	// lately: about half of a full queue.
+	rejectionMargin = 3.0
 	// triedMargin keeps copies of a SYN from an upstream that did not answer the SYN before.
 	triedMargin = 1000.0
 )
@@ -125,8 +126,8 @@
 	if u.suspect(now) {
 		load += suspectMargin
 	}
-	if now < u.shedUntil {
-		load += shedMargin
+	if now < u.rejectedUntil {
+		load += rejectionMargin
 	}
 	if u.Silent {
 		load += silentMargin
