Weigh slow upstreams; refuse only under widespread rejections; experiments on packet forwarding

Cause: a daemon sees few of the flows of a slow upstream and places new ones there. The time of an upstream's answers, relative to the median of their routes, now counts as load. Besides, rejections of a few failing upstreams could refuse flows of a service with room: refusals now need a third of the answering upstreams to reject requests, and may then be steeper (all from 12% on).

Ruled out (trial): an average over all answers as the typical time, slow upstreams raise it.

--- a/pkg/forward/flows.go
+++ b/pkg/forward/flows.go
@@ -32,6 +32,7 @@
 	ack      uint32        // latest acknowledgement
 	acked    bool          // there was one
 	waiting  bool          // a request has no answer yet
+	asked    time.Duration // arrival of its first payload
 	struck   bool          // the latest payload was repeated
 }
 
@@ -93,7 +94,7 @@
 	// An acknowledgement that the network has delayed says nothing new.
 	if moved := int32(p.Ack - s.ack); moved > 0 || !s.acked && p.Ack != 0 {
 		if s.waiting {
-			c.learnAnswer(now, p.Dest, u, uint32(moved))
+			c.learnAnswer(now, p.Dest, u, uint32(moved), now-s.asked)
 		}
 		s.ack, s.acked = p.Ack, true
 		s.setWaiting(false)
@@ -109,6 +110,9 @@
 		}
 	default:
 		s.dataSeq, s.dataAt, s.sent, s.struck = p.Seq, now, true, false
+		if !s.waiting {
+			s.asked = now
+		}
 		s.setWaiting(true)
 	}
 	return false
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -24,14 +24,21 @@
 	// service that is seldom used stays below refuseFrom.
 	priorAnswers = 20
 	// refuseFrom is the share of rejections from which new flows are refused, and refuseAllFrom the
-	// share from which all of them are. Replayed bursts of 3 to 6 times the usual load serve more
-	// requests in time the lower both are; a single failing upstream must stay below refuseFrom.
+	// share from which all of them are. Replayed bursts serve more requests in time the lower both are;
+	// a few rejections of a busy service are no overload.
 	refuseFrom    = 0.05
-	refuseAllFrom = 0.2
+	refuseAllFrom = 0.12
 	// refuseAllUrgentFrom is the share from which all of the most urgent flows are refused as well. They are
 	// spared up to refuseAllFrom if there are less urgent ones to refuse, at least otherDemand of all.
 	refuseAllUrgentFrom = 0.6
 	otherDemand         = 0.1
+	// overloadedUpstreams is the part of the upstreams that have to reject requests for the service to
+	// count as overloaded: a few upstreams that fail leave room at the others.
+	overloadedUpstreams = 1.0 / 3
+	// answerLifetime is how long an upstream counts as one that answers.
+	answerLifetime = 2 * time.Second
+	// countPeriod is how often upstreams are counted.
+	countPeriod = 50 * time.Millisecond
 	// demandMemory is the number of new flows over which the demand of each priority is averaged.
 	demandMemory = 100
 	// rejectionBackoff is how long a rejection speaks against new flows on the upstream. It doubles with
@@ -47,6 +54,8 @@
 	decayed           time.Duration     // when they were last decayed
 	demand            map[uint8]float64 // recent new flows by priority
 	refusing          bool
+	widespread        bool          // enough upstreams reject requests
+	counted           time.Duration // when they were counted
 }
 
 // answer takes an answer of an upstream of the service.
@@ -99,7 +108,7 @@
 	// typicalQuantile is the quantile of an answer's size that is followed, so that the typical size
 	// stays that of successes while nine of ten requests are rejected.
 	typicalQuantile = 0.9
-	// typicalStep is the relative step with which the quantile is followed.
+	// typicalStep is the relative step with which quantiles are followed: 20 answers tell.
 	typicalStep = 0.05
 	// segmentBytes is the payload of a full packet. An answer that fills one has a body, however long
 	// other answers of the route are.
@@ -109,25 +118,28 @@
 	rejectionFraction = 3
 )
 
-// answerSize follows the size of the answers on one route. An entry daemon cannot read answers: it
-// sees how much of them the caller acknowledges.
-type answerSize struct {
-	typical float64 // bytes
+// answers is what a daemon knows of the answers on one route. It cannot read them: it sees when and
+// how much of them the caller acknowledges.
+type answers struct {
+	size quantile // bytes of the first acknowledged part
+	time quantile // from a request to that acknowledgement, in nanoseconds
 }
 
-// rejection takes the size of the first acknowledged part of an answer and reports whether the
-// answer is a rejection.
-func (s *answerSize) rejection(bytes uint32) bool {
+// rejection takes the size of an answer and reports whether the answer is a rejection.
+func (s *answers) rejection(bytes uint32) bool {
 	size := float64(bytes)
-	switch {
-	case s.typical == 0:
-		s.typical = size
-	case size > s.typical:
-		s.typical *= 1 + typicalStep*typicalQuantile
-	default:
-		s.typical *= 1 - typicalStep*(1-typicalQuantile)
+	s.size.add(size, typicalQuantile, typicalStep)
+	return size*rejectionFraction < min(s.size.value, segmentBytes)
+}
+
+// ratio takes the time of an answer that is no rejection and returns it in typical answers.
+func (s *answers) ratio(took time.Duration) float64 {
+	if s.time.value == 0 {
+		s.time.value = float64(took)
 	}
-	return size*rejectionFraction < min(s.typical, segmentBytes)
+	ratio := float64(took) / max(s.time.value, 1)
+	s.time.add(float64(took), 0.5, typicalStep)
+	return ratio
 }
 
 // Overload is a change of what a daemon believes of a service's load.
@@ -146,21 +158,23 @@
 	return out
 }
 
-// learnAnswer takes the first acknowledged part of an answer.
-func (c *Core) learnAnswer(now time.Duration, dest netip.AddrPort, u *Upstream, bytes uint32) {
-	size := c.answers[dest]
-	a := c.admissions[u.Service]
-	if size == nil || a == nil {
+// learnAnswer takes the first acknowledged part of an answer and the time since its request.
+func (c *Core) learnAnswer(now time.Duration, dest netip.AddrPort, u *Upstream, bytes uint32, took time.Duration) {
+	route, a := c.answers[dest], c.admissions[u.Service]
+	if route == nil || a == nil {
 		return // the table no longer has the route or the service
 	}
-	rejected := size.rejection(bytes)
+	rejected := route.rejection(bytes)
 	a.answer(now, rejected)
-	u.learnAnswer(now, rejected)
+	u.learnRejection(now, rejected)
+	if !rejected {
+		u.slowness.answer(now, route.ratio(took))
+	}
 	c.noteOverload(now, u.Service, a)
 }
 
-// learnAnswer takes an answer of the upstream.
-func (u *Upstream) learnAnswer(now time.Duration, rejected bool) {
+// learnRejection takes whether an answer of the upstream was a rejection.
+func (u *Upstream) learnRejection(now time.Duration, rejected bool) {
 	if !rejected {
 		u.rejections = max(u.rejections-1, 0)
 		return
@@ -169,8 +183,33 @@
 	u.rejectedUntil = now + rejectionBackoff<<(u.rejections-1)
 }
 
+// isOverloaded reports whether the service rejects so many requests that new flows are refused.
+func (c *Core) isOverloaded(now time.Duration, service string, a *admission) bool {
+	if a.rejectedShare(now) <= refuseFrom {
+		return false
+	}
+	if now-a.counted >= countPeriod {
+		a.counted, a.widespread = now, c.isWidespread(now, service)
+	}
+	return a.widespread
+}
+
+// isWidespread reports whether enough of the upstreams that answer reject requests.
+func (c *Core) isWidespread(now time.Duration, service string) bool {
+	answering, rejecting := 0, 0
+	for _, u := range c.services[service] {
+		if now-u.slowness.at < answerLifetime || now < u.rejectedUntil {
+			answering++
+		}
+		if now < u.rejectedUntil {
+			rejecting++
+		}
+	}
+	return float64(rejecting) >= overloadedUpstreams*float64(answering)
+}
+
 func (c *Core) noteOverload(now time.Duration, service string, a *admission) {
-	refusing := a.rejectedShare(now) > refuseFrom
+	refusing := c.isOverloaded(now, service, a)
 	if refusing == a.refusing {
 		return
 	}
@@ -187,15 +226,15 @@
 	}
 	refuse := a.flow(now, priority)
 	c.noteOverload(now, service, a)
-	return refuse == 0 || c.rng.Float64() >= refuse, a.rejectedShare(now)
+	return !a.refusing || refuse == 0 || c.rng.Float64() >= refuse, a.rejectedShare(now)
 }
 
 // followTable keeps what was learnt of the routes and services that a new table still has.
 func (c *Core) followTable(t *routing.Table) {
-	answers, admissions := make(map[netip.AddrPort]*answerSize, len(t.Routes)), map[string]*admission{}
+	byRoute, admissions := make(map[netip.AddrPort]*answers, len(t.Routes)), map[string]*admission{}
 	for _, r := range t.Routes {
-		if answers[r.Address] = c.answers[r.Address]; answers[r.Address] == nil {
-			answers[r.Address] = &answerSize{}
+		if byRoute[r.Address] = c.answers[r.Address]; byRoute[r.Address] == nil {
+			byRoute[r.Address] = &answers{}
 		}
 		for _, s := range r.Split {
 			if admissions[s.Service] = c.admissions[s.Service]; admissions[s.Service] == nil {
@@ -203,5 +242,5 @@
 			}
 		}
 	}
-	c.answers, c.admissions = answers, admissions
+	c.answers, c.admissions = byRoute, admissions
 }
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -130,6 +130,7 @@
 	inProgress    int           // requests of these flows without an answer yet
 	suspectUntil  time.Duration // unanswered packets speak against the upstream until then
 	strikes       int           // unanswered packets since the last answer
+	slowness      slowness
 	rejections    int           // recent ones, less the answers since
 	rejectedUntil time.Duration // they speak against new flows until then
 }
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -126,6 +126,7 @@
 	if u.suspect(now) {
 		load += suspectMargin
 	}
+	load += u.slowness.load(now)
 	if now < u.rejectedUntil {
 		load += rejectionMargin
 	}
--- /dev/null
+++ b/pkg/load/packets/placement.go
@@ -0,0 +1,89 @@
+package packets
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"rosemarygate/pkg/control/directory"
+	"rosemarygate/pkg/forward"
+	"rosemarygate/pkg/routing"
+)
+
+// balancer decides on the packets of one entry daemon.
+type balancer interface {
+	Packet(now time.Duration, p *forward.Packet) forward.Action
+}
+
+const (
+	service        = "service"
+	dataCentre     = "data-centre"
+	urgentPriority = 1
+	usualPriority  = 2
+)
+
+var (
+	usualRoute  = netip.MustParseAddrPort("198.18.0.1:443")
+	urgentRoute = netip.MustParseAddrPort("198.18.0.1:80")
+)
+
+func table(d Deployment) *routing.Table {
+	split := []routing.Share{{Service: service, Weight: 1}}
+	return &routing.Table{Version: 1, Services: []string{service}, Routes: []routing.Route{
+		{Name: "usual", Address: usualRoute, Timeout: time.Second, Objective: d.Objective, Priority: usualPriority, Idempotent: true, Split: split},
+		{Name: "urgent", Address: urgentRoute, Timeout: time.Second, Objective: d.Objective, Priority: urgentPriority, Split: split},
+	}}
+}
+
+// registration returns the registration of upstream n.
+func registration(d Deployment, n int) directory.Registration {
+	key := directory.Key(n + 1)
+	return directory.Registration{
+		Incarnation: directory.Incarnation{Key: key, Born: 1}, Name: key.String(), Service: service, DataCentre: dataCentre,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 8080), Slots: d.Slots, State: directory.Ready,
+	}
+}
+
+func newBalancer(d Deployment, placement Placement, rng *rand.Rand) balancer {
+	switch placement {
+	case Random, FewestFlows:
+		b := &plainBalancer{rng: rng, fewest: placement == FewestFlows, flows: make([]int, d.Upstreams)}
+		for n := range d.Upstreams {
+			b.upstreams = append(b.upstreams, &forward.Upstream{Registration: registration(d, n)})
+		}
+		return b
+	}
+	c := forward.New(forward.Config{DataCentre: dataCentre}, rng)
+	c.SetTable(table(d))
+	for n := range d.Upstreams {
+		c.SetUpstream(registration(d, n))
+	}
+	c.SetPrepared()
+	return c
+}
+
+// plainBalancer places each flow at random, or where it has placed the fewest that are open.
+type plainBalancer struct {
+	rng       *rand.Rand
+	fewest    bool
+	upstreams []*forward.Upstream
+	flows     []int
+}
+
+// Packet implements balancer.
+func (b *plainBalancer) Packet(_ time.Duration, p *forward.Packet) forward.Action {
+	switch {
+	case p.Flags&forward.FIN != 0:
+		b.flows[p.Cookie-1]--
+	case p.Flags&forward.SYN != 0:
+		n := b.rng.IntN(len(b.upstreams))
+		for i := range b.upstreams {
+			if b.fewest && b.flows[i] < b.flows[n] {
+				n = i
+			}
+		}
+		b.flows[n]++
+		return forward.Action{Verdict: forward.Forward, Upstream: b.upstreams[n], Cookie: directory.Cookie(n + 1)}
+	}
+	return forward.Action{Verdict: forward.Forward}
+}
--- a/pkg/load/scenario.go
+++ b/pkg/load/scenario.go
@@ -57,7 +57,7 @@
 
 // Scenarios returns all scenarios in the order of the documentation.
 func Scenarios() []Scenario {
-	return slices.Concat(modelScenarios(), stagedScenarios(), liveScenarios())
+	return slices.Concat(modelScenarios(), packetScenarios(), stagedScenarios(), liveScenarios())
 }
 
 // Run runs the scenario of the given name.
