--- a/pkg/cli/call.go
+++ b/pkg/cli/call.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"net/netip"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -64,7 +67,7 @@
 	reason := refusal.Name(r.Reason) + ": " + refusal.Meaning(r.Reason)
 	switch r.Outcome {
 	case client.Answered:
-		_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s\n", r.Answer)
+		_, err := fmt.Fprintln(cmd.OutOrStdout(), readable(r.Answer))
 		return err
 	case client.NotRun:
 		return errors.Errorf("not run (%s): %s", reason, refusal.Remedy(r.Reason))
@@ -76,6 +79,23 @@
 	}
 }
 
+// readable returns bytes as text. Bytes that a terminal cannot show are written as \xNN.
+func readable(b []byte) string {
+	var out strings.Builder
+	for len(b) > 0 {
+		r, size := utf8.DecodeRune(b)
+		if r == utf8.RuneError && size == 1 || !unicode.IsPrint(r) && !unicode.IsSpace(r) {
+			for _, c := range b[:size] {
+				fmt.Fprintf(&out, `\x%02x`, c)
+			}
+		} else {
+			out.WriteRune(r)
+		}
+		b = b[size:]
+	}
+	return out.String()
+}
+
 func newFeed() *cobra.Command {
 	var entries []string
 	var topic string
