Check the histories of random schedules for linearizability

Reads and submissions at all control hosts are checked as a register that keeps the highest version; reads without a confirmation are found.

--- a/pkg/control/ensemble/schedule_test.go
+++ b/pkg/control/ensemble/schedule_test.go
@@ -14,11 +14,13 @@
 )
 
 var (
-	schedules    = flag.Int("schedules", 150, "random fault schedules of TestRandomSchedules")
-	firstSeed    = flag.Uint64("first-seed", 1, "seed of the first schedule")
-	scheduleSize = 900 // rounds of one tick
+	schedules = flag.Int("schedules", 150, "random fault schedules of TestRandomSchedules")
+	firstSeed = flag.Uint64("first-seed", 1, "seed of the first schedule")
 )
 
+// scheduleSize is the length of a schedule in rounds of one tick.
+const scheduleSize = 900
+
 // catchUpRounds is the time after its return in which a lost host still counts as lost.
 const catchUpRounds = 40
 
@@ -71,6 +73,7 @@
 type sim struct {
 	rng       *rand.Rand
 	round     int
+	rounds    int // of the schedule
 	tolerated int
 	hosts     []*simHost
 	seeds     []netip.AddrPort
@@ -79,6 +82,9 @@
 	accepted  uint64 // highest acknowledged version
 	clock     uint64 // of incarnations
 	violation string
+	history   history
+	// staleReads switches off the confirmation of reads.
+	staleReads bool
 	// refounds switches off the rule that an empty disk founds a group only at the first start.
 	refounds bool
 }
@@ -88,7 +94,7 @@
 }
 
 func newSim(seed uint64) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 9)), clock: 1000}
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 9)), clock: 1000, rounds: scheduleSize}
 	size := 3 + s.rng.IntN(4)
 	s.tolerated = 1
 	if size >= 5 {
@@ -168,6 +174,7 @@
 			}
 			if v, ok := h.acks[proposal{e.Term, e.Index}]; ok {
 				s.accepted = max(s.accepted, v)
+				s.history.submitted(v)
 			}
 		}
 		h.ready = append(h.ready, rd.Reads...)
@@ -176,6 +183,7 @@
 	for _, r := range h.ready {
 		if want, ok := h.reads[r.Context]; ok && r.Index <= h.applied {
 			delete(h.reads, r.Context)
+			s.history.answered(r.Context, h.version)
 			if h.version < want {
 				s.fail("host %s read version %d, %d was acknowledged", h.address, h.version, want)
 			}
@@ -273,12 +281,16 @@
 		}
 		if index, err := h.node.Propose(data); err == nil {
 			h.acks[proposal{h.node.Status().Term, index}] = s.next
+			s.history.submit(s.next)
 		}
 	}
 	reader := s.hosts[s.rng.IntN(len(s.hosts))]
 	if s.runs(reader) {
 		context := s.rng.Uint64()
-		if reader.node.ReadIndex(context) == nil {
+		s.history.ask(context)
+		if s.staleReads {
+			s.history.answered(context, reader.version)
+		} else if reader.node.ReadIndex(context) == nil {
 			reader.reads[context] = s.accepted
 		}
 		s.process(reader)
@@ -361,7 +373,7 @@
 }
 
 func (s *sim) run() string {
-	for ; s.round < scheduleSize && s.violation == ""; s.round++ {
+	for ; s.round < s.rounds && s.violation == ""; s.round++ {
 		s.restart()
 		s.fault()
 		s.deliver()
