Hold the SYN of a caller while a daemon that has just started lacks what places it

Cause: after a loss of power entry daemons are up 60 ms before their first table. They dropped SYNs, and callers repeated them after 200 to 600 ms. Now a SYN waits for the table like a packet with an unknown cookie, at most 300 ms; of copies only the latest is placed.

--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -75,7 +75,7 @@
 		return controlhost.New(controlhost.Config{
 			Name: s.Name, Control: s.Control, Peer: s.Peer, PeerListen: peerListen, Seeds: n.seeds, Found: s.FirstStart, Dir: s.DataDir,
 			ToleratedDisks: s.ToleratedDisks, Heartbeat: s.Heartbeat, FlowLifetime: s.FlowLifetime,
-			Decode: platform.DecodeConfig, Handler: platform.ControlHandler, Log: n.log, Metrics: n.metrics,
+			Decode: platform.DecodeConfig, Handler: platform.ControlHandler, Log: n.log, Metrics: n.metrics, FS: dataFS(s.DataDir),
 		}).Run, nil
 	})
 	cmd.Flags().StringVar(&listen, "peer-listen", "", "IP:port that serves other daemons, if an address translation or a proxy stands before it")
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -90,6 +90,7 @@
 	placed, refused *decisionlog.Limiter
 	counters        []*metrics.Counter // by forward.Reason
 	malformed       *metrics.Counter
+	held            *metrics.Counter // packets, each of which is counted by its decision later
 	sendErrors      *metrics.Counter
 	suspicions      *metrics.Counter
 	latency         *metrics.Histogram
@@ -117,6 +118,7 @@
 		d.counters = append(d.counters, m.Counter("packets", "decision", r.String()))
 	}
 	d.malformed = m.Counter("packets", "decision", "malformed")
+	d.held = m.Counter("packets_held")
 	d.sendErrors = m.Counter("send_errors")
 	d.suspicions = m.Counter("suspicions")
 	d.latency = m.Histogram("packet_seconds")
--- a/pkg/edge/packets.go
+++ b/pkg/edge/packets.go
@@ -59,7 +59,11 @@
 	to := d.receiver(p, a)
 	overloads := d.core.TakeOverloads()
 	d.mu.Unlock()
-	d.counters[a.Reason].Inc()
+	if a.Verdict == forward.Hold {
+		d.held.Inc()
+	} else {
+		d.counters[a.Reason].Inc()
+	}
 	d.send(out, to)
 	d.logOverloads(overloads)
 	d.write(suspicion)
@@ -172,8 +176,11 @@
 // line returns the log line of a decision, nil for packets that go the way of those before them.
 func (d *Daemon) line(now time.Duration, p *forward.Packet, a forward.Action) *decision {
 	limiter, event := d.refused, events.FlowRefused
+	if a.Verdict == forward.Hold {
+		return nil // the line comes with the decision
+	}
 	switch a.Reason {
-	case forward.Known, forward.KnownFlow, forward.AwaitingCookie:
+	case forward.Known, forward.KnownFlow:
 		return nil
 	case forward.Placed, forward.PlacedAgain:
 		limiter, event = d.placed, events.FlowPlaced
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -207,7 +207,8 @@
 	}
 	w.learn(u.GetStatus().GetControlHosts())
 	d.mu.Lock()
-	if table != nil && d.core.SetTable(table) {
+	newTable := table != nil && d.core.SetTable(table)
+	if newTable {
 		events.ConfigInForce.Log(d.log, logrus.Fields{"version": table.Version, "routes": len(table.Routes), "host": host})
 	}
 	for _, p := range u.GetRegistrations() {
@@ -228,7 +229,7 @@
 			"state": r.State.String(), "silent": r.Silent, "age_ms": (now - r.Heard).Milliseconds(), "host": host,
 		})
 	}
-	if holding && len(changes) > 0 {
+	if holding && (newTable || len(changes) > 0) {
 		d.releaseHeld()
 	}
 	w.prepare(now, u.GetStatus())
--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// holdTime bounds the wait for a registration: a caller repeats a packet after 200 ms.
+	// holdTime bounds the wait for a registration or a table: a caller repeats a packet after 200 ms.
 	holdTime = 300 * time.Millisecond
 	// maxHeld bounds the packets that wait; at 1,234 bytes each they take 320 KB.
 	maxHeld = 256
@@ -184,16 +184,20 @@
 // Packet decides on a packet. A held packet is copied.
 func (c *Core) Packet(now time.Duration, p *Packet) Action {
 	c.sweep(now)
-	if p.Flags&SYN != 0 {
-		return c.open(now, p)
-	}
-	a := c.established(now, p)
+	a := c.decide(now, p)
 	if a.Verdict == Hold && !c.hold(now, p) {
 		return Action{Verdict: Drop, Reason: HoldBufferFull}
 	}
 	return a
 }
 
+func (c *Core) decide(now time.Duration, p *Packet) Action {
+	if p.Flags&SYN != 0 {
+		return c.open(now, p)
+	}
+	return c.established(now, p)
+}
+
 // established decides on a packet that does not open a flow.
 func (c *Core) established(now time.Duration, p *Packet) Action {
 	known := c.flows[p.Flow()]
@@ -230,6 +234,10 @@
 }
 
 func (c *Core) hold(now time.Duration, p *Packet) bool {
+	if p.Flags&SYN != 0 {
+		// Of the copies of a SYN only the latest is placed.
+		c.held = slices.DeleteFunc(c.held, func(h heldPacket) bool { return h.packet.Flags&SYN != 0 && h.packet.Flow() == p.Flow() })
+	}
 	if len(c.held) >= maxHeld {
 		return false
 	}
@@ -242,18 +250,21 @@
 // Holding reports whether packets wait for registrations.
 func (c *Core) Holding() bool { return len(c.held) > 0 }
 
-// Release decides on the held packets whose registration has come or whose time is over.
+// Release decides on the held packets that the daemon now knows enough for, or whose time is over.
 func (c *Core) Release(now time.Duration) []Released {
 	var out []Released
 	rest := c.held[:0]
 	for _, h := range c.held {
-		a := c.established(now, &h.packet)
+		a := c.decide(now, &h.packet)
 		if a.Verdict == Hold {
 			if now < h.until {
 				rest = append(rest, h)
 				continue
 			}
-			a = Action{Verdict: Drop, Reason: UnknownCookie}
+			a.Verdict = Drop
+			if a.Reason == AwaitingCookie {
+				a.Reason = UnknownCookie
+			}
 		}
 		out = append(out, Released{h.packet, a})
 	}
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -7,8 +7,8 @@
 //     table, the load or the health of that incarnation says.
 //   - A flow is reset only if its upstream process has ended for certain or its route was removed.
 //     An unknown cookie is no proof: the daemon's registrations may be behind.
-//   - A daemon that has just started refuses nothing: what it does not know yet may exist. The caller
-//     repeats its packet.
+//   - A daemon that has just started refuses nothing: what it does not know yet may exist. It holds
+//     the packet for a moment and then drops it; the caller repeats it.
 //   - New flows are never placed on an upstream that is draining or gone.
 package forward
 
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -35,7 +35,7 @@
 // open places a new flow, or one whose SYN was not answered.
 func (c *Core) open(now time.Duration, p *Packet) Action {
 	if c.routes == nil {
-		return Action{Verdict: Drop, Reason: NoTable}
+		return Action{Verdict: Hold, Reason: NoTable}
 	}
 	route := c.routes.Route(p.Dest)
 	if route == nil {
@@ -73,11 +73,12 @@
 	return Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: u.cookie, Suspected: suspected}
 }
 
-// refuse resets a new flow, so that its caller need not wait.
+// refuse resets a new flow, so that its caller need not wait. A daemon that has just started holds it:
+// what the daemon lacks arrives within milliseconds, while the caller's next copy takes 200 ms.
 func (c *Core) refuse(p *Packet, reason Reason) Action {
 	c.close(p.Flow())
 	if !c.prepared {
-		return Action{Verdict: Drop, Reason: Unprepared}
+		return Action{Verdict: Hold, Reason: Unprepared}
 	}
 	return Action{Verdict: Reset, Reason: reason}
 }
