--- a/pkg/cli/loadrelay.go
+++ b/pkg/cli/loadrelay.go
@@ -18,7 +18,8 @@
 		Use:   "relay",
 		Short: "Measure the packets that one daemon passes on, against a bare UDP relay",
 		Long: `relay sends caller packets to one daemon that passes them on to a stand-in, and in turn
-to a bare UDP relay with one read and one write a packet. Both are measured in each round.`,
+to a bare UDP relay with one read and one write a packet. An entry daemon, which forwards
+packets of open flows to an upstream, is measured beside them in each round.`,
 		Example: `  rosemarygate load relay --rounds 5 --for 2s
   rosemarygate load relay --format json`,
 		Args: cobra.NoArgs,
@@ -49,10 +50,12 @@
 }
 
 func printRelay(w io.Writer, r *relaybench.Report) {
-	fmt.Fprintf(w, "%-6s %14s %14s %8s %12s %12s\n", "round", "bare pkt/s", "daemon pkt/s", "ratio", "bare ns/pkt", "daemon ns/pkt")
+	fmt.Fprintf(w, "%-6s %12s %14s %13s %8s %8s %12s %13s %12s\n", "round", "bare pkt/s", "daemon pkt/s", "entry pkt/s", "ratio", "entry",
+		"bare ns/pkt", "daemon ns/pkt", "entry ns/pkt")
 	for i, x := range r.Rounds {
-		fmt.Fprintf(w, "%-6d %14.0f %14.0f %8.2f %12.0f %12.0f\n", i+1,
-			x.Bare.PacketsPerSecond, x.Daemon.PacketsPerSecond, x.Ratio, x.Bare.CPUPerPacket, x.Daemon.CPUPerPacket)
+		fmt.Fprintf(w, "%-6d %12.0f %14.0f %13.0f %8.2f %8.2f %12.0f %13.0f %12.0f\n", i+1,
+			x.Bare.PacketsPerSecond, x.Daemon.PacketsPerSecond, x.Entry.PacketsPerSecond, x.Ratio, x.EntryRatio,
+			x.Bare.CPUPerPacket, x.Daemon.CPUPerPacket, x.Entry.CPUPerPacket)
 	}
-	fmt.Fprintf(w, "ratio: median %.2f, from %.2f to %.2f\n", r.MedianRatio, r.MinRatio, r.MaxRatio)
+	fmt.Fprintf(w, "ratio: median %.2f, from %.2f to %.2f; entry daemon: median %.2f\n", r.MedianRatio, r.MinRatio, r.MaxRatio, r.MedianEntryRatio)
 }
--- a/pkg/load/relaybench/relaybench.go
+++ b/pkg/load/relaybench/relaybench.go
@@ -1,5 +1,6 @@
 // Package relaybench measures how many caller packets one daemon passes on to another,
-// against a bare UDP relay in the same run.
+// against a bare UDP relay in the same run. An entry daemon, which forwards packets to upstreams, is
+// measured beside them.
 //
 // The daemon is a real one with real sockets; the daemon that it relays to is a stand-in
 // that is a member of the cluster and counts. Source and sink have threads of their own,
@@ -64,7 +65,10 @@
 type Round struct {
 	Bare   Sample  `json:"bare"`
 	Daemon Sample  `json:"daemon"`
+	Entry  Sample  `json:"entry"` // the entry daemon
 	Ratio  float64 `json:"ratio"` // packet rate of the daemon over that of the bare relay
+	// EntryRatio is the packet rate of the entry daemon over that of the bare relay.
+	EntryRatio float64 `json:"entry_ratio"`
 }
 
 // Report is the result of a run.
@@ -74,6 +78,8 @@
 	MedianRatio float64 `json:"median_ratio"`
 	MinRatio    float64 `json:"min_ratio"`
 	MaxRatio    float64 `json:"max_ratio"`
+	// MedianEntryRatio is that of the entry daemon.
+	MedianEntryRatio float64 `json:"median_entry_ratio"`
 }
 
 // Run measures both relays in turn.
@@ -96,7 +102,8 @@
 	daemon *daemon.Daemon
 	cancel context.CancelFunc
 	done   chan error
-	entry  *net.UDPAddr
+	relay  target // the daemon that relays
+	entry  *entryDaemon
 	bare   *bareRelay
 	peer   *peer
 	source *source
@@ -108,7 +115,7 @@
 	host := func(i byte) netip.Addr { return netip.AddrFrom4([4]byte{127, x, y, i}) }
 	b := &bench{
 		done:  make(chan error, 1),
-		entry: net.UDPAddrFromAddrPort(netip.AddrPortFrom(host(1), servicePort)),
+		relay: target{address: net.UDPAddrFromAddrPort(netip.AddrPortFrom(host(1), servicePort))},
 	}
 	if err := b.startDaemon(host(1)); err != nil {
 		return nil, err
@@ -122,18 +129,23 @@
 		return b.fail(err)
 	}
 	go b.bare.run()
-	frames, err := callerFrames(token.Claims{
+	if b.entry, err = startEntry(host(5), b.peer.conn.LocalAddr().(*net.UDPAddr).AddrPort()); err != nil {
+		return b.fail(err)
+	}
+	b.relay.frames, err = callerFrames(token.Claims{
 		Service: ident.ServiceByName(service), DataCentre: ident.DataCentre(dataCentre), Upstream: 1,
 		Owner: ident.Daemon(peerName), OwnerIncarnation: b.peer.incarnation(),
 	}, flowCount, o.Size)
 	if err != nil {
 		return b.fail(err)
 	}
-	if b.source, err = newSource(host(4), o.Sockets, frames); err != nil {
+	if b.source, err = newSource(host(4), o.Sockets); err != nil {
 		return b.fail(err)
 	}
-	if err := b.awaitRelay(); err != nil {
-		return b.fail(err)
+	for _, to := range []target{b.relay, b.entryTarget(o)} {
+		if err := b.awaitRelay(to); err != nil {
+			return b.fail(err)
+		}
 	}
 	go b.source.run(ctx)
 	return b, nil
@@ -151,6 +163,9 @@
 	if b.bare != nil {
 		b.bare.conn.Close()
 	}
+	if b.entry != nil {
+		b.entry.close()
+	}
 	if b.source != nil {
 		b.source.close()
 	}
@@ -186,15 +201,20 @@
 	return nil
 }
 
-// awaitRelay waits until the daemon passes packets on to the stand-in.
-func (b *bench) awaitRelay() error {
+func (b *bench) entryTarget(o Options) target {
+	return target{b.entry.address, entryFrames(flowCount, o.Size)}
+}
+
+// awaitRelay waits until a daemon passes packets on to the stand-in.
+func (b *bench) awaitRelay(to target) error {
+	before := b.peer.packets.Load()
 	deadline := time.Now().Add(startLimit)
 	for time.Now().Before(deadline) {
-		if _, err := b.source.conns[0].WriteToUDP(b.source.frames[0], b.entry); err != nil {
+		if _, err := b.source.conns[0].WriteToUDP(to.frames[0], to.address); err != nil {
 			return err
 		}
 		pause()
-		if b.peer.packets.Load() > 0 {
+		if b.peer.packets.Load() > before {
 			return nil
 		}
 	}
@@ -203,24 +223,31 @@
 
 func (b *bench) measure(ctx context.Context, o Options) (*Report, error) {
 	r := &Report{Size: o.Size}
-	var ratios []float64
+	var ratios, entryRatios []float64
 	for range o.Rounds {
-		round := Round{Bare: b.sample(b.bare.addr(), o.For), Daemon: b.sample(b.entry, o.For)}
+		entry := b.entryTarget(o)
+		round := Round{
+			Bare: b.sample(target{b.bare.addr(), b.relay.frames}, o.For), Daemon: b.sample(b.relay, o.For), Entry: b.sample(entry, o.For),
+		}
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
 		round.Ratio = round.Daemon.PacketsPerSecond / round.Bare.PacketsPerSecond
+		round.EntryRatio = round.Entry.PacketsPerSecond / round.Bare.PacketsPerSecond
 		r.Rounds = append(r.Rounds, round)
+		entryRatios = append(entryRatios, round.EntryRatio)
 		ratios = append(ratios, round.Ratio)
 	}
+	slices.Sort(entryRatios)
+	r.MedianEntryRatio = entryRatios[len(entryRatios)/2]
 	slices.Sort(ratios)
 	r.MinRatio, r.MedianRatio, r.MaxRatio = ratios[0], ratios[len(ratios)/2], ratios[len(ratios)-1]
 	return r, nil
 }
 
 // sample measures one relay while the source sends to it.
-func (b *bench) sample(to *net.UDPAddr, length time.Duration) Sample {
-	b.source.to.Store(to)
+func (b *bench) sample(to target, length time.Duration) Sample {
+	b.source.to.Store(&to)
 	time.Sleep(warmUp)
 	packets, cpu, began := b.peer.packets.Load(), b.relayCPU(), time.Now()
 	time.Sleep(length)
--- a/pkg/load/relaybench/relaybench_test.go
+++ b/pkg/load/relaybench/relaybench_test.go
@@ -7,11 +7,13 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a measurement that compares nothing: both relays must carry packets.
+// Guards against a measurement that compares nothing: each relay must carry packets.
 func TestBothRelaysCarryPackets(t *testing.T) {
 	r, err := Run(t.Context(), Options{Rounds: 1, For: 200 * time.Millisecond, Size: 300, Sockets: 2})
 	assert.NilError(t, err)
 	assert.Assert(t, r.Rounds[0].Bare.PacketsPerSecond > 0)
 	assert.Assert(t, r.Rounds[0].Daemon.PacketsPerSecond > 0)
 	assert.Assert(t, r.Rounds[0].Daemon.CPUPerPacket > 0)
+	assert.Assert(t, r.Rounds[0].Entry.PacketsPerSecond > 0)
+	assert.Assert(t, r.Rounds[0].Entry.CPUPerPacket > 0)
 }
--- a/pkg/load/relaybench/source.go
+++ b/pkg/load/relaybench/source.go
@@ -19,14 +19,19 @@
 
 // source sends caller frames as fast as it can.
 type source struct {
-	conns  []*net.UDPConn
-	frames [][]byte
-	to     atomic.Pointer[net.UDPAddr] // nil pauses the source
-	cpu    atomic.Int64                // nanoseconds of the sending thread
+	conns []*net.UDPConn
+	to    atomic.Pointer[target] // nil pauses the source
+	cpu   atomic.Int64           // nanoseconds of the sending thread
 }
 
-func newSource(host netip.Addr, sockets int, frames [][]byte) (*source, error) {
-	s := &source{frames: frames}
+// target is what the source sends, and where.
+type target struct {
+	address *net.UDPAddr
+	frames  [][]byte
+}
+
+func newSource(host netip.Addr, sockets int) (*source, error) {
+	s := &source{}
 	for range sockets {
 		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(host, 0)))
 		if err != nil {
@@ -47,9 +52,6 @@
 func (s *source) run(ctx context.Context) {
 	runtime.LockOSThread()
 	messages := make([]ipv4.Message, batchSize)
-	for i := range messages {
-		messages[i].Buffers = [][]byte{s.frames[i%len(s.frames)]}
-	}
 	for turn := 0; ctx.Err() == nil; turn++ {
 		to := s.to.Load()
 		if to == nil {
@@ -57,7 +59,7 @@
 			continue
 		}
 		for i := range messages {
-			messages[i].Addr = to
+			messages[i].Addr, messages[i].Buffers = to.address, [][]byte{to.frames[i%len(to.frames)]}
 		}
 		conn := s.conns[turn%len(s.conns)]
 		// A full buffer at the receiver drops packets; only arrivals are counted.
