--- a/pkg/control/replica/distributor.go
+++ b/pkg/control/replica/distributor.go
@@ -127,6 +127,14 @@
 	}
 }
 
+// lost forgets the progress of a replica that no process serves any more: its daemons watch other
+// replicas, which count them.
+func (d *distributor) lost(replica string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.progress, replica)
+}
+
 // inForce counts the daemons of all replicas that have a version or a later one in force.
 func (d *distributor) inForce(version uint64) (inForce, daemons int) {
 	d.mu.Lock()
--- a/pkg/control/replica/share.go
+++ b/pkg/control/replica/share.go
@@ -139,6 +139,9 @@
 	if err == nil && holder {
 		s.r.book.delivered(h.GetName(), change)
 	}
+	if status.Code(err) == codes.Unavailable {
+		s.r.publish.lost(h.GetName()) // a replica that is only silent ends in DeadlineExceeded
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
