Begin and end an overload at different shares of rejections

Cause: around the threshold the state of a service could change with every answer, each with a log line. It now ends at half the share at which it begins; what is refused in between is nothing, as before.

--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -28,6 +28,9 @@
 	// a few rejections of a busy service are no overload.
 	refuseFrom    = 0.05
 	refuseAllFrom = 0.12
+	// relievedBelow ends the overload. Between it and refuseFrom nothing is refused, but a share that
+	// moves around refuseFrom does not begin and end the overload with every answer.
+	relievedBelow = refuseFrom / 2
 	// refuseAllUrgentFrom is the share from which all of the most urgent flows are refused as well. They are
 	// spared up to refuseAllFrom if there are less urgent ones to refuse, at least otherDemand of all.
 	refuseAllUrgentFrom = 0.6
@@ -53,9 +56,9 @@
 	rejected, answers float64           // recent ones, decayed
 	decayed           time.Duration     // when they were last decayed
 	demand            map[uint8]float64 // recent new flows by priority
-	refusing          bool
-	widespread        bool          // enough upstreams reject requests
-	counted           time.Duration // when they were counted
+	refusing          bool              // the service is overloaded
+	widespread        bool              // enough upstreams reject requests
+	counted           time.Duration     // when they were counted
 }
 
 // answer takes an answer of an upstream of the service.
@@ -183,9 +186,13 @@
 	u.rejectedUntil = now + rejectionBackoff<<(u.rejections-1)
 }
 
-// isOverloaded reports whether the service rejects so many requests that new flows are refused.
+// isOverloaded reports whether the service rejects so many requests that new flows may be refused.
 func (c *Core) isOverloaded(now time.Duration, service string, a *admission) bool {
-	if a.rejectedShare(now) <= refuseFrom {
+	share := a.rejectedShare(now)
+	if a.refusing {
+		return share >= relievedBelow
+	}
+	if share <= refuseFrom {
 		return false
 	}
 	if now-a.counted >= countPeriod {
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -80,3 +80,22 @@
 		assert.Assert(t, long.rejection(rejectionBytes))
 	}
 }
+
+// Guards against a log line with every answer: a share of rejections that moves around the threshold
+// begins one overload.
+func TestOverloadDoesNotFlap(t *testing.T) {
+	c := newCore(3)
+	rng := rand.New(rand.NewPCG(1, 6))
+	now, changes := time.Duration(0), 0
+	for range 20_000 {
+		now += 2 * time.Millisecond
+		for _, u := range c.upstreams {
+			u.rejectedUntil = now + time.Second
+		}
+		a := c.admissions["a"]
+		a.answer(now, rng.Float64() < 1.1*refuseFrom)
+		c.noteOverload(now, "a", a)
+		changes += len(c.TakeOverloads())
+	}
+	assert.Assert(t, changes > 0 && changes <= 20, "%d changes in 40 s", changes)
+}
