Count no request before the first routing table

Cause: a packet of an open flow whose upstream a daemon knew before its first table made the daemon end (nil index). TestOpenFlowBeforeFirstTable and random orders of tables, registrations and packets (TestRandomEvents) both fail without the repair.

--- a/pkg/forward/core_test.go
+++ b/pkg/forward/core_test.go
@@ -340,3 +340,16 @@
 	assert.Equal(t, len(c.TakeEnded()), 0)
 	assert.Equal(t, len(c.flows), 2)
 }
+
+// Guards against a daemon that ends at a packet of an open flow whose upstream it knows before it has a
+// routing table.
+func TestOpenFlowBeforeFirstTable(t *testing.T) {
+	c := New(Config{DataCentre: "north"}, rand.New(rand.NewPCG(1, 2)))
+	r := upstream(1, "north", directory.Ready)
+	c.SetUpstream(r)
+	for seq := range uint32(3) {
+		p := data(1, seq, r.Cookie())
+		p.Ack = seq
+		assert.Equal(t, c.Packet(time.Duration(seq)*time.Second, p).Verdict, Forward)
+	}
+}
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -55,7 +55,11 @@
 
 // learnRequest takes a request that begins on a flow.
 func (c *Core) learnRequest(now time.Duration, dest netip.AddrPort, u *Upstream) {
-	if a, route := c.admissions[u.Service], c.routes.Route(dest); a != nil && route != nil {
+	a := c.admissions[u.Service]
+	if a == nil {
+		return // there is no table yet, or it does not use the service
+	}
+	if route := c.routes.Route(dest); route != nil {
 		a.request(now, route.Priority)
 	}
 }
--- /dev/null
+++ b/pkg/forward/random_test.go
@@ -0,0 +1,102 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygate/pkg/control/directory"
+)
+
+// Guards against orders of events that nobody thought of: tables, registrations and packets in any
+// order, from the start of a daemon on. A packet of an open flow goes to the upstream that its cookie
+// names, nothing is reset before the daemon is prepared, and a reset has a certain reason.
+func TestRandomEvents(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		c := New(Config{DataCentre: "north"}, rand.New(rand.NewPCG(seed, 8)))
+		states := map[directory.Key]directory.State{}
+		now, version := time.Duration(0), uint64(0)
+		for range 2000 {
+			now += time.Duration(rng.IntN(30)) * time.Millisecond
+			key := directory.Key(1 + rng.IntN(6))
+			switch rng.IntN(40) {
+			case 0:
+				version++
+				if rng.IntN(2) == 0 {
+					c.SetTable(table(version, route443))
+				} else {
+					c.SetTable(table(version, route443, route80))
+				}
+			case 1:
+				state := directory.State(1 + rng.IntN(3))
+				if states[key] == directory.Gone {
+					state = directory.Gone // final
+				}
+				states[key] = state
+				r := upstream(key, []string{"north", "south"}[rng.IntN(2)], state)
+				r.Silent = rng.IntN(4) == 0
+				c.SetUpstream(r)
+			case 2:
+				c.Forget(directory.Incarnation{Key: key, Born: 1})
+				delete(states, key)
+			case 3:
+				for _, r := range c.Release(now) {
+					checkAction(t, c, &r.Packet, r.Action)
+				}
+			case 4:
+				if version > 0 && rng.IntN(10) == 0 {
+					c.SetPrepared()
+				}
+			case 5:
+				c.TakeEnded()
+				c.TakeOverloads()
+			default:
+				p := randomPacket(rng, key)
+				checkAction(t, c, p, c.Packet(now, p))
+			}
+		}
+	}
+}
+
+func randomPacket(rng *rand.Rand, key directory.Key) *Packet {
+	n := rng.IntN(40)
+	p := data(n, uint32(rng.IntN(5))*100, directory.Incarnation{Key: key, Born: 1}.Cookie())
+	p.Ack = uint32(rng.IntN(20)) * 150
+	if rng.IntN(2) == 0 {
+		p.Dest = route80
+	}
+	switch rng.IntN(8) {
+	case 0, 1:
+		p.Flags, p.Cookie, p.Length, p.Ack = SYN, 0, 0, uint32(rng.IntN(3))
+	case 2:
+		p.Flags |= FIN
+	case 3:
+		p.Length = 0
+	case 4:
+		p.Cookie = directory.Cookie(rng.IntN(2)) // none, or an unknown one
+	}
+	return p
+}
+
+func checkAction(t *testing.T, c *Core, p *Packet, a Action) {
+	t.Helper()
+	switch a.Verdict {
+	case Forward:
+		assert.Assert(t, a.Upstream != nil)
+		if p.Flags&SYN == 0 && p.Cookie != 0 {
+			assert.Equal(t, a.Upstream.Cookie(), p.Cookie)
+		}
+		if p.Flags&SYN != 0 {
+			assert.Equal(t, a.Upstream.State, directory.Ready)
+		}
+	case Reset:
+		if p.Flags&SYN != 0 {
+			assert.Assert(t, c.prepared && (a.Reason == NoRoute || a.Reason == NoUpstream || a.Reason == Overloaded), "%v", a.Reason)
+		} else {
+			assert.Assert(t, a.Reason == UpstreamGone || a.Reason == RouteRemoved, "%v", a.Reason)
+		}
+	}
+}
