--- a/pkg/forward/admission.go
+++ b/pkg/forward/admission.go
@@ -54,7 +54,7 @@
 // admission decides on the new flows of one service.
 type admission struct {
 	rejected, answers float64           // recent ones, decayed
-	decayed           time.Duration     // when they were last decayed
+	decayedAt         time.Duration     // when they were last decayed
 	demand            map[uint8]*demand // by priority
 	refusing          bool              // the service is overloaded
 	widespread        bool              // enough upstreams reject requests
@@ -73,12 +73,14 @@
 }
 
 func (a *admission) decay(now time.Duration) {
-	keep := decayed(now-a.decayed, sheddingMemory)
-	a.rejected, a.answers, a.decayed = a.rejected*keep, a.answers*keep, now
+	keep := remaining(now-a.decayedAt, sheddingMemory)
+	a.rejected, a.answers, a.decayedAt = a.rejected*keep, a.answers*keep, now
 }
 
-// decayed returns what a time leaves of an exponentially decaying quantity.
-func decayed(after, memory time.Duration) float64 { return math.Exp(-float64(after) / float64(memory)) }
+// remaining returns the part of an exponentially decaying quantity that is left after a time.
+func remaining(after, memory time.Duration) float64 {
+	return math.Exp(-float64(after) / float64(memory))
+}
 
 // rejectedShare returns the share of rejections among recent answers.
 func (a *admission) rejectedShare(now time.Duration) float64 {
@@ -180,18 +182,20 @@
 func (d *demand) request(now time.Duration, overloaded bool) {
 	d.current = d.rate(now) + 1/currentMemory.Seconds()
 	if !overloaded {
-		d.usual = d.usual*decayed(now-d.at, usualMemory) + 1/usualMemory.Seconds()
+		d.usual = d.usual*remaining(now-d.at, usualMemory) + 1/usualMemory.Seconds()
 	}
 	d.at = now
 }
 
 // rate returns the present requests a second.
-func (d *demand) rate(now time.Duration) float64 { return d.current * decayed(now-d.at, currentMemory) }
+func (d *demand) rate(now time.Duration) float64 {
+	return d.current * remaining(now-d.at, currentMemory)
+}
 
 // usualRate returns the usual requests a second. The average begins at 0, so a short past counts as
 // much as was seen of it.
 func (d *demand) usualRate(now time.Duration) float64 {
-	return d.usual / (1 - decayed(max(now-d.since, learnTime), usualMemory))
+	return d.usual / (1 - remaining(max(now-d.since, learnTime), usualMemory))
 }
 
 // floods reports whether the requests have grown far more than those of the others, given the present
--- a/pkg/forward/answers.go
+++ b/pkg/forward/answers.go
@@ -16,22 +16,22 @@
 	rejectionFraction = 3
 )
 
-// answers is what a daemon knows of the answers on one route. It cannot read them: it sees when and
+// answerProfile is what a daemon knows of the answers on one route. It cannot read them: it sees when and
 // how much of them the caller acknowledges.
-type answers struct {
+type answerProfile struct {
 	size quantile // bytes of the first acknowledged part
 	time quantile // from a request to that acknowledgement, in nanoseconds
 }
 
 // rejection takes the size of an answer and reports whether the answer is a rejection.
-func (s *answers) rejection(bytes uint32) bool {
+func (s *answerProfile) rejection(bytes uint32) bool {
 	size := float64(bytes)
 	s.size.add(size, typicalQuantile, typicalStep)
 	return size*rejectionFraction < min(s.size.value, segmentBytes)
 }
 
 // ratio takes the time of an answer that is no rejection and returns it in typical answers.
-func (s *answers) ratio(took time.Duration) float64 {
+func (s *answerProfile) ratio(took time.Duration) float64 {
 	if s.time.value == 0 {
 		s.time.value = float64(took)
 	}
--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -38,10 +38,10 @@
 	services   map[string][]*Upstream // those that may get new flows
 	flows      map[Flow]*flowState
 	held       []heldPacket
-	ended      []Packet                    // to be reset
-	answers    map[netip.AddrPort]*answers // by address of a route
-	admissions map[string]*admission       // by service
-	overloads  []Overload                  // not yet reported
+	ended      []Packet                          // to be reset
+	answers    map[netip.AddrPort]*answerProfile // by address of a route
+	admissions map[string]*admission             // by service
+	overloads  []Overload                        // not yet reported
 	swept      time.Duration
 	prepared   bool
 }
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -100,7 +100,7 @@
 			rejecting++
 		}
 	}
-	return float64(rejecting) >= overloadedUpstreams*float64(answering)
+	return rejecting > 0 && float64(rejecting) >= overloadedUpstreams*float64(answering)
 }
 
 func (c *Core) noteOverload(now time.Duration, service string, a *admission) {
@@ -126,10 +126,10 @@
 
 // followTable keeps what was learnt of the routes and services that a new table still has.
 func (c *Core) followTable(t *routing.Table) {
-	byRoute, admissions := make(map[netip.AddrPort]*answers, len(t.Routes)), map[string]*admission{}
+	byRoute, admissions := make(map[netip.AddrPort]*answerProfile, len(t.Routes)), map[string]*admission{}
 	for _, r := range t.Routes {
 		if byRoute[r.Address] = c.answers[r.Address]; byRoute[r.Address] == nil {
-			byRoute[r.Address] = &answers{}
+			byRoute[r.Address] = &answerProfile{}
 		}
 		for _, s := range r.Split {
 			if admissions[s.Service] = c.admissions[s.Service]; admissions[s.Service] == nil {
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -67,7 +67,7 @@
 // and successes that are short themselves.
 func TestRejectionsAreRecognised(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 4))
-	var long, short answers
+	var long, short answerProfile
 	for range 1000 {
 		assert.Assert(t, !long.rejection(uint32(segmentBytes+rng.IntN(16*segmentBytes))))
 		assert.Assert(t, !short.rejection(uint32(100+rng.IntN(100))))
--- a/pkg/forward/slowness.go
+++ b/pkg/forward/slowness.go
@@ -42,5 +42,5 @@
 	if s.average <= usualSlowness {
 		return 0
 	}
-	return min(s.average-usualSlowness, maxSlowness) * decayed(now-s.at, slownessMemory)
+	return min(s.average-usualSlowness, maxSlowness) * remaining(now-s.at, slownessMemory)
 }
