Choose a later incarnation in doubling steps after a refusal

Cause: a host that lost its disk twice while its clock was set back in between asked to join under an incarnation that the group refuses, and then under the next ones, a nanosecond apart, for as long as the clock had been set back. Meanwhile it tolerates no other loss. The steps ahead of the clock now double from 1 s.

--- a/pkg/control/ensemble/ensemble.go
+++ b/pkg/control/ensemble/ensemble.go
@@ -114,6 +114,7 @@
 	mu       sync.Mutex
 	changed  chan struct{} // closed when the document or the membership changes
 	lastSelf ident.Incarnation
+	ahead    time.Duration // of the clock, by which the next incarnation is chosen
 }
 
 // New prepares a control host.
@@ -219,6 +220,9 @@
 		}
 		g.status.Store(&Status{})
 		events.ReplicaFailed.Log(g.log, logrus.Fields{"error": err})
+		if errors.Is(err, errSuperseded) {
+			g.chooseLater()
+		}
 		if errors.Is(err, errRemoved) || errors.Is(err, errSuperseded) {
 			if err := g.discard(); err != nil {
 				events.ReplicaFailed.Log(g.log, logrus.Fields{"error": err})
@@ -248,6 +252,14 @@
 	return errors.Wrap(g.cfg.FS.SyncDir(dir), "sync the data folder")
 }
 
+// chooseLater makes the next incarnation later than the one that the group refused. The group knows one
+// from before the clock was set back, by an unknown time, so the steps double.
+func (g *Group) chooseLater() { g.ahead = max(incarnationStep, 2*g.ahead) }
+
+// incarnationStep is the first step by which an incarnation is chosen ahead of the clock: clocks of the
+// users' platform jump by seconds.
+const incarnationStep = time.Second
+
 // identity returns how the host starts if its data folder is empty.
 func (g *Group) identity() (agreement.Replica, *agreement.State) {
 	founder := g.founder(g.cfg.Self)
@@ -255,7 +267,8 @@
 		return founder, founding
 	}
 	// A clock that was set back must not make the incarnation smaller than one used before.
-	return agreement.Replica{ID: g.self, Incarnation: max(ident.Incarnation(time.Now().UnixNano()), g.lastSelf+1)}, nil
+	next := max(ident.Incarnation(time.Now().UnixNano()), g.lastSelf+1) + ident.Incarnation(g.ahead)
+	return agreement.Replica{ID: g.self, Incarnation: next}, nil
 }
 
 // foundingIncarnation is the incarnation of the founders, smaller than any that the clock yields.
--- a/pkg/control/ensemble/schedule_test.go
+++ b/pkg/control/ensemble/schedule_test.go
@@ -81,6 +81,7 @@
 	next      uint64 // version
 	accepted  uint64 // highest acknowledged version
 	clock     uint64 // of incarnations
+	used      map[uint64]bool
 	violation string
 	history   history
 	// staleReads switches off the confirmation of reads.
@@ -94,7 +95,7 @@
 }
 
 func newSim(seed uint64) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 9)), clock: 1000, rounds: scheduleSize}
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 9)), clock: 1000, used: map[uint64]bool{}, rounds: scheduleSize}
 	size := 3 + s.rng.IntN(4)
 	s.tolerated = 1
 	if size >= 5 {
@@ -123,8 +124,7 @@
 		if founding != nil {
 			h.disk.state = *founding
 		} else {
-			s.clock++
-			self.Incarnation = ident.Incarnation(s.clock)
+			self.Incarnation = s.incarnation()
 			h.disk.state = agreement.State{Self: self}
 		}
 		h.used = self.Incarnation
@@ -144,6 +144,20 @@
 	s.process(h)
 }
 
+// incarnation returns one from a clock that is sometimes set back, but never one that was used.
+func (s *sim) incarnation() ident.Incarnation {
+	s.clock += 100
+	at := s.clock
+	if s.rng.IntN(4) == 0 {
+		at -= uint64(s.rng.IntN(500))
+	}
+	for s.used[at] {
+		at++
+	}
+	s.used[at] = true
+	return ident.Incarnation(at)
+}
+
 func (s *sim) fail(format string, args ...any) {
 	if s.violation == "" {
 		s.violation = fmt.Sprintf("round %d: ", s.round) + fmt.Sprintf(format, args...)
@@ -424,3 +438,21 @@
 	}
 	t.Error("no schedule found a violation although empty disks found groups")
 }
+
+// Guards against a host that cannot join for as long as its clock was set back: the group knows an
+// incarnation of its that is 10 minutes ahead.
+func TestClockSetBackDelaysJoinBriefly(t *testing.T) {
+	g := &Group{cfg: Config{Self: address(1), Seeds: func() []netip.AddrPort { return []netip.AddrPort{address(1)} }}, self: MemberID(address(1))}
+	known := ident.Incarnation(time.Now().Add(10 * time.Minute).UnixNano())
+	for refused := 0; ; refused++ {
+		self, founding := g.identity()
+		if founding != nil || refused > 10 {
+			t.Fatalf("not later than the known incarnation after %d refusals", refused)
+		}
+		if self.Incarnation > known {
+			return
+		}
+		g.lastSelf = self.Incarnation
+		g.chooseLater()
+	}
+}
