Refuse new flows only while callers open them for rejections

Cause: rejections are recognised by their size. A route with long flows of which three in ten successes are short would have been taken for overloaded, without any load. Callers open a new flow for each further try, so refusals now need at least 0.4 new flows for each rejection.

--- a/pkg/forward/admission.go
+++ b/pkg/forward/admission.go
@@ -36,6 +36,10 @@
 	// relievedBelow ends the overload. Between it and refuseFrom nothing is refused, but a share that
 	// moves around refuseFrom does not begin and end the overload with every answer.
 	relievedBelow = refuseFrom / 2
+	// flowsPerRejection is the number of new flows for each rejection from which short answers are taken
+	// for rejections: a rejected caller opens one for its next try, unless it was the last one. Callers
+	// whose successes are short go on with the flows that they have.
+	flowsPerRejection = 0.4
 	// significant is the part of the demand below which a priority does not matter to the others.
 	significant = 0.1
 	// flowMemory is the number of new flows over which the demand of each priority is averaged.
@@ -54,6 +58,7 @@
 // admission decides on the new flows of one service.
 type admission struct {
 	rejected, answers float64           // recent ones, decayed
+	opened            float64           // new flows, decayed alike
 	decayedAt         time.Duration     // when they were last decayed
 	demand            map[uint8]*demand // by priority
 	refusing          bool              // the service is overloaded
@@ -74,7 +79,7 @@
 
 func (a *admission) decay(now time.Duration) {
 	keep := remaining(now-a.decayedAt, sheddingMemory)
-	a.rejected, a.answers, a.decayedAt = a.rejected*keep, a.answers*keep, now
+	a.rejected, a.answers, a.opened, a.decayedAt = a.rejected*keep, a.answers*keep, a.opened*keep, now
 }
 
 // remaining returns the part of an exponentially decaying quantity that is left after a time.
@@ -88,6 +93,12 @@
 	return a.rejected / (a.answers + priorAnswers)
 }
 
+// isRepeated reports whether callers open as many new flows as the rejections make them.
+func (a *admission) isRepeated(now time.Duration) bool {
+	a.decay(now)
+	return a.opened >= flowsPerRejection*a.rejected
+}
+
 // request takes a request on a flow of a priority.
 func (a *admission) request(now time.Duration, priority uint8) {
 	a.of(now, priority).request(now, a.refusing)
@@ -109,6 +120,8 @@
 		d.flows *= 1 - 1.0/flowMemory
 	}
 	own.flows++
+	a.decay(now)
+	a.opened++
 	share := a.rejectedShare(now)
 	if share <= refuseFrom {
 		return 0
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -80,7 +80,7 @@
 	if a.refusing {
 		return share >= relievedBelow
 	}
-	if share <= refuseFrom {
+	if share <= refuseFrom || !a.isRepeated(now) {
 		return false
 	}
 	if now-a.counted >= countPeriod {
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -93,6 +93,7 @@
 			u.rejectedUntil = now + time.Second
 		}
 		a := c.admissions["a"]
+		a.flow(now, usualPriority)
 		a.answer(now, rng.Float64() < 1.1*refuseFrom)
 		c.noteOverload(now, "a", a)
 		changes += len(c.TakeOverloads())
@@ -100,6 +101,32 @@
 	assert.Assert(t, changes > 0 && changes <= 20, "%d changes in 40 s", changes)
 }
 
+// Guards against flows that are refused because a route has short successes: three of ten answers have
+// no body, and the upstreams have room.
+func TestShortAnswersRefuseNoFlow(t *testing.T) {
+	c := newCore(14)
+	rng := rand.New(rand.NewPCG(1, 9))
+	now := time.Duration(0)
+	for n := range 20_000 {
+		now += time.Duration(rng.IntN(10)) * time.Millisecond
+		u := c.upstreams[directory.Incarnation{Key: directory.Key(1 + rng.IntN(14)), Born: 1}]
+		caller := n % 500
+		request := data(caller, uint32(n), u.cookie)
+		request.Ack = uint32(1 + 10_000*n)
+		c.Packet(now, request)
+		answer := data(caller, uint32(n)+100, u.cookie)
+		answer.Length, answer.Ack = 0, request.Ack+answerBytes
+		if rng.IntN(10) < 3 {
+			answer.Ack = request.Ack + rejectionBytes
+		}
+		c.Packet(now, answer)
+		if rng.IntN(40) == 0 {
+			assert.Equal(t, c.Packet(now, syn(1000+n, 0)).Verdict, Forward)
+		}
+	}
+	assert.Assert(t, c.admissions["a"].rejectedShare(now) > refuseAllFrom)
+}
+
 // Guards against callers that are refused because more urgent ones flood: the requests of the urgent
 // route grow tenfold, those of the other stay, and a fifth of all is rejected.
 func TestFloodingPriorityIsRefusedFirst(t *testing.T) {
