--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -13,11 +12,9 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/control/directory"
-	"rosemarygate/pkg/control/transport"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/routing"
 )
@@ -49,8 +46,6 @@
 	outdatedTime = 2 * time.Second
 )
 
-var errLost = errors.New("connection to the control host was lost: the daemon chooses a host again")
-
 var errOutdated = errors.New("control host has no contact to its leader: another one is tried")
 
 // watches follows control hosts.
@@ -207,32 +202,6 @@
 	}
 }
 
-// dial opens the TCP connection to a control host, with a limit of its own: a host that refuses it, or
-// has no power, is known as such at once, while the handshake of gRPC may take long on a slow processor.
-func dial(ctx context.Context, host netip.AddrPort, limit time.Duration) (net.Conn, error) {
-	limited, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	tcp, err := (&net.Dialer{}).DialContext(limited, "tcp4", host.String())
-	return tcp, errors.Wrap(err, "control host cannot be reached: another one is tried")
-}
-
-// clientOn returns a client that uses a connection and does not open another one.
-func clientOn(tcp net.Conn) (*grpc.ClientConn, error) {
-	unused := make(chan net.Conn, 1)
-	unused <- tcp
-	return grpc.NewClient("passthrough:///"+tcp.RemoteAddr().String(), transport.DialOptions([]grpc.DialOption{
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(func(context.Context, string) (net.Conn, error) {
-			select {
-			case c := <-unused:
-				return c, nil
-			default:
-				return nil, errLost
-			}
-		}),
-	})...)
-}
-
 // apply merges an update into what the daemon knows. table is the latest one of the control host, nil if
 // it has sent none.
 func (w *watches) apply(host netip.AddrPort, u *entrypb.Update, table *routing.Table) {
@@ -261,27 +230,27 @@
 		d.releaseHeld()
 	}
 	d.resetAll(ended)
+	w.logChanges(now, host, changes)
+	w.prepare(now, u.GetStatus())
+}
+
+// logChanges writes a line for each changed registration, or one for many: a daemon that starts learns
+// all of them at once, and 3005 on the control hosts has each.
+func (w *watches) logChanges(now time.Duration, host netip.AddrPort, changes []directory.Registration) {
 	if len(changes) > maxChangeLines {
-		w.logMany(host, changes)
-		changes = nil
+		states := map[string]int{}
+		for _, r := range changes {
+			states[r.State.String()]++
+		}
+		events.RegistrationsLearnt.Log(w.d.log, logrus.Fields{"registrations": len(changes), "states": states, "host": host})
+		return
 	}
 	for _, r := range changes {
-		events.UpstreamChanged.Log(d.log, logrus.Fields{
+		events.UpstreamChanged.Log(w.d.log, logrus.Fields{
 			"upstream": r.Name, "born": r.Born, "sequence": r.Sequence, "service": r.Service, "address": r.Address,
 			"state": r.State.String(), "silent": r.Silent, "age_ms": (now - r.Heard).Milliseconds(), "host": host,
 		})
 	}
-	w.prepare(now, u.GetStatus())
-}
-
-// logMany writes one line for the registrations of an update, by state. A daemon that starts learns
-// all of them at once; 3005 on the control hosts has each.
-func (w *watches) logMany(host netip.AddrPort, changes []directory.Registration) {
-	states := map[string]int{}
-	for _, r := range changes {
-		states[r.State.String()]++
-	}
-	events.RegistrationsLearnt.Log(w.d.log, logrus.Fields{"registrations": len(changes), "states": states, "host": host})
 }
 
 func (w *watches) learn(hosts []string) {
--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -39,7 +39,7 @@
 	flows      map[Flow]*flowState
 	held       []heldPacket
 	ended      []Packet                          // to be reset
-	answers    map[netip.AddrPort]*answerProfile // by address of a route
+	profiles   map[netip.AddrPort]*answerProfile // by address of a route
 	admissions map[string]*admission             // by service
 	overloads  []Overload                        // not yet reported
 	swept      time.Duration
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -40,7 +40,7 @@
 
 // learnAnswer takes the first acknowledged part of an answer and the time since its request.
 func (c *Core) learnAnswer(now time.Duration, dest netip.AddrPort, u *Upstream, bytes uint32, took time.Duration) {
-	route, a := c.answers[dest], c.admissions[u.Service]
+	route, a := c.profiles[dest], c.admissions[u.Service]
 	if route == nil || a == nil {
 		return // the table no longer has the route or the service
 	}
@@ -126,10 +126,10 @@
 
 // followTable keeps what was learnt of the routes and services that a new table still has.
 func (c *Core) followTable(t *routing.Table) {
-	byRoute, admissions := make(map[netip.AddrPort]*answerProfile, len(t.Routes)), map[string]*admission{}
+	profiles, admissions := make(map[netip.AddrPort]*answerProfile, len(t.Routes)), map[string]*admission{}
 	for _, r := range t.Routes {
-		if byRoute[r.Address] = c.answers[r.Address]; byRoute[r.Address] == nil {
-			byRoute[r.Address] = &answerProfile{}
+		if profiles[r.Address] = c.profiles[r.Address]; profiles[r.Address] == nil {
+			profiles[r.Address] = &answerProfile{}
 		}
 		for _, s := range r.Split {
 			if admissions[s.Service] = c.admissions[s.Service]; admissions[s.Service] == nil {
@@ -137,5 +137,5 @@
 			}
 		}
 	}
-	c.answers, c.admissions = byRoute, admissions
+	c.profiles, c.admissions = profiles, admissions
 }
