Refuse implausible registrations, keep upstreams that left away after a kill

Reports of other operators, shown by tests first where they can happen here: - An announcement with a warm-up of 1e30 ms was accepted; its end overflowed, to another value on x86-64 than on arm64. One with 1,048,576 slots drew all flows of its service, one that starts in 2^53 ms or jumps to sequence 2^53 kept the true process away.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -15,7 +15,7 @@
 	Refreshed    Outcome = iota // only the time of the last announcement has changed
 	Changed                     // the registration is new or differs from the previous one
 	Superseded                  // ignored: the directory has a later announcement or incarnation
-	Contradicted                // ignored: the incarnation announced another service or address before
+	Contradicted                // ignored: it cannot come from the process that announced the incarnation before
 )
 
 // String returns the name of the outcome in log lines.
@@ -130,7 +130,7 @@
 		old.LastAnnounced = max(old.LastAnnounced, r.LastAnnounced)
 		return d.setSilent(old, silent, r.LastAnnounced)
 	}
-	if r.Service != old.Service || r.Address != old.Address {
+	if r.Service != old.Service || r.Address != old.Address || r.Sequence-old.Sequence > maxSequenceStep {
 		return Contradicted
 	}
 	if old.goneAt > 0 {
@@ -150,6 +150,10 @@
 	return Changed
 }
 
+// maxSequenceStep is the largest step of the sequence numbers of a process: two weeks of announcements. A
+// larger number comes from a faulty writer, and would supersede all announcements of the process itself.
+const maxSequenceStep = 1 << 20
+
 // minWarmupExtension is the extension of a warm-up above which entry daemons are notified: announcements
 // are delayed by up to a few hundred milliseconds.
 const minWarmupExtension = time.Second
--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -282,6 +282,7 @@
 	r := registration(9, 1234, 5)
 	r.State, r.Silent = Draining, true
 	r.WarmupEnd, r.LastAnnounced = 7*time.Second, 3*time.Second
-	got := FromProto(r.Proto(5*time.Second), 5*time.Second)
+	got, err := FromProto(r.Proto(5*time.Second), 5*time.Second)
+	assert.NilError(t, err)
 	assert.DeepEqual(t, got, r, cmpopts.EquateComparable(netip.AddrPort{}))
 }
--- a/pkg/control/directory/registration.go
+++ b/pkg/control/directory/registration.go
@@ -10,6 +10,8 @@
 
 import (
 	"encoding/binary"
+	"fmt"
+	"math"
 	"net/netip"
 	"strconv"
 	"time"
@@ -94,16 +96,78 @@
 	}
 }
 
-// FromProto is the inverse of Proto; now is the receiver's time.
-func FromProto(p *entrypb.Registration, now time.Duration) Registration {
-	return Registration{
+// Limits of a plausible registration. Values beyond them come from a faulty writer; used as they are,
+// they would overflow times or draw all flows of a service.
+const (
+	MaxSlots     = 4096 // more than an upstream holds connections
+	MaxWarmup    = 10 * time.Minute
+	MaxNameBytes = 253
+	maxAge       = 24 * time.Hour
+)
+
+// InvalidError is the reason for which a registration is refused.
+type InvalidError struct {
+	// Field is the faulty field, as in the label of the counter.
+	Field   string
+	Problem string
+}
+
+// Error returns the field and the problem.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("registration is refused: %s %s: correct the upstream's announcement", e.Field, e.Problem)
+}
+
+// Check returns an *InvalidError for the first implausible field. Times are relative to now.
+func (r *Registration) Check(now time.Duration) error {
+	invalid := func(field, problem string) error { return &InvalidError{field, problem} }
+	a := r.Address.Addr()
+	switch {
+	case len(r.Name) > MaxNameBytes:
+		return invalid("name", "is too long")
+	case r.Service == "" || len(r.Service) > MaxNameBytes:
+		return invalid("service", "is missing or too long")
+	case r.DataCentre == "" || len(r.DataCentre) > MaxNameBytes:
+		return invalid("data centre", "is missing or too long")
+	case !a.Is4() || a.IsUnspecified() || a.IsMulticast() || a == broadcast || r.Address.Port() == 0:
+		return invalid("address", "is not the IPv4 address and port of a host")
+	case r.Slots < 1 || r.Slots > MaxSlots:
+		return invalid("slots", fmt.Sprintf("is not between 1 and %d", MaxSlots))
+	case r.StartUnixMs < 1:
+		return invalid("start", "is not a time after 1970")
+	case r.State < Ready || r.State > Gone:
+		return invalid("state", "is unknown")
+	case r.WarmupEnd-now > MaxWarmup:
+		return invalid("warm-up", fmt.Sprintf("is longer than %s", MaxWarmup))
+	}
+	return nil
+}
+
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
+// FromProto is the inverse of Proto; now is the receiver's time. The error is an *InvalidError: a process of
+// another release, or a file of one, may contain values that this one refuses.
+func FromProto(p *entrypb.Registration, now time.Duration) (Registration, error) {
+	if p.GetPort() > math.MaxUint16 {
+		return Registration{}, &InvalidError{"address", "has a port above 65535"}
+	}
+	if p.GetWarmupMs() < 0 || p.GetWarmupMs() > MaxWarmup.Milliseconds() {
+		return Registration{}, &InvalidError{"warm-up", fmt.Sprintf("is not between 0 and %s", MaxWarmup)}
+	}
+	if p.GetAgeMs() < 0 {
+		return Registration{}, &InvalidError{"age", "is negative"}
+	}
+	if p.GetState() < entrypb.State(Ready) || p.GetState() > entrypb.State(Gone) {
+		return Registration{}, &InvalidError{"state", "is unknown"}
+	}
+	r := Registration{
 		Incarnation: Incarnation{Key(p.GetKey()), p.GetBornUnixMs()},
 		Name:        p.GetName(), Service: p.GetService(),
 		Address:    netip.AddrPortFrom(routing.AddressFromNumber(p.GetAddress()), uint16(p.GetPort())),
 		DataCentre: p.GetDataCentre(), Slots: int(p.GetSlots()), Sequence: p.GetSequence(),
 		State:         State(p.GetState()),
 		WarmupEnd:     now + time.Duration(p.GetWarmupMs())*time.Millisecond,
-		LastAnnounced: now - time.Duration(p.GetAgeMs())*time.Millisecond,
+		LastAnnounced: now - time.Duration(min(p.GetAgeMs(), maxAge.Milliseconds()))*time.Millisecond,
 		Silent:        p.GetSilent(),
 	}
+	return r, r.Check(now)
 }
--- a/pkg/controlhost/calls.go
+++ b/pkg/controlhost/calls.go
@@ -34,12 +34,37 @@
 	ErrNoConfig = errors.New("no configuration was accepted yet: retry after the first one")
 )
 
+// maxStartAhead is how far the start of an upstream may be ahead of this host's time of day, which may jump
+// by minutes. No process with an earlier start could replace one from the far future.
+const maxStartAhead = time.Hour
+
+// RefuseAnnouncement records that an announcement or a deregistration was refused because of its content.
+func (h *Host) RefuseAnnouncement(upstream string, err error) {
+	field := "unknown"
+	var invalid *directory.InvalidError
+	if errors.As(err, &invalid) {
+		field = invalid.Field
+	}
+	h.count("announcements_refused", "field", field)
+	h.logCall(events.AnnouncementRefused, logrus.Fields{"upstream": cutText(upstream), "field": field, "error": cutText(err.Error())})
+}
+
+// maxLoggedText bounds text from outside in log lines, in bytes.
+const maxLoggedText = 200
+
+func cutText(s string) string { return s[:min(len(s), maxLoggedText)] }
+
 // Announce handles the announcement of an upstream. The warm-up of the registration is given as a
 // duration, which starts now.
 func (h *Host) Announce(ctx context.Context, r directory.Registration) error {
 	defer h.observe("announce", time.Now())
 	now := h.clock()
 	r.LastAnnounced, r.WarmupEnd = now, now+r.WarmupEnd
+	if time.UnixMilli(r.StartUnixMs).Sub(time.Now()) > maxStartAhead {
+		err := errors.WithStack(&directory.InvalidError{Field: "start", Problem: "is in the future"})
+		h.RefuseAnnouncement(r.Name, err)
+		return err
+	}
 	if err := h.checkService(r.Service); err != nil {
 		h.logAnnouncement(r, "unknown_service")
 		return err
@@ -47,6 +72,7 @@
 	h.mu.Lock()
 	previous, known := h.directory.Get(r.Incarnation)
 	outcome := h.directory.Announce(r)
+	revision := h.directory.Revision()
 	h.mu.Unlock()
 	h.count("announcements", "outcome", outcome.String())
 	switch outcome {
@@ -64,10 +90,10 @@
 		return nil
 	}
 	h.logAnnouncement(r, outcome.String())
-	confirmed := h.sharing.shareChange(r)
+	confirmed, saved := h.sharing.shareChange(r), h.saver.savedFrom(revision)
 	h.notify()
 	if r.State == directory.Draining {
-		h.awaitConfirmations(ctx, confirmed)
+		h.awaitLeave(ctx, confirmed, saved)
 	}
 	return nil
 }
@@ -105,7 +131,7 @@
 }
 
 // Deregister records that an upstream process is about to exit, and waits up to shareConfirmTimeout
-// until the other control hosts have confirmed it. startUnixMs identifies the process by its start time;
+// until the other control hosts have confirmed it and this one has stored it. startUnixMs identifies the process by its start time;
 // 0 stands for the latest process.
 func (h *Host) Deregister(ctx context.Context, k directory.Key, startUnixMs int64) error {
 	defer h.observe("deregister", time.Now())
@@ -116,23 +142,35 @@
 	}
 	found := h.directory.Deregister(k, startUnixMs, now)
 	r, _ := h.directory.Get(directory.Incarnation{Key: k, StartUnixMs: startUnixMs})
+	revision := h.directory.Revision()
 	h.mu.Unlock()
 	h.logCall(events.UpstreamLeft, logrus.Fields{"upstream": r.Name, "key": k.String(), "born": startUnixMs, "known": found})
 	if !found {
 		return ErrUnknownUpstream
 	}
-	confirmed := h.sharing.shareChange(r)
+	confirmed, saved := h.sharing.shareChange(r), h.saver.savedFrom(revision)
 	h.notify()
-	h.awaitConfirmations(ctx, confirmed)
+	h.awaitLeave(ctx, confirmed, saved)
 	return nil
 }
 
-func (h *Host) awaitConfirmations(ctx context.Context, confirmed <-chan struct{}) {
-	select {
-	case <-confirmed:
-	case <-ctx.Done():
-	case <-time.After(shareConfirmTimeout):
-		h.count("spread_timeouts")
+// awaitLeave waits until the other control hosts have confirmed that an upstream leaves and this host has
+// stored it, so that no restart brings the upstream back. A disk that stalls does not delay the reply
+// beyond shareConfirmTimeout.
+func (h *Host) awaitLeave(ctx context.Context, confirmed, saved <-chan struct{}) {
+	timeout := time.After(shareConfirmTimeout)
+	for _, step := range []struct {
+		done    <-chan struct{}
+		counter string
+	}{{confirmed, "spread_timeouts"}, {saved, "save_timeouts"}} {
+		select {
+		case <-step.done:
+		case <-ctx.Done():
+			return
+		case <-timeout:
+			h.count(step.counter)
+			return
+		}
 	}
 }
 
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -93,6 +93,7 @@
 	settled          atomic.Bool                     // the directory contains every live upstream
 	callLogLimiter   *decisionlog.Limiter            // for the log lines of calls
 	sharing          *sharing
+	saver            *registrationSaver
 	ctx              context.Context
 	stop             context.CancelFunc
 }
@@ -109,6 +110,7 @@
 	if h.cfg.FS == nil {
 		h.cfg.FS = storage.OS{}
 	}
+	h.saver = newRegistrationSaver()
 	h.ctx, h.stop = context.WithCancel(context.Background())
 	h.table.Store(&routing.Table{})
 	h.callLogLimiter = decisionlog.NewLimiter(maxLogLinesPerSecond)
@@ -158,7 +160,7 @@
 		h.awaitStop(ctx, treeCtx)
 		return nil
 	})
-	for _, task := range []func(context.Context) error{h.group.Run, h.followConfig, h.watchDirectory, h.sharing.run, h.persistRegistrations} {
+	for _, task := range []func(context.Context) error{h.group.Run, h.followConfig, h.watchDirectory, h.sharing.run, h.saveRegistrations} {
 		tree.Add(task)
 	}
 	tree.AddStoppable(func() error { return grpcServer.Serve(peerListener) }, grpcServer.Stop)
@@ -241,8 +243,9 @@
 	}
 }
 
-// notify wakes all goroutines that wait for a change.
+// notify wakes all goroutines that wait for a change, and starts a write of changed registrations.
 func (h *Host) notify() {
+	h.saver.request()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	close(h.changed)
--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -7,6 +7,11 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +24,8 @@
 	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/control/directory"
 	"rosemarygate/pkg/routing"
+	"rosemarygate/pkg/storage"
+	"rosemarygate/pkg/storage/brokenfs"
 	"rosemarygate/pkg/storage/faultfs"
 	"rosemarygate/pkg/telemetry"
 )
@@ -52,6 +59,12 @@
 
 // startHosts starts control hosts that found a group.
 func startHosts(t *testing.T, n int) []*Host {
+	t.Helper()
+	return startHostsWith(t, n, func(*Config) {})
+}
+
+// startHostsWith is startHosts with changed settings.
+func startHostsWith(t *testing.T, n int, change func(*Config)) []*Host {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(testWriter{t})
@@ -61,11 +74,13 @@
 	}
 	var hosts []*Host
 	for _, peer := range seeds {
-		h := New(Config{
-			Name: peer.String(), ControlAddress: freeAddress(t), PeerAddress: peer, Seeds: func() []netip.AddrPort { return seeds }, FirstStart: true,
-			DataDir: t.TempDir(), ToleratedDisks: (n - 1) / 2, AnnouncementInterval: 500 * time.Millisecond, FlowLifetime: time.Minute,
+		cfg := Config{
+			Name: peer.String(), ControlAddress: freeAddress(t), PeerAddress: peer, Seeds: func() []netip.AddrPort { return seeds[:min(n, 3)] }, FirstStart: true,
+			DataDir: filepath.Join(t.TempDir(), "data"), ToleratedDisks: min((n-1)/2, 2), AnnouncementInterval: 500 * time.Millisecond, FlowLifetime: time.Minute,
 			Decode: decodeTestConfig, Handler: func(*Host) http.Handler { return http.NotFoundHandler() }, Log: log, Metrics: telemetry.NewSet(),
-		})
+		}
+		change(&cfg)
+		h := New(cfg)
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
 		go func() { ended <- h.Run(ctx) }()
@@ -110,6 +125,114 @@
 	}
 }
 
+// restartedHost returns a host that has restored the registrations of another one's data folder, as after a
+// kill, and is not running.
+func restartedHost(t *testing.T, dir string) *Host {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(testWriter{t})
+	h := New(Config{
+		Name: "restarted", PeerAddress: freeAddress(t), Seeds: func() []netip.AddrPort { return nil }, DataDir: dir, AnnouncementInterval: 500 * time.Millisecond,
+		FlowLifetime: time.Minute, Decode: decodeTestConfig, Log: log, Metrics: telemetry.NewSet(),
+	})
+	h.restoreRegistrations()
+	return h
+}
+
+// Guards against upstreams that have left, or take no new flows, being in use again after all control hosts
+// were killed right after the reply.
+func TestLeftUpstreamsStayAwayAfterKill(t *testing.T) {
+	hosts := startHosts(t, 3)
+	replaceConfig(t, hosts[0], testConfig(t, 5, "a"))
+	for key := range directory.Key(4) {
+		assert.NilError(t, hosts[0].Announce(t.Context(), readyRegistration(key+1, 1, 1)))
+	}
+	draining := readyRegistration(1, 1, 2)
+	draining.State = directory.Draining
+	assert.NilError(t, hosts[0].Announce(t.Context(), draining))
+	assert.NilError(t, hosts[0].Deregister(t.Context(), 2, 1))
+	restarted := restartedHost(t, hosts[0].cfg.DataDir)
+	for key, want := range map[directory.Key]directory.State{1: directory.Draining, 2: directory.Draining, 3: directory.Ready, 4: directory.Ready} {
+		r, ok := restarted.directory.Get(directory.Incarnation{Key: key, StartUnixMs: 1})
+		assert.Assert(t, ok)
+		assert.Equal(t, r.State, want, "upstream %d", key)
+	}
+	// The other hosts store what was shared with them.
+	for _, h := range hosts[1:] {
+		eventually(t, "the other hosts have stored that the upstream leaves", func() bool {
+			r, ok := restartedHost(t, h.cfg.DataDir).directory.Get(directory.Incarnation{Key: 2, StartUnixMs: 1})
+			return ok && r.State == directory.Draining
+		})
+	}
+}
+
+// Guards against an upstream that crashed before a restart of the control hosts getting new flows again
+// after it.
+func TestSilentUpstreamStaysSilentAfterRestart(t *testing.T) {
+	h := restartedHost(t, t.TempDir())
+	var stored []directory.Registration
+	for key := range directory.Key(4) {
+		r := readyRegistration(key+1, 1, 1)
+		r.Silent = key == 0
+		stored = append(stored, r)
+	}
+	assert.NilError(t, h.writeRegistrations(stored))
+	restarted := restartedHost(t, h.cfg.DataDir)
+	for i := range stored {
+		r, ok := restarted.directory.Get(stored[i].Incarnation)
+		assert.Assert(t, ok)
+		assert.Equal(t, r.Silent, stored[i].Silent, "upstream %s", r.Name)
+	}
+	sequence := stored[0]
+	sequence.Silent, sequence.Sequence = false, 2
+	assert.NilError(t, restarted.Announce(t.Context(), sequence))
+	r, _ := restarted.directory.Get(sequence.Incarnation)
+	assert.Assert(t, !r.Silent, "it has announced itself")
+
+	// A host that was cut off from most upstreams does not know which of them live.
+	for i := range stored[:3] {
+		stored[i].Silent = true
+	}
+	assert.NilError(t, h.writeRegistrations(stored))
+	for _, r := range restartedHost(t, h.cfg.DataDir).directory.Changes(0) {
+		assert.Assert(t, !r.Silent, "upstream %s", r.Name)
+	}
+}
+
+// Guards against values of a faulty writer, or of the file of another release, that end a host, draw all
+// flows or keep the true process away.
+func TestImplausibleAnnouncementsChangeNothing(t *testing.T) {
+	h := restartedHost(t, t.TempDir())
+	good := readyRegistration(1, time.Now().UnixMilli(), 1)
+	assert.NilError(t, h.Announce(t.Context(), good))
+	future := good
+	future.StartUnixMs = 1 << 53
+	var invalid *directory.InvalidError
+	assert.Assert(t, errors.As(h.Announce(t.Context(), future), &invalid))
+	jump := good
+	jump.Sequence = 1 << 53
+	assert.Assert(t, errors.Is(h.Announce(t.Context(), jump), ErrContradiction))
+
+	odd := good.Proto(0)
+	odd.Key, odd.WarmupMs = 2, 1<<62
+	port := good.Proto(0)
+	port.Key, port.Port = 3, 99_999
+	state := good.Proto(0)
+	state.Key, state.State = 4, 17
+	slots := good.Proto(0)
+	slots.Key, slots.Slots = 5, 1<<31
+	fine := good.Proto(0)
+	fine.Key, fine.Port = 6, 8081
+	h.mergeBatch(&entrypb.Batch{Number: 2, Registrations: []*entrypb.Registration{odd, port, state, slots, fine}})
+	assert.Equal(t, h.directory.Len(), 2)
+	next := good
+	next.Sequence = 2
+	assert.NilError(t, h.Announce(t.Context(), next))
+	restarted := good
+	restarted.StartUnixMs, restarted.Sequence = good.StartUnixMs+1, 1
+	assert.NilError(t, h.Announce(t.Context(), restarted))
+}
+
 // Guards against changes at one control host that do not reach the other hosts or the daemons
 // connected to them, and against reads that do not return the newest configuration.
 func TestChangesReachAllHosts(t *testing.T) {
@@ -234,3 +357,85 @@
 	seconds := int(time.Since(begin)/time.Second) + 2
 	assert.Assert(t, out.lines > 0 && out.lines <= seconds*maxLogLinesPerSecond, "%d lines in %d s", out.lines, seconds)
 }
+
+// Guards against changes that are refused, or stay unanswered, after the disks of the control hosts were
+// full or stalled one after the other, while documents and registrations were written and snapshots were
+// taken. Every size of a group has voters, and some have learners, that the faults reach in turn.
+func TestDiskFaultsInTurn(t *testing.T) {
+	const (
+		faultFor     = 1200 * time.Millisecond
+		ackTime      = 5 * time.Second // the smallest ackMs of a deployment
+		contentBytes = 400 << 10       // eleven of them make a snapshot
+	)
+	for _, fault := range []string{brokenfs.Full, brokenfs.Stalled} {
+		for _, n := range []int{3, 4, 5, 6, 8} {
+			t.Run(fault+"/"+strconv.Itoa(n), func(t *testing.T) {
+				t.Parallel()
+				hosts := startHostsWith(t, n, func(c *Config) {
+					assert.NilError(t, os.MkdirAll(c.DataDir, 0o755))
+					c.FS = brokenfs.New(storage.OS{}, c.DataDir)
+				})
+				replaceConfig(t, hosts[0], testConfig(t, 1, "a"))
+				var version, sequence atomic.Uint64
+				version.Store(1)
+				submit := func(h *Host) error {
+					content := append(testConfig(t, version.Add(1), "a"), slices.Repeat([]byte{' '}, contentBytes)...)
+					return h.ReplaceConfig(t.Context(), content)
+				}
+				stop := make(chan struct{})
+				writersDone := make(chan struct{})
+				go func() {
+					defer close(writersDone)
+					for i := 0; ; i++ {
+						select {
+						case <-stop:
+							return
+						case <-time.After(30 * time.Millisecond):
+						}
+						h := hosts[i%n]
+						_ = submit(h) // may fail while a disk is at fault
+						r := readyRegistration(directory.Key(1+i%20), 1, sequence.Add(1))
+						if i%3 == 0 {
+							r.State = directory.Draining
+						}
+						_ = h.Announce(t.Context(), r)
+					}
+				}()
+				for _, h := range hosts {
+					path := brokenfs.SwitchPath(h.cfg.DataDir)
+					assert.NilError(t, os.WriteFile(path, []byte(fault), 0o600))
+					time.Sleep(faultFor)
+					assert.NilError(t, os.Remove(path))
+				}
+				close(stop)
+				<-writersDone
+				end := time.Now().Add(ackTime)
+				for i := 0; ; i++ {
+					err := submit(hosts[i%n])
+					if err == nil {
+						break
+					}
+					assert.Assert(t, time.Now().Before(end), "no change is acknowledged: %v", err)
+				}
+				for _, h := range hosts {
+					for {
+						content, err := h.ReadConfig(t.Context())
+						if err == nil {
+							table, err := decodeTestConfig(content)
+							assert.NilError(t, err)
+							assert.Equal(t, table.Version, version.Load())
+							break
+						}
+						assert.Assert(t, time.Now().Before(end), "host %s confirms no read: %v", h.cfg.Name, err)
+					}
+				}
+				for _, h := range hosts {
+					eventually(t, "a registration is stored", func() bool {
+						r := readyRegistration(directory.Key(30), 1, sequence.Add(1))
+						return h.Announce(t.Context(), r) == nil && restartedHost(t, h.cfg.DataDir).directory.Len() > 0
+					})
+				}
+			})
+		}
+	}
+}
--- a/pkg/controlhost/sharing.go
+++ b/pkg/controlhost/sharing.go
@@ -327,7 +327,12 @@
 			h.directory.Refresh(directory.Incarnation{Key: directory.Key(p.GetKey()), StartUnixMs: p.GetBornUnixMs()}, p.GetSequence(), now)
 			continue
 		}
-		h.directory.Announce(directory.FromProto(p, now))
+		r, err := directory.FromProto(p, now)
+		if err != nil {
+			h.RefuseAnnouncement(p.GetName(), err)
+			continue
+		}
+		h.directory.Announce(r)
 	}
 	changed := h.directory.Revision() != before
 	h.mu.Unlock()
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -93,6 +93,7 @@
 	heldCounter                   *metrics.Counter // held packets; each is also counted by its later decision
 	sendErrors                    *metrics.Counter
 	suspicions                    *metrics.Counter
+	invalidRegistrations          *metrics.Counter
 	packetSeconds                 *metrics.Histogram
 }
 
@@ -121,6 +122,7 @@
 	d.heldCounter = m.Counter("packets_held")
 	d.sendErrors = m.Counter("send_errors")
 	d.suspicions = m.Counter("suspicions")
+	d.invalidRegistrations = m.Counter("invalid_registrations")
 	d.packetSeconds = m.Histogram("packet_seconds")
 	locked := func(f func() int) func() float64 {
 		return func() float64 {
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -217,7 +217,13 @@
 		events.ConfigInForce.Log(d.log, logrus.Fields{"version": table.Version, "routes": len(table.Routes), "host": host})
 	}
 	for _, p := range u.GetRegistrations() {
-		d.directory.Announce(directory.FromProto(p, now))
+		r, err := directory.FromProto(p, now)
+		if err != nil {
+			d.invalidRegistrations.Inc()
+			events.UpdateRefused.Log(d.log, logrus.Fields{"host": host, "key": p.GetKey(), "error": err})
+			continue
+		}
+		d.directory.Announce(r)
 	}
 	changes := d.directory.Changes(d.directoryRevision)
 	d.directoryRevision = d.directory.Revision()
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -78,6 +78,7 @@
 	RegistrationsNotSaved    = add(Event{3010, logrus.WarnLevel, "registrations cannot be written to the disk; the write is retried", "check the disk of the data folder"})
 	RegistrationsRestored    = add(Event{3011, logrus.InfoLevel, "registrations of the previous process were read from the disk", ""})
 	RegistrationsNotRestored = add(Event{3012, logrus.WarnLevel, "registrations of the previous process cannot be read; upstreams announce themselves again", "check the disk of the data folder"})
+	AnnouncementRefused      = add(Event{3015, logrus.WarnLevel, "announcement of an upstream refused because of its content", "read the error field and correct the process that sends it"})
 	RegistrationsReceived    = add(Event{3014, logrus.InfoLevel, "entry daemon received many changed registrations at once", ""})
 	ConfigInForce            = add(Event{4001, logrus.InfoLevel, "configuration in force", ""})
 	ConfigRefused            = add(Event{4002, logrus.WarnLevel, "configuration refused", "read the error field and correct the folder"})
