Count closed flows as no load, re-place unanswered handshakes, let overdue flows yield

A SYN to an upstream that is gone was repeated by its caller after 200 ms, beyond the objective of 150 ms, and every end of a suspicion after 2 s cost another one, several at once since half-open flows were no load. After an outage 625 flows were placed within 100 ms, ten times the usual, most of them late anyway.

Change: packets without payload of unknown flows are forwarded and not counted; the acknowledgement in a FIN counts as an answer; a half-open flow counts as a request; a handshake that is unanswered for four times the usual is sent to another upstream once (at most a fifth of the flows); suspicions double up to 8 s; a flow whose request has missed its objective waits until the unanswered flows fit into a window that follows the answer times.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -80,6 +80,7 @@
 	directory         *directory.Directory
 	directoryRevision uint64 // revision of the directory up to which the core is updated
 	releaseTimer      *time.Timer
+	releaseAt         time.Duration // when releaseTimer expires, 0 if it does not run
 
 	watches      *watches
 	prepared     atomic.Bool // routing table and registrations are complete enough to serve
--- a/pkg/edge/packets.go
+++ b/pkg/edge/packets.go
@@ -52,12 +52,11 @@
 	d.mu.Lock()
 	a := d.core.HandlePacket(now, p)
 	line, suspicion := d.decisionLine(now, p, a), d.suspicionLine(p, a)
-	if a.Verdict == forward.Hold {
-		d.releaseTimer.Reset(releaseRetryInterval)
-	}
 	out = d.encodeDatagram(p, a, out)
 	to := d.receiver(p, a)
 	overloads := d.core.TakeOverloadChanges()
+	releaseDue := d.core.ReleaseDue()
+	d.scheduleRelease(now)
 	d.mu.Unlock()
 	if a.Verdict == forward.Hold {
 		d.heldCounter.Inc()
@@ -66,6 +65,9 @@
 	}
 	d.send(out, to)
 	d.logOverloads(overloads)
+	if releaseDue {
+		d.releaseHeld()
+	}
 	d.writeLine(suspicion)
 	d.writeLine(line)
 }
@@ -97,30 +99,47 @@
 	}
 }
 
-// releaseHeld carries out the decisions on held packets.
+// releaseHeld carries out the decisions on held packets and unanswered handshakes.
 func (d *Daemon) releaseHeld() {
 	type sendTask struct {
-		datagram []byte
-		to       netip.AddrPort
-		line     *logLine
+		datagram        []byte
+		to              netip.AddrPort
+		suspicion, line *logLine
 	}
 	var tasks []sendTask
 	d.mu.Lock()
 	now := d.clock()
 	for _, r := range d.core.Release(now) {
 		d.decisionCounters[r.Action.Reason].Inc()
-		tasks = append(tasks, sendTask{d.encodeDatagram(&r.Packet, r.Action, nil), d.receiver(&r.Packet, r.Action), d.decisionLine(now, &r.Packet, r.Action)})
-	}
-	if d.core.HasHeldPackets() {
-		d.releaseTimer.Reset(releaseRetryInterval)
+		tasks = append(tasks, sendTask{
+			d.encodeDatagram(&r.Packet, r.Action, nil), d.receiver(&r.Packet, r.Action),
+			d.suspicionLine(&r.Packet, r.Action), d.decisionLine(now, &r.Packet, r.Action),
+		})
 	}
+	d.releaseAt = 0
+	d.scheduleRelease(now)
 	d.mu.Unlock()
 	for _, task := range tasks {
 		d.send(task.datagram, task.to)
+		d.writeLine(task.suspicion)
 		d.writeLine(task.line)
 	}
 }
 
+// scheduleRelease sets the timer for held packets and unanswered handshakes, unless it expires early enough
+// already. The caller holds the lock.
+func (d *Daemon) scheduleRelease(now time.Duration) {
+	due, ok := d.core.NextHandshakeCheck()
+	if d.core.HasHeldPackets() && (!ok || now+releaseRetryInterval < due) {
+		due, ok = now+releaseRetryInterval, true
+	}
+	if !ok || d.releaseAt > now && d.releaseAt <= due {
+		return
+	}
+	d.releaseAt = due
+	d.releaseTimer.Reset(max(due-now, 0))
+}
+
 // resetFlows resets flows whose upstream has ended, each given by its latest packet.
 func (d *Daemon) resetFlows(flows []forward.Packet) {
 	for i := range flows {
--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -41,14 +41,27 @@
 	flowsToReset       []Packet                          // latest packet of each
 	profiles           map[netip.AddrPort]*answerProfile // by route address
 	admissions         map[string]*admission             // by service
-	overloadChanges    []OverloadChange                  // not yet taken by the caller
+	catchUps           map[string]*catchUp               // by service
+	releaseDue         bool                              // a held packet may be decided before its hold time has passed
+	handshakes         handshakes
+	placements         uint64           // number of placements so far
+	overloadChanges    []OverloadChange // not yet taken by the caller
 	sweptAt            time.Duration
 	prepared           bool
 }
 
 type heldPacket struct {
 	packet    Packet
+	arrivedAt time.Duration
 	holdUntil time.Duration
+	turn      bool // it waits for its turn
+}
+
+// awaitTurn extends the hold time of a packet that begins to wait for its turn.
+func (h *heldPacket) awaitTurn(now time.Duration) {
+	if !h.turn {
+		h.turn, h.holdUntil = true, now+maxTurnWait
+	}
 }
 
 // New returns a core without a routing table and upstreams.
@@ -149,7 +162,7 @@
 // out: another upstream that got a retransmitted SYN may open it.
 func (c *Core) collectFlowsToReset(u *Upstream) {
 	for f, s := range c.flows {
-		if s.upstream == u && s.triedUpstreams == nil {
+		if s.upstream == u && !s.halfOpen {
 			c.flowsToReset = append(c.flowsToReset, Packet{Caller: f.Caller, Dest: f.Dest, Flags: ACK, Ack: s.ack, Cookie: u.cookie})
 			s.detach()
 			delete(c.flows, f)
@@ -184,16 +197,16 @@
 // HandlePacket decides on a packet. The core keeps a copy of a packet that it holds.
 func (c *Core) HandlePacket(now time.Duration, p *Packet) Action {
 	c.sweep(now)
-	a := c.decide(now, p)
-	if a.Verdict == Hold && !c.holdPacket(now, p) {
+	a := c.decide(now, now, p)
+	if a.Verdict == Hold && !c.holdPacket(now, p, a.Reason) {
 		return Action{Verdict: Drop, Reason: HoldBufferFull}
 	}
 	return a
 }
 
-func (c *Core) decide(now time.Duration, p *Packet) Action {
+func (c *Core) decide(now, arrivedAt time.Duration, p *Packet) Action {
 	if p.Flags&SYN != 0 {
-		return c.decideSYN(now, p)
+		return c.decideSYN(now, arrivedAt, p)
 	}
 	return c.decideEstablished(now, p)
 }
@@ -201,12 +214,16 @@
 // decideEstablished decides on a packet that does not open a flow.
 func (c *Core) decideEstablished(now time.Duration, p *Packet) Action {
 	state := c.flows[p.Flow()]
-	u, reason := c.upstreamsByCookie[p.Cookie], KnownCookie
-	if p.Cookie == 0 {
-		if state == nil {
-			return Action{Verdict: Drop, Reason: NoCookie}
-		}
+	u, reason, cookie := c.upstreamsByCookie[p.Cookie], KnownCookie, p.Cookie
+	switch {
+	case p.Cookie == 0 && state == nil:
+		return Action{Verdict: Drop, Reason: NoCookie}
+	case p.Cookie == 0:
 		u, reason = state.upstream, KnownFlow
+	case u != nil && state != nil && u != state.upstream && !state.halfOpen && slices.Contains(state.triedUpstreams, u):
+		// Two upstreams have answered copies of the SYN. The flow opened at the one whose cookie the
+		// caller's first packet had; the later answer has only changed the cookie.
+		u, reason, cookie = state.upstream, KnownFlow, state.upstream.cookie
 	}
 	switch {
 	case u == nil:
@@ -218,7 +235,7 @@
 		c.closeFlow(p.Flow())
 		return resetUnlessRST(p, RouteRemoved)
 	}
-	a := Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: p.Cookie}
+	a := Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: cookie}
 	if c.observePacket(now, p, u) {
 		a.Suspected = u
 	}
@@ -233,7 +250,11 @@
 	return Action{Verdict: Reset, Reason: reason}
 }
 
-func (c *Core) holdPacket(now time.Duration, p *Packet) bool {
+func (c *Core) holdPacket(now time.Duration, p *Packet, reason Reason) bool {
+	h := heldPacket{packet: *p, arrivedAt: now, holdUntil: now + holdTime}
+	if reason == AwaitingTurn {
+		h.awaitTurn(now)
+	}
 	if p.Flags&SYN != 0 {
 		// Only the latest copy of a retransmitted SYN is held.
 		c.held = slices.DeleteFunc(c.held, func(h heldPacket) bool { return h.packet.Flags&SYN != 0 && h.packet.Flow() == p.Flow() })
@@ -241,29 +262,40 @@
 	if len(c.held) >= maxHeldPackets {
 		return false
 	}
-	held := *p
-	held.Raw = slices.Clone(p.Raw)
-	c.held = append(c.held, heldPacket{held, now + holdTime})
+	h.packet.Raw = slices.Clone(p.Raw)
+	c.held = append(c.held, h)
 	return true
 }
 
-// HasHeldPackets reports whether packets wait for a routing table or registrations.
+// HasHeldPackets reports whether packets wait for a routing table, registrations or their turn.
 func (c *Core) HasHeldPackets() bool { return len(c.held) > 0 }
 
+// ReleaseDue reports whether a held packet may be decided now because a flow that was placed before it has
+// been answered.
+func (c *Core) ReleaseDue() bool { return c.releaseDue && len(c.held) > 0 }
+
 // Release returns decisions on the held packets that can be decided now or whose hold time has passed.
 func (c *Core) Release(now time.Duration) []Released {
-	var released []Released
+	c.releaseDue = false
+	c.sortHeld(now)
+	released := c.replaceUnanswered(now)
 	stillHeld := c.held[:0]
 	for _, h := range c.held {
-		a := c.decide(now, &h.packet)
+		a := c.decide(now, h.arrivedAt, &h.packet)
 		if a.Verdict == Hold {
+			if a.Reason == AwaitingTurn {
+				h.awaitTurn(now)
+			}
 			if now < h.holdUntil {
 				stillHeld = append(stillHeld, h)
 				continue
 			}
 			a.Verdict = Drop
-			if a.Reason == AwaitingCookie {
+			switch a.Reason {
+			case AwaitingCookie:
 				a.Reason = UnknownCookie
+			case AwaitingTurn:
+				a = Action{Verdict: Reset, Reason: Overdue}
 			}
 		}
 		released = append(released, Released{h.packet, a})
--- a/pkg/forward/core_test.go
+++ b/pkg/forward/core_test.go
@@ -258,6 +258,9 @@
 			if s.awaitingAnswer {
 				inProgress++
 			}
+			if s.halfOpen {
+				inProgress++
+			}
 		}
 		for _, u := range c.upstreams {
 			flows -= u.flows
@@ -273,6 +276,66 @@
 	}
 }
 
+// Guards against flows of callers that open one for each request counting as load after their end: the
+// callers' last acknowledgement follows their FIN.
+func TestClosedFlowIsNoLoad(t *testing.T) {
+	c := newCore(1)
+	for n := range 100 {
+		now := time.Duration(n) * 10 * time.Millisecond
+		cookie := c.HandlePacket(now, synPacket(n, 0)).Cookie
+		request := dataPacket(n, 1, cookie)
+		request.Ack = 1
+		c.HandlePacket(now, request)
+		last := dataPacket(n, 101, cookie)
+		last.Length, last.Ack, last.Flags = 0, 1+answerBytes, ACK|FIN
+		c.HandlePacket(now, last)
+		last.Seq, last.Ack, last.Flags = 102, 2+answerBytes, ACK
+		assert.Equal(t, c.HandlePacket(now, last).Verdict, Forward)
+		inProgress, flows := c.upstreamsByCookie[cookie].Load()
+		assert.Equal(t, inProgress+flows, 0)
+	}
+}
+
+// Guards against an upstream that has just started getting most new flows because the others have served
+// flows before.
+func TestNewUpstreamGetsItsShare(t *testing.T) {
+	c := newCore(4)
+	counts := map[directory.Key]int{}
+	for n := range 1000 {
+		now := time.Duration(n) * 10 * time.Millisecond
+		if n == 500 {
+			c.SetUpstream(testUpstream(9, "north", directory.Ready))
+		}
+		a := c.HandlePacket(now, synPacket(n, 0))
+		counts[a.Upstream.Key]++
+		request := dataPacket(n, 1, a.Cookie)
+		request.Ack = 1
+		c.HandlePacket(now, request)
+		last := dataPacket(n, 101, a.Cookie)
+		last.Length, last.Ack, last.Flags = 0, 1+answerBytes, ACK|FIN
+		c.HandlePacket(now, last)
+		last.Seq, last.Ack, last.Flags = 102, 2+answerBytes, ACK
+		c.HandlePacket(now, last)
+	}
+	assert.Assert(t, counts[9] >= 90 && counts[9] <= 110, "%v", counts)
+}
+
+// Guards against the answer of a second upstream to a copied SYN leading an open flow to it: the flow stays
+// where the caller's first packet led, and the caller gets its cookie back.
+func TestSecondAnswerToSYNMovesNoFlow(t *testing.T) {
+	c := newCore(3)
+	first := c.HandlePacket(0, synPacket(1, 0))
+	second := c.HandlePacket(200*time.Millisecond, synPacket(1, 1))
+	assert.Assert(t, first.Upstream != second.Upstream)
+	request := dataPacket(1, 1, first.Cookie)
+	request.Ack = 1
+	assert.Equal(t, c.HandlePacket(210*time.Millisecond, request).Upstream, first.Upstream)
+	request.Seq, request.Cookie = 101, second.Cookie
+	a := c.HandlePacket(211*time.Millisecond, request)
+	assert.Equal(t, a.Upstream, first.Upstream)
+	assert.Equal(t, a.Cookie, first.Cookie)
+}
+
 // Guards against packets reaching the wrong one of two incarnations with the same cookie.
 func TestCookieCollision(t *testing.T) {
 	c := newCore(1)
--- a/pkg/forward/flows.go
+++ b/pkg/forward/flows.go
@@ -13,8 +13,11 @@
 	// of an unanswered packet. Callers retransmit after 200 ms.
 	minRetransmitDelay = 150 * time.Millisecond
 	// suspicionDuration is how long an upstream remains suspect after unanswered packets. It is longer
-	// than the control hosts take to announce that an upstream was replaced.
-	suspicionDuration = 2 * time.Second
+	// than the control hosts take to announce that an upstream was replaced. It doubles with each further
+	// suspicion without an answer in between, up to maxSuspicionDuration: each end of a suspicion costs a
+	// caller of an upstream that is still gone a late request.
+	suspicionDuration    = 2 * time.Second
+	maxSuspicionDuration = 8 * time.Second
 	// suspicionThreshold is the number of flows with unanswered packets that makes an upstream suspect.
 	// A single unanswered packet may be a lost datagram.
 	suspicionThreshold = 2
@@ -23,8 +26,10 @@
 // flowState is the state of one flow as observed by this daemon.
 type flowState struct {
 	upstream       *Upstream
-	triedUpstreams []*Upstream // upstreams that got a copy of the SYN, while the flow is half-open
-	synCopy        uint32      // retransmission number of the latest SYN
+	halfOpen       bool          // no packet after the SYN has arrived
+	triedUpstreams []*Upstream   // upstreams that got a copy of the SYN; after the handshake only if there are several
+	synCopy        uint32        // retransmission number of the latest SYN
+	placedAt       time.Duration // time of the latest placement
 	lastSeen       time.Duration
 	dataAt         time.Duration // arrival of the latest payload
 	dataSeq        uint32        // sequence number of the latest payload
@@ -60,6 +65,21 @@
 func (s *flowState) detach() {
 	s.upstream.flows--
 	s.setAwaitingAnswer(false)
+	s.setHalfOpen(false)
+}
+
+// setHalfOpen records whether the handshake is incomplete. A half-open flow counts as a request in
+// progress, because its request follows within a round trip.
+func (s *flowState) setHalfOpen(halfOpen bool) {
+	if s.halfOpen == halfOpen {
+		return
+	}
+	s.halfOpen = halfOpen
+	if halfOpen {
+		s.upstream.inProgress++
+	} else {
+		s.upstream.inProgress--
+	}
 }
 
 func (s *flowState) setAwaitingAnswer(awaiting bool) {
@@ -78,6 +98,7 @@
 	if s := c.flows[f]; s != nil {
 		s.detach()
 		delete(c.flows, f)
+		c.releaseDue = true
 	}
 }
 
@@ -85,21 +106,29 @@
 // payload starts a request, an advancing acknowledgement shows an answer, and retransmitted payload
 // shows that the upstream has not answered. It reports whether the upstream became suspect.
 func (c *Core) observePacket(now time.Duration, p *Packet, u *Upstream) bool {
-	if p.Flags&(FIN|RST) != 0 {
+	if p.Flags&RST != 0 {
 		c.closeFlow(p.Flow())
 		return false
 	}
+	if s := c.flows[p.Flow()]; s == nil && p.Length == 0 {
+		return false // the last acknowledgement of a closed flow, or of one that is idle
+	}
 	s := c.attachFlow(now, p.Flow(), u)
-	s.triedUpstreams = nil
+	if s.halfOpen || len(s.triedUpstreams) == 1 {
+		c.completeHandshake(now, s)
+	}
 	// An acknowledgement that does not advance was delayed by the network and shows no answer.
 	if advanced := int32(p.Ack - s.ack); advanced > 0 || !s.hasAck && p.Ack != 0 {
 		if s.awaitingAnswer {
-			c.recordAnswer(now, p.Dest, u, uint32(advanced), now-s.requestAt)
+			c.recordAnswer(now, p.Flow(), u, uint32(advanced), now-s.requestAt)
 		}
 		s.ack, s.hasAck = p.Ack, true
 		s.setAwaitingAnswer(false)
-		u.unansweredPackets = 0
-		u.suspectUntil = min(u.suspectUntil, now)
+		u.recordLife(now)
+	}
+	if p.Flags&FIN != 0 { // it may carry the only acknowledgement of a short answer
+		c.closeFlow(p.Flow())
+		return false
 	}
 	switch {
 	case p.Length == 0:
@@ -126,13 +155,25 @@
 	return u.unansweredPackets >= suspicionThreshold && u.markSuspect(now)
 }
 
-// markSuspect makes the upstream suspect for suspicionDuration, and reports whether it was not before.
+// markSuspect makes the upstream suspect, and reports whether it was not before.
 func (u *Upstream) markSuspect(now time.Duration) bool {
 	begins := !u.isSuspect(now)
-	u.suspectUntil = now + suspicionDuration
+	if begins {
+		u.suspicions++
+	}
+	u.suspectUntil = now + min(suspicionDuration<<min(u.suspicions-1, maxSuspicionDoublings), maxSuspicionDuration)
 	return begins
 }
 
+// maxSuspicionDoublings bounds the shift of suspicionDuration.
+const maxSuspicionDoublings = 8
+
+// recordLife ends the suspicion because the upstream has answered.
+func (u *Upstream) recordLife(now time.Duration) {
+	u.unansweredPackets, u.suspicions = 0, 0
+	u.suspectUntil = min(u.suspectUntil, now)
+}
+
 // isSuspect reports whether the upstream is suspect because of unanswered packets.
 func (u *Upstream) isSuspect(now time.Duration) bool { return now < u.suspectUntil }
 
@@ -143,7 +184,7 @@
 	}
 	c.sweptAt = now
 	for f, s := range c.flows {
-		if now-s.lastSeen > idleFlowTimeout || s.upstream.State == directory.Gone {
+		if now-s.lastSeen > idleFlowTimeout || s.upstream.State == directory.Gone || s.halfOpen && now-s.lastSeen > synRetryWindow {
 			s.detach()
 			delete(c.flows, f)
 		}
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -39,11 +39,14 @@
 }
 
 // recordAnswer records the size of the first acknowledged part of an answer and the time since its request.
-func (c *Core) recordAnswer(now time.Duration, dest netip.AddrPort, u *Upstream, bytes uint32, took time.Duration) {
-	profile, a := c.profiles[dest], c.admissions[u.Service]
+func (c *Core) recordAnswer(now time.Duration, f Flow, u *Upstream, bytes uint32, took time.Duration) {
+	profile, a := c.profiles[f.Dest], c.admissions[u.Service]
 	if profile == nil || a == nil {
 		return // the table no longer has the route or the service
 	}
+	if route := c.routes.Route(f.Dest); route != nil && c.catchUpOf(u.Service).recordAnswer(now, f, took, route.Objective) {
+		c.releaseDue = true
+	}
 	rejected := profile.recordSize(bytes)
 	a.recordAnswer(now, rejected)
 	u.recordRejection(now, rejected)
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -4,7 +4,8 @@
 //
 // Invariants:
 //   - A packet of an open flow goes to the incarnation that its cookie identifies, regardless of the
-//     routing table and of the load and health of that incarnation.
+//     routing table and of the load and health of that incarnation. If several upstreams have answered
+//     copies of the SYN, it goes to the one to which the caller's first packet went.
 //   - A flow is reset only if its upstream process has certainly ended or its route was removed.
 //     An unknown cookie is no proof of that: the daemon's registrations may be outdated.
 //   - A daemon that has just started refuses no flow, because its routes and upstreams may be
@@ -82,13 +83,15 @@
 	Unprepared                   // the daemon's routes or upstreams are incomplete
 	HoldBufferFull               // too many packets are held
 	Overloaded                   // the service rejects requests; a new flow would be rejected too
+	AwaitingTurn                 // the flow's request is late already; requests that can be in time go first
+	Overdue                      // no upstream had capacity for a request that was late already
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"placed", "placed_again", "known", "known_flow", "no_table", "no_route", "route_removed",
 	"no_upstream", "upstream_gone", "unknown_cookie", "no_cookie", "awaiting_cookie", "unprepared", "hold_buffer_full",
-	"overloaded",
+	"overloaded", "awaiting_turn", "overdue",
 }
 
 // String returns the name of the reason in counters and logs.
@@ -130,6 +133,7 @@
 	inProgress            int           // unanswered requests of these flows
 	suspectUntil          time.Duration // suspect because of unanswered packets until then
 	unansweredPackets     int           // unanswered packets since the last answer
+	suspicions            int           // suspicions since the last answer
 	slowness              slowness
 	rejectionLevel        int           // recent rejections minus later successes, sets the backoff
 	rejectionBackoffUntil time.Duration // penalty for new flows until then
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -32,8 +32,9 @@
 	triedPenalty = 1000.0
 )
 
-// decideSYN places a new flow, or places a flow again whose SYN was not answered.
-func (c *Core) decideSYN(now time.Duration, p *Packet) Action {
+// decideSYN places a new flow, or places a flow again whose SYN was not answered. The packet may have been
+// held since its arrival.
+func (c *Core) decideSYN(now, arrivedAt time.Duration, p *Packet) Action {
 	if c.routes == nil {
 		return Action{Verdict: Hold, Reason: NoTable}
 	}
@@ -45,15 +46,19 @@
 	var suspected *Upstream
 	if s := c.flows[p.Flow()]; s != nil && now-s.lastSeen < synRetryWindow {
 		tried = s.triedUpstreams
-		if len(tried) > 0 && p.Ack <= s.synCopy && s.upstream.State == directory.Ready {
+		if s.halfOpen && p.Ack <= s.synCopy && s.upstream.State == directory.Ready {
 			// The network has duplicated the packet; a second upstream must not answer it.
 			return Action{Verdict: Forward, Reason: Placed, Upstream: s.upstream, Cookie: s.upstream.cookie}
 		}
-		if last := len(tried) - 1; last >= 0 && tried[last].markSuspect(now) {
+		if last := len(tried) - 1; last >= 0 && now == arrivedAt && tried[last].markSuspect(now) {
 			suspected = tried[last]
 		}
 	}
 	service := route.Service(flowHash(p.Flow()))
+	overdue := c.isOverdue(route, p, now-arrivedAt)
+	if overdue && !c.admitsOverdue(now, service) {
+		return Action{Verdict: Hold, Reason: AwaitingTurn, Suspected: suspected}
+	}
 	if p.Ack == 0 { // a retransmitted SYN is not refused: an upstream may still answer an earlier copy
 		if ok, share := c.admitFlow(now, service, route.Priority); !ok {
 			c.closeFlow(p.Flow())
@@ -64,8 +69,14 @@
 	if u == nil {
 		return c.refuseFlow(p, NoUpstream)
 	}
-	s := c.attachFlow(now, p.Flow(), u)
-	s.triedUpstreams, s.synCopy = append(tried, u), p.Ack
+	s := c.place(now, p, u, tried)
+	s.synCopy = p.Ack
+	if len(tried) == 0 {
+		c.handshakes.add(now, p)
+	}
+	if overdue {
+		c.catchUpOf(service).add(now, p.Flow())
+	}
 	reason := Placed
 	if len(tried) > 0 {
 		reason = PlacedAgain
@@ -73,6 +84,14 @@
 	return Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: u.cookie, Suspected: suspected}
 }
 
+// place puts a flow on an upstream.
+func (c *Core) place(now time.Duration, p *Packet, u *Upstream, tried []*Upstream) *flowState {
+	s := c.attachFlow(now, p.Flow(), u)
+	s.triedUpstreams, s.placedAt = append(tried, u), now
+	s.setHalfOpen(true)
+	return s
+}
+
 // refuseFlow resets a new flow so that its caller does not wait for a timeout. A daemon that has just
 // started holds the packet instead: the missing routes and registrations arrive within milliseconds,
 // while the caller retransmits only after 200 ms.
