Control hosts tell the entry daemons that they have started

Cause: after a loss of power a daemon tries only the three seeds, in turn, with 150 ms for each attempt. Control hosts now store the addresses of the daemons of all hosts and send each a datagram when they have a configuration; a stream that is not connected then tries that host at once.

--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -55,7 +55,7 @@
 		s := n.settings.Load()
 		return edge.New(edge.Config{
 			Name: s.Name, DataCentre: s.DataCentre, PacketAddress: s.PacketAddress, ReadinessAddress: s.ReadinessAddress,
-			ReadinessHandler: platform.ReadinessHandler, Seeds: n.seeds, GracePeriod: s.GracePeriod, FlowLifetime: s.FlowLifetime,
+			ReadinessHandler: platform.ReadinessHandler, NotifyAddress: s.PeerAddress, Seeds: n.seeds, GracePeriod: s.GracePeriod, FlowLifetime: s.FlowLifetime,
 			Codec: platform.Codec{}, Log: n.log, Metrics: n.metrics,
 		}).Run, nil
 	})
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -94,6 +94,7 @@
 	callLogLimiter   *decisionlog.Limiter            // for the log lines of calls
 	sharing          *sharing
 	saver            *registrationSaver
+	notifyAddresses  notifyAddresses
 	ctx              context.Context
 	stop             context.CancelFunc
 }
@@ -146,6 +147,7 @@
 		"daemon": h.cfg.Name, "control": h.cfg.ControlAddress, "peer": h.cfg.PeerAddress, "seeds": h.cfg.Seeds(), "found": h.cfg.FirstStart,
 	})
 	h.restoreRegistrations()
+	daemonsBefore := h.notifyAddresses.texts()
 	grpcServer := grpc.NewServer(grpc.InitialWindowSize(transport.FlowControlWindow), grpc.InitialConnWindowSize(transport.FlowControlWindow),
 		grpc.MaxRecvMsgSize(transport.MaxMessageBytes), grpc.MaxSendMsgSize(transport.MaxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepAliveTime, PermitWithoutStream: true}),
@@ -163,6 +165,7 @@
 	for _, task := range []func(context.Context) error{h.group.Run, h.followConfig, h.watchDirectory, h.sharing.run, h.saveRegistrations} {
 		tree.Add(task)
 	}
+	tree.Add(func(ctx context.Context) error { return h.notifyDaemons(ctx, daemonsBefore) })
 	tree.AddStoppable(func() error { return grpcServer.Serve(peerListener) }, grpcServer.Stop)
 	tree.Serve(httpServer, controlListener)
 	err = tree.Run()
--- a/pkg/controlhost/keep.go
+++ b/pkg/controlhost/keep.go
@@ -79,23 +79,25 @@
 
 // saveRegistrations writes the registrations whenever they have changed.
 func (h *Host) saveRegistrations(ctx context.Context) error {
-	var saved uint64
+	var saved, savedAddresses uint64
 	for {
+		addresses := h.notifyAddresses.currentRevision()
 		h.mu.Lock()
 		revision := h.directory.Revision()
+		changed := revision != saved || addresses != savedAddresses
 		var registrations []directory.Registration
-		if revision != saved {
+		if changed {
 			registrations = h.directory.Changes(0)
 		}
 		h.mu.Unlock()
 		pause := minSaveInterval
-		if revision != saved {
+		if changed {
 			if err := h.writeRegistrations(registrations); err != nil {
 				events.RegistrationsNotSaved.Log(h.log, logrus.Fields{"error": err})
 				pause = saveRetryInterval
 				h.saver.request()
 			} else {
-				saved = revision
+				saved, savedAddresses = revision, addresses
 				h.saver.setSaved(revision)
 			}
 		}
@@ -115,7 +117,7 @@
 func (h *Host) registrationsPath() string { return filepath.Join(h.cfg.DataDir, registrationsFile) }
 
 func (h *Host) writeRegistrations(registrations []directory.Registration) error {
-	batch := &entrypb.Batch{}
+	batch := &entrypb.Batch{NotifyAddresses: h.notifyAddresses.texts()}
 	now := h.clock()
 	for i := range registrations {
 		batch.Registrations = append(batch.Registrations, registrations[i].Proto(now))
@@ -147,6 +149,7 @@
 		events.RegistrationsNotRestored.Log(h.log, logrus.Fields{"error": err})
 		return
 	}
+	h.learnNotifyAddresses(batch.GetNotifyAddresses())
 	now := h.clock()
 	total, silent := map[string]int{}, map[string]int{} // by service
 	for _, p := range batch.GetRegistrations() {
--- a/pkg/controlhost/sharing.go
+++ b/pkg/controlhost/sharing.go
@@ -52,6 +52,7 @@
 	mu              sync.Mutex
 	connected       bool
 	queue           []*entrypb.Registration
+	notifyAddresses []string        // queued
 	queueWaiters    []chan struct{} // closed when the present queue is confirmed
 	wake            chan struct{}
 	lastBatchNumber uint64                     // number of the latest batch sent
@@ -135,6 +136,20 @@
 	return allConfirmed
 }
 
+// shareNotifyAddresses forwards new addresses of entry daemons. A host that is not connected gets all of
+// them when its stream starts.
+func (s *sharing) shareNotifyAddresses(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.peers {
+		p.mu.Lock()
+		if p.connected {
+			p.notifyAddresses = append(p.notifyAddresses, addresses...)
+		}
+		p.mu.Unlock()
+	}
+}
+
 // enqueue queues an announcement and reports whether the stream is connected. A host that is not
 // connected gets all registrations when its stream starts.
 func (p *sharePeer) enqueue(r *entrypb.Registration, confirmed chan struct{}) bool {
@@ -238,6 +253,7 @@
 	defer p.mu.Unlock()
 	p.connected, p.queue, p.lastConfirmed, p.lastBatchNumber = true, nil, time.Now(), 0
 	p.batchWaiters = map[uint64][]chan struct{}{}
+	p.notifyAddresses = h.notifyAddresses.texts()
 	for i := range registrations {
 		p.queue = append(p.queue, registrations[i].Proto(now))
 	}
@@ -246,7 +262,7 @@
 func (p *sharePeer) hasQueued() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.queue) > 0
+	return len(p.queue)+len(p.notifyAddresses) > 0
 }
 
 func (p *sharePeer) isConnected() bool {
@@ -265,7 +281,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastBatchNumber++
-	b := &entrypb.Batch{Number: p.lastBatchNumber, Registrations: p.queue, Settled: p.sharing.host.settled.Load()}
+	b := &entrypb.Batch{
+		Number: p.lastBatchNumber, Registrations: p.queue, NotifyAddresses: p.notifyAddresses, Settled: p.sharing.host.settled.Load(),
+	}
+	p.notifyAddresses = nil
 	if p.lastBatchNumber == 1 {
 		b.Sender = p.sharing.host.cfg.PeerAddress.String()
 	}
@@ -319,6 +338,7 @@
 // mergeBatch merges a batch from another control host. The first batch from a settled host contains
 // every live upstream.
 func (h *Host) mergeBatch(b *entrypb.Batch) {
+	h.learnNotifyAddresses(b.GetNotifyAddresses())
 	now := h.clock()
 	h.mu.Lock()
 	before := h.directory.Revision()
--- a/pkg/controlhost/watch.go
+++ b/pkg/controlhost/watch.go
@@ -28,6 +28,9 @@
 func (s *watchServer) Watch(request *entrypb.WatchRequest, stream grpc.ServerStreamingServer[entrypb.Update]) error {
 	h := s.host
 	events.WatchStarted.Log(h.log, logrus.Fields{"daemon": request.GetDaemon(), "version": request.GetVersion()})
+	if added := h.learnNotifyAddresses([]string{request.GetNotifyAddress()}); len(added) > 0 {
+		h.sharing.shareNotifyAddresses(added)
+	}
 	w := watchState{host: h, daemonVersion: request.GetVersion()}
 	timer := time.NewTimer(statusInterval)
 	defer timer.Stop()
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -60,12 +60,15 @@
 	ReadinessAddress netip.AddrPort
 	// ReadinessHandler answers the readiness checks; ready reports whether the daemon is ready.
 	ReadinessHandler func(ready func() bool) http.Handler
-	Seeds            func() []netip.AddrPort // peer addresses of control hosts
-	GracePeriod      time.Duration           // from the stop signal to the end of the process
-	FlowLifetime     time.Duration
-	Codec            Codec
-	Log              logrus.FieldLogger
-	Metrics          *telemetry.Set
+	// NotifyAddress is the UDP address at which control hosts tell the daemon that they have started; none if
+	// it is not valid.
+	NotifyAddress netip.AddrPort
+	Seeds         func() []netip.AddrPort // peer addresses of control hosts
+	GracePeriod   time.Duration           // from the stop signal to the end of the process
+	FlowLifetime  time.Duration
+	Codec         Codec
+	Log           logrus.FieldLogger
+	Metrics       *telemetry.Set
 }
 
 // Daemon is one entry daemon.
@@ -174,6 +177,13 @@
 		return nil
 	})
 	tree.AddStoppable(d.readPackets, func() { d.conn.Close() })
+	if d.cfg.NotifyAddress.IsValid() {
+		notifications, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(d.cfg.NotifyAddress))
+		if err != nil {
+			return errors.Wrap(err, "notify address cannot be used: check that no other process uses the port")
+		}
+		tree.AddStoppable(func() error { return d.watches.readNotifications(notifications) }, func() { notifications.Close() })
+	}
 	tree.Serve(readinessServer, listener)
 	tree.Add(d.watches.run)
 	tree.Add(d.expireRegistrations)
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -54,8 +54,10 @@
 	lastUpdateAt   atomic.Int64 // latest update from a current control host, monotonic clock in nanoseconds
 	mu             sync.Mutex
 	announcedHosts []netip.AddrPort // control hosts listed in the latest update that has a list
+	startedHosts   []netip.AddrPort // hosts that have told that they have started, not yet tried
 	usedHosts      [watchStreams]netip.AddrPort
-	connected      [watchStreams]bool // by stream
+	connected      [watchStreams]bool               // by stream
+	cancelDial     [watchStreams]context.CancelFunc // by stream
 
 	firstUpdateAt time.Duration
 	currentSeen   bool // an update from a current control host has arrived
@@ -80,9 +82,10 @@
 func (w *watches) runStream(ctx context.Context, stream int) {
 	connectLimit := connectTimeout
 	for ctx.Err() == nil {
-		host, ok := w.pickHost(stream)
+		dialCtx, cancelDial := context.WithCancel(ctx)
+		host, ok := w.pickHost(stream, cancelDial)
 		if ok {
-			connected, err := w.watchHost(ctx, stream, host, connectLimit)
+			connected, err := w.watchHost(ctx, dialCtx, stream, host, connectLimit)
 			w.setConnected(stream, false)
 			if connectLimit = min(connectLimit*9/8, slowConnectTimeout); connected {
 				connectLimit = connectTimeout
@@ -91,6 +94,10 @@
 				events.WatchEnded.Log(w.daemon.log, logrus.Fields{"host": host, "error": err})
 			}
 		}
+		cancelDial()
+		if w.hasStartedHost(stream) {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(redialPause):
@@ -98,11 +105,20 @@
 	}
 }
 
-// pickHost returns a control host that no other stream uses, a different one than before if there is one.
-func (w *watches) pickHost(stream int) (netip.AddrPort, bool) {
+// pickHost returns a control host that no other stream uses: one that has just started, or otherwise a
+// different one than before if there is one. cancelDial ends the attempt to connect to it.
+func (w *watches) pickHost(stream int, cancelDial context.CancelFunc) (netip.AddrPort, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.cancelDial[stream] = cancelDial
 	previous := w.usedHosts[stream]
+	for i, a := range w.startedHosts {
+		if !w.usedByOtherStream(stream, a) {
+			w.startedHosts = slices.Delete(w.startedHosts, i, i+1)
+			w.usedHosts[stream] = a
+			return a, true
+		}
+	}
 	var hosts []netip.AddrPort
 	for _, a := range slices.Concat(w.announcedHosts, w.daemon.cfg.Seeds()) {
 		if !slices.Contains(hosts, a) && !w.usedByOtherStream(stream, a) {
@@ -147,10 +163,10 @@
 }
 
 // watchHost applies the updates of a control host until it fails or sends none for watchSilenceTimeout,
-// or until it has been outdated for leaderContactTimeout while another host is connected. It reports
-// whether the host answered.
-func (w *watches) watchHost(ctx context.Context, streamIndex int, host netip.AddrPort, connectLimit time.Duration) (connected bool, err error) {
-	tcp, err := dial(ctx, host, connectLimit)
+// or until it has been outdated for leaderContactTimeout while another host is connected. The end of
+// dialCtx ends an attempt to connect, but no connection. It reports whether the host answered.
+func (w *watches) watchHost(ctx, dialCtx context.Context, streamIndex int, host netip.AddrPort, connectLimit time.Duration) (connected bool, err error) {
+	tcp, err := dial(dialCtx, host, connectLimit)
 	if err != nil {
 		return connected, err
 	}
@@ -167,7 +183,9 @@
 	w.daemon.mu.Lock()
 	version := w.daemon.core.Version()
 	w.daemon.mu.Unlock()
-	stream, err := entrypb.NewWatcherClient(conn).Watch(ctx, &entrypb.WatchRequest{Daemon: w.daemon.cfg.Name, Version: version}, grpc.WaitForReady(true))
+	stream, err := entrypb.NewWatcherClient(conn).Watch(ctx, &entrypb.WatchRequest{
+		Daemon: w.daemon.cfg.Name, Version: version, NotifyAddress: w.daemon.notifyAddressText(),
+	}, grpc.WaitForReady(true))
 	if err != nil {
 		return connected, err
 	}
