Limit requests in progress by answer times in floods; experiments with one request a flow

Cause: in a flood the queues of the upstreams (8 for 2 slots) take 130 ms, so that requests are late long before the first one is rejected: of 1,612 requests served in two seconds 646 were late. While many answers take most of their objective and far longer than without a queue, a daemon limits its requests in progress, in proportion to the answer times, and refuses new flows beyond it at once (reason over_limit, with limit, requests and share of slow answers in the log). Priorities that do not flood, or the most urgent ones, may exceed it. It applies where callers open a flow for each request; elsewhere few flows could be refused.

An overdue flow no longer waits for its own half-open attempt.

--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	entrypb "rosemarygate/api/entry/v1"
@@ -199,6 +200,50 @@
 	}
 }
 
+// Guards against entry daemons that find a restarted control host late: each host stores the addresses of the
+// daemons of all hosts and tells them when it has started and has a configuration.
+func TestDaemonsAreNotifiedOfStart(t *testing.T) {
+	listener, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	assert.NilError(t, err)
+	defer listener.Close()
+	hosts := startHosts(t, 3)
+	replaceConfig(t, hosts[0], testConfig(t, 5, "a"))
+	added := hosts[0].learnNotifyAddresses([]string{listener.LocalAddr().String(), "", "no address", listener.LocalAddr().String()})
+	assert.DeepEqual(t, added, []string{listener.LocalAddr().String()})
+	hosts[0].sharing.shareNotifyAddresses(added)
+	var restarted *Host
+	eventually(t, "another host has stored the address", func() bool {
+		restarted = restartedHost(t, hosts[1].cfg.DataDir)
+		return len(restarted.notifyAddresses.texts()) == 1
+	})
+	restarted.cfg.PeerAddress = netip.MustParseAddrPort("127.0.0.1:7")
+	go func() { _ = restarted.notifyDaemons(t.Context(), restarted.notifyAddresses.texts()) }()
+	buffer := make([]byte, 256)
+	assert.NilError(t, listener.SetReadDeadline(time.Now().Add(200*time.Millisecond)))
+	_, err = listener.Read(buffer)
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "the host has no configuration yet")
+	table, err := decodeTestConfig(testConfig(t, 5, "a"))
+	assert.NilError(t, err)
+	restarted.table.Store(table)
+	restarted.notify()
+	assert.NilError(t, listener.SetReadDeadline(time.Now().Add(5*time.Second)))
+	n, err := listener.Read(buffer)
+	assert.NilError(t, err)
+	var started entrypb.HostStarted
+	assert.NilError(t, proto.Unmarshal(buffer[:n], &started))
+	assert.Equal(t, started.GetHost(), "127.0.0.1:7")
+}
+
+// Guards against unbounded memory and traffic for daemons that are gone for good.
+func TestNotifyAddressesAreBounded(t *testing.T) {
+	var n notifyAddresses
+	for i := range 2 * maxNotifyAddresses {
+		assert.Assert(t, n.add(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)))
+	}
+	assert.Equal(t, len(n.texts()), maxNotifyAddresses)
+	assert.Assert(t, !n.add(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 7, 255}), 1)), "the newest is known")
+}
+
 // Guards against values of a faulty writer, or of the file of another release, that end a host, draw all
 // flows or keep the true process away.
 func TestImplausibleAnnouncementsChangeNothing(t *testing.T) {
--- a/pkg/edge/packets.go
+++ b/pkg/edge/packets.go
@@ -220,8 +220,11 @@
 	} else {
 		fields["cookie"] = uint32(p.Cookie)
 	}
-	if a.Reason == forward.Overloaded {
+	switch a.Reason {
+	case forward.Overloaded:
 		fields["rejected_share"] = a.RejectedShare
+	case forward.OverLimit:
+		fields["limit"], fields["limited_requests"], fields["slow_share"] = a.Limit.Size, a.Limit.InProgress, a.Limit.SlowShare
 	}
 	if u := a.Upstream; u != nil {
 		inProgress, flows := u.Load()
--- a/pkg/edge/watch_test.go
+++ b/pkg/edge/watch_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	entrypb "rosemarygate/api/entry/v1"
@@ -28,6 +29,7 @@
 	silent     atomic.Bool
 	version    atomic.Uint64
 	watchCount atomic.Int64
+	lastNotify atomic.Value // notify address in the latest watch request
 }
 
 func startFakeHost(t *testing.T) *fakeHost {
@@ -42,8 +44,9 @@
 	return h
 }
 
-func (h *fakeHost) Watch(_ *entrypb.WatchRequest, stream grpc.ServerStreamingServer[entrypb.Update]) error {
+func (h *fakeHost) Watch(request *entrypb.WatchRequest, stream grpc.ServerStreamingServer[entrypb.Update]) error {
 	h.watchCount.Add(1)
+	h.lastNotify.Store(request.GetNotifyAddress())
 	sent := uint64(0)
 	for first := true; stream.Context().Err() == nil; first = false {
 		if !h.silent.Load() {
@@ -61,6 +64,11 @@
 }
 
 func startDaemon(t *testing.T, hosts ...*fakeHost) *Daemon {
+	t.Helper()
+	return startDaemonAt(t, netip.AddrPort{}, hosts...)
+}
+
+func startDaemonAt(t *testing.T, notifyAddress netip.AddrPort, hosts ...*fakeHost) *Daemon {
 	t.Helper()
 	var seeds []netip.AddrPort
 	for _, h := range hosts {
@@ -72,6 +80,7 @@
 		Name: "edge", DataCentre: "north", PacketAddress: netip.MustParseAddrPort("127.0.0.1:0"), ReadinessAddress: netip.MustParseAddrPort("127.0.0.1:0"),
 		ReadinessHandler: func(func() bool) http.Handler { return http.NotFoundHandler() }, Seeds: func() []netip.AddrPort { return seeds },
 		GracePeriod: time.Second, FlowLifetime: time.Minute, Codec: fakeCodec{}, Log: log, Metrics: telemetry.NewSet(),
+		NotifyAddress: notifyAddress,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -209,3 +218,37 @@
 	eventually(t, applyTime, "table", func() bool { return d.version() == 1 })
 	assert.Equal(t, h.watchCount.Load(), int64(1))
 }
+
+// Guards against a daemon that waits for the seeds while another control host has started: after a loss of
+// power it knows only the seeds. A datagram that names another host than its sender is ignored.
+func TestStartedHostIsWatchedAtOnce(t *testing.T) {
+	seed := netip.MustParseAddrPort("192.0.2.1:7") // does not answer
+	h := startFakeHost(t)
+	h.current.Store(true)
+	h.version.Store(1)
+	free, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	assert.NilError(t, err)
+	notify := netip.MustParseAddrPort(free.LocalAddr().String())
+	assert.NilError(t, free.Close())
+	d := startDaemonAt(t, notify, &fakeHost{address: seed})
+	conn, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(notify))
+	assert.NilError(t, err)
+	defer conn.Close()
+	send := func(host string) {
+		datagram, err := proto.Marshal(&entrypb.HostStarted{Host: host})
+		assert.NilError(t, err)
+		_, err = conn.Write(datagram)
+		assert.NilError(t, err)
+	}
+	time.Sleep(50 * time.Millisecond) // the daemon listens
+	send("192.0.2.2:7")
+	send("no address")
+	time.Sleep(200 * time.Millisecond)
+	d.watches.mu.Lock()
+	assert.Equal(t, len(d.watches.startedHosts), 0)
+	d.watches.mu.Unlock()
+	assert.Equal(t, d.version(), uint64(0))
+	send(h.address.String())
+	eventually(t, time.Second, "the host that has started is watched", func() bool { return d.version() == 1 })
+	assert.Equal(t, h.lastNotify.Load(), notify.String())
+}
--- a/pkg/forward/admission.go
+++ b/pkg/forward/admission.go
@@ -100,8 +100,8 @@
 }
 
 // recordRequest counts a request on a flow of a priority.
-func (a *admission) recordRequest(now time.Duration, priority uint8) {
-	a.demandOf(now, priority).recordRequest(now, a.refusing)
+func (a *admission) recordRequest(now time.Duration, priority uint8, overloaded bool) {
+	a.demandOf(now, priority).recordRequest(now, overloaded)
 }
 
 func (a *admission) demandOf(now time.Duration, priority uint8) *priorityDemand {
--- a/pkg/forward/answers.go
+++ b/pkg/forward/answers.go
@@ -21,6 +21,7 @@
 type answerProfile struct {
 	size quantileEstimate // bytes of the first acknowledged part of an answer
 	time quantileEstimate // from the request to that acknowledgement, in nanoseconds
+	fast quantileEstimate // the same without a queue
 }
 
 // recordSize records the size of an answer and reports whether the answer is a rejection.
--- a/pkg/forward/catchup.go
+++ b/pkg/forward/catchup.go
@@ -29,9 +29,6 @@
 	// catchUpCutInterval is the shortest time between two cuts of the window: the answers of one round trip
 	// show the same queues.
 	catchUpCutInterval = 100 * time.Millisecond
-	// handshakeTime is how long an overdue flow without a further packet counts as unanswered: its upstream may
-	// be gone, which is not the load that the window bounds.
-	handshakeTime = 100 * time.Millisecond
 	// fastAnswerShare and slowAnswerShare are the shares of a route's objective up to which an answer is fast,
 	// and from which it is slow.
 	fastAnswerShare = 0.5
@@ -48,18 +45,14 @@
 
 // catchUp decides when overdue flows of one service are placed.
 type catchUp struct {
-	window     float64
-	unanswered map[Flow]time.Duration // overdue flows, with the time of their placement
-	cutAt      time.Duration          // time of the latest cut of the window
+	window float64
+	cutAt  time.Duration // time of the latest cut of the window
 }
 
 func (c *Core) catchUpOf(service string) *catchUp {
 	u := c.catchUps[service]
 	if u == nil {
-		u = &catchUp{window: minCatchUpWindow, unanswered: map[Flow]time.Duration{}}
-		if c.catchUps == nil {
-			c.catchUps = map[string]*catchUp{}
-		}
+		u = &catchUp{window: minCatchUpWindow}
 		c.catchUps[service] = u
 	}
 	return u
@@ -78,31 +71,19 @@
 	return age+expected > route.Objective
 }
 
-// admitsOverdue reports whether another overdue flow of a service may be placed.
-func (c *Core) admitsOverdue(now time.Duration, service string) bool {
-	catchUp, handshakes, unanswered := c.catchUpOf(service), 0, 0
-	for f, placedAt := range catchUp.unanswered {
-		s := c.flows[f]
-		switch {
-		case s == nil || s.triedUpstreams != nil && now-placedAt > handshakeTime:
-			delete(catchUp.unanswered, f)
-		case !s.awaitingAnswer:
-			handshakes++
-		}
+// admitsOverdue reports whether an overdue flow of a service may be placed.
+func (c *Core) admitsOverdue(now time.Duration, service string, flow Flow) bool {
+	l := c.limitOf(service)
+	l.expire(now)
+	unanswered := l.inProgress
+	if s := c.flows[flow]; s != nil && s.limited {
+		unanswered-- // an earlier copy of its SYN
 	}
-	for _, u := range c.placeableByService[service] {
-		unanswered += u.inProgress
-	}
-	return float64(handshakes+unanswered) < catchUp.window
+	return float64(unanswered) < c.catchUpOf(service).window
 }
 
-func (u *catchUp) add(now time.Duration, f Flow) { u.unanswered[f] = now }
-
-// recordAnswer adapts the window to the time of an answer, of an overdue flow or another one, and reports
-// whether the flow was overdue.
-func (u *catchUp) recordAnswer(now time.Duration, f Flow, took, objective time.Duration) bool {
-	_, overdue := u.unanswered[f]
-	delete(u.unanswered, f)
+// recordAnswer adapts the window to the time of an answer.
+func (u *catchUp) recordAnswer(now, took, objective time.Duration) {
 	share := float64(took) / float64(max(objective, 1))
 	switch {
 	case share >= slowAnswerShare:
@@ -112,7 +93,6 @@
 	case share <= fastAnswerShare:
 		u.window = min(maxCatchUpWindow, u.window+catchUpGrowth)
 	}
-	return overdue
 }
 
 // sortHeld puts overdue SYNs behind all other packets: the most urgent ones first, and among equal ones
--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -25,8 +25,24 @@
 type Config struct {
 	// DataCentre is the data centre of the daemon. Its upstreams are preferred for new flows.
 	DataCentre string
+	// Admission selects when new flows are refused because a service is overloaded.
+	Admission Admission
 }
 
+// Admission is a rule for the refusal of new flows of an overloaded service.
+type Admission uint8
+
+// Rules of admission. The experiments compare them.
+const (
+	// AdmitByTimeAndRejections refuses flows beyond a limit that follows the answer times, and while upstreams
+	// reject requests.
+	AdmitByTimeAndRejections Admission = iota
+	// AdmitByRejections refuses flows only while upstreams reject requests.
+	AdmitByRejections
+	// AdmitAll refuses no flow.
+	AdmitAll
+)
+
 // Core decides on packets. It is not safe for concurrent use.
 type Core struct {
 	cfg                Config
@@ -42,6 +58,7 @@
 	profiles           map[netip.AddrPort]*answerProfile // by route address
 	admissions         map[string]*admission             // by service
 	catchUps           map[string]*catchUp               // by service
+	limits             map[string]*flowLimit             // by service
 	releaseDue         bool                              // a held packet may be decided before its hold time has passed
 	handshakes         handshakes
 	placements         uint64           // number of placements so far
@@ -69,7 +86,7 @@
 	return &Core{
 		cfg: cfg, rng: rng, removedRoutes: map[netip.AddrPort]bool{},
 		upstreams: map[directory.Incarnation]*Upstream{}, upstreamsByCookie: map[directory.Cookie]*Upstream{},
-		placeableByService: map[string][]*Upstream{}, flows: map[Flow]*flowState{},
+		placeableByService: map[string][]*Upstream{}, flows: map[Flow]*flowState{}, limits: map[string]*flowLimit{}, catchUps: map[string]*catchUp{},
 	}
 }
 
@@ -135,7 +152,7 @@
 func (c *Core) SetUpstream(r directory.Registration) {
 	u := c.upstreams[r.Incarnation]
 	if u == nil {
-		u = &Upstream{cookie: r.Cookie()}
+		u = &Upstream{cookie: r.Cookie(), limit: c.limitOf(r.Service)}
 		c.upstreams[r.Incarnation] = u
 		// Packets of two live incarnations with the same cookie cannot be distinguished, so packets of
 		// both are dropped as unknown. No flow is placed on the second one.
--- a/pkg/forward/flows.go
+++ b/pkg/forward/flows.go
@@ -30,6 +30,9 @@
 	triedUpstreams []*Upstream   // upstreams that got a copy of the SYN; after the handshake only if there are several
 	synCopy        uint32        // retransmission number of the latest SYN
 	placedAt       time.Duration // time of the latest placement
+	hadRequest     bool          // a request has begun on the flow at this daemon
+	limited        bool          // the flow counts for the limit of its service
+	limitedSince   time.Duration // since when
 	lastSeen       time.Duration
 	dataAt         time.Duration // arrival of the latest payload
 	dataSeq        uint32        // sequence number of the latest payload
@@ -75,10 +78,18 @@
 		return
 	}
 	s.halfOpen = halfOpen
-	if halfOpen {
+	s.countInProgress(halfOpen)
+}
+
+// countInProgress adds the flow to the requests in progress of its upstream, or removes it.
+func (s *flowState) countInProgress(add bool) {
+	if add {
 		s.upstream.inProgress++
-	} else {
-		s.upstream.inProgress--
+		return
+	}
+	s.upstream.inProgress--
+	if l := s.upstream.limit; l != nil {
+		l.endRequest(s)
 	}
 }
 
@@ -87,11 +98,7 @@
 		return
 	}
 	s.awaitingAnswer = awaiting
-	if awaiting {
-		s.upstream.inProgress++
-	} else {
-		s.upstream.inProgress--
-	}
+	s.countInProgress(awaiting)
 }
 
 func (c *Core) closeFlow(f Flow) {
@@ -142,8 +149,13 @@
 		if !s.awaitingAnswer {
 			s.requestAt = now
 			c.recordRequest(now, p.Dest, u)
+			if u.limit != nil {
+				u.limit.recordRequest(!s.hadRequest)
+			}
+			s.hadRequest = true
 		}
 		s.setAwaitingAnswer(true)
+		c.countRequest(now, p.Dest, s)
 	}
 	return false
 }
--- a/pkg/forward/overload.go
+++ b/pkg/forward/overload.go
@@ -44,10 +44,12 @@
 	if profile == nil || a == nil {
 		return // the table no longer has the route or the service
 	}
-	if route := c.routes.Route(f.Dest); route != nil && c.catchUpOf(u.Service).recordAnswer(now, f, took, route.Objective) {
-		c.releaseDue = true
-	}
+	c.releaseDue = true
 	rejected := profile.recordSize(bytes)
+	if route := c.routes.Route(f.Dest); route != nil {
+		c.catchUpOf(u.Service).recordAnswer(now, took, route.Objective)
+		c.limitOf(u.Service).recordAnswer(now, float64(took)/float64(max(route.Objective, 1)), rejected || profile.isSlow(took, route.Objective))
+	}
 	a.recordAnswer(now, rejected)
 	u.recordRejection(now, rejected)
 	if !rejected {
@@ -63,7 +65,7 @@
 		return // there is no table yet, or it does not use the service
 	}
 	if route := c.routes.Route(dest); route != nil {
-		a.recordRequest(now, route.Priority)
+		a.recordRequest(now, route.Priority, a.refusing || c.limitOf(u.Service).active)
 	}
 }
 
@@ -115,16 +117,24 @@
 	c.overloadChanges = append(c.overloadChanges, OverloadChange{service, refusing, a.rejectedShare(now)})
 }
 
-// admitFlow decides whether a new flow of a service is admitted, and returns the share of rejections
-// on which the decision is based.
-func (c *Core) admitFlow(now time.Duration, service string, priority uint8) (ok bool, share float64) {
+// admitFlow decides whether a new flow of a service is admitted. It returns the refusal, or nil.
+func (c *Core) admitFlow(now time.Duration, service string, priority uint8) *Action {
 	a := c.admissions[service]
-	if a == nil {
-		return true, 0
+	if a == nil || c.cfg.Admission == AdmitAll {
+		return nil
 	}
 	refusalProbability := a.recordFlow(now, priority)
 	c.updateOverload(now, service, a)
-	return !a.refusing || refusalProbability == 0 || c.rng.Float64() >= refusalProbability, a.rejectedShare(now)
+	l := c.limitOf(service)
+	if c.cfg.Admission == AdmitByTimeAndRejections && !l.admits(now, func() bool { return a.protectedPriorities(now)[priority] }) {
+		// A refused flow is demand, too. Without it a flood of flows with one request each would not show.
+		a.recordRequest(now, priority, true)
+		return &Action{Verdict: Reset, Reason: OverLimit, Limit: l.status()}
+	}
+	if a.refusing && refusalProbability > 0 && c.rng.Float64() < refusalProbability {
+		return &Action{Verdict: Reset, Reason: Overloaded, RejectedShare: a.rejectedShare(now)}
+	}
+	return nil
 }
 
 // rebuildStatistics keeps the statistics of the routes and services that are in the new table.
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -136,13 +136,13 @@
 		a.refusing = rejected
 		for i := range 1000 {
 			now += 10 * time.Millisecond
-			a.recordRequest(now, normalPriority)
+			a.recordRequest(now, normalPriority, rejected)
 			if i%urgentEvery == 0 {
-				a.recordRequest(now, urgentPriority)
+				a.recordRequest(now, urgentPriority, rejected)
 			}
 			if urgentEvery == 1 {
 				for range 2 {
-					a.recordRequest(now, urgentPriority)
+					a.recordRequest(now, urgentPriority, rejected)
 				}
 			}
 			a.recordAnswer(now, rejected && i%5 == 0)
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -83,6 +83,7 @@
 	Unprepared                   // the daemon's routes or upstreams are incomplete
 	HoldBufferFull               // too many packets are held
 	Overloaded                   // the service rejects requests; a new flow would be rejected too
+	OverLimit                    // answers of the service are slow, and its requests in progress reach their limit
 	AwaitingTurn                 // the flow's request is late already; requests that can be in time go first
 	Overdue                      // no upstream had capacity for a request that was late already
 	reasonCount
@@ -91,7 +92,7 @@
 var reasonNames = [reasonCount]string{
 	"placed", "placed_again", "known", "known_flow", "no_table", "no_route", "route_removed",
 	"no_upstream", "upstream_gone", "unknown_cookie", "no_cookie", "awaiting_cookie", "unprepared", "hold_buffer_full",
-	"overloaded", "awaiting_turn", "overdue",
+	"overloaded", "over_limit", "awaiting_turn", "overdue",
 }
 
 // String returns the name of the reason in counters and logs.
@@ -117,6 +118,8 @@
 	Suspected *Upstream
 	// RejectedShare is the share of rejections among recent answers if the reason is Overloaded.
 	RejectedShare float64
+	// Limit describes the limit of the service if the reason is OverLimit.
+	Limit LimitStatus
 }
 
 // Released is a formerly held packet with its decision.
@@ -131,6 +134,7 @@
 	cookie                directory.Cookie
 	flows                 int           // recently active flows of this daemon
 	inProgress            int           // unanswered requests of these flows
+	limit                 *flowLimit    // of the upstream's service
 	suspectUntil          time.Duration // suspect because of unanswered packets until then
 	unansweredPackets     int           // unanswered packets since the last answer
 	suspicions            int           // suspicions since the last answer
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -56,13 +56,13 @@
 	}
 	service := route.Service(flowHash(p.Flow()))
 	overdue := c.isOverdue(route, p, now-arrivedAt)
-	if overdue && !c.admitsOverdue(now, service) {
+	if overdue && !c.admitsOverdue(now, service, p.Flow()) {
 		return Action{Verdict: Hold, Reason: AwaitingTurn, Suspected: suspected}
 	}
 	if p.Ack == 0 { // a retransmitted SYN is not refused: an upstream may still answer an earlier copy
-		if ok, share := c.admitFlow(now, service, route.Priority); !ok {
+		if refusal := c.admitFlow(now, service, route.Priority); refusal != nil {
 			c.closeFlow(p.Flow())
-			return Action{Verdict: Reset, Reason: Overloaded, RejectedShare: share}
+			return *refusal
 		}
 	}
 	u := c.chooseUpstream(now, service, tried)
@@ -74,9 +74,6 @@
 	if len(tried) == 0 {
 		c.handshakes.add(now, p)
 	}
-	if overdue {
-		c.catchUpOf(service).add(now, p.Flow())
-	}
 	reason := Placed
 	if len(tried) > 0 {
 		reason = PlacedAgain
@@ -89,6 +86,7 @@
 	s := c.attachFlow(now, p.Flow(), u)
 	s.triedUpstreams, s.placedAt = append(tried, u), now
 	s.setHalfOpen(true)
+	c.countRequest(now, p.Dest, s)
 	return s
 }
 
--- a/pkg/load/packets/packets.go
+++ b/pkg/load/packets/packets.go
@@ -24,13 +24,15 @@
 	Objective    time.Duration // latency within which a request should be answered
 	// UrgentShare is the share of the requests that use the most urgent route.
 	UrgentShare float64
+	// RequestsPerFlow is the mean number of requests on a flow before its caller closes it.
+	RequestsPerFlow int
 }
 
 // Karri is the ticket-and-tally service of Karri Bend Rackworks.
 func Karri() Deployment {
 	return Deployment{
 		Name: "karri", Daemons: 7, Upstreams: 14, Slots: 3, QueueLimit: 12,
-		MeanWorkTime: 43 * time.Millisecond, Objective: 200 * time.Millisecond, UrgentShare: 0.22,
+		MeanWorkTime: 43 * time.Millisecond, Objective: 200 * time.Millisecond, UrgentShare: 0.22, RequestsPerFlow: 40,
 	}
 }
 
@@ -38,7 +40,15 @@
 func Guild() Deployment {
 	return Deployment{
 		Name: "guild", Daemons: 7, Upstreams: 14, Slots: 2, QueueLimit: 8,
-		MeanWorkTime: 16 * time.Millisecond, Objective: 100 * time.Millisecond, UrgentShare: 0.22,
+		MeanWorkTime: 16 * time.Millisecond, Objective: 100 * time.Millisecond, UrgentShare: 0.22, RequestsPerFlow: 40,
+	}
+}
+
+// Magnolia is the ordering service of Magnolia Slate, whose callers open a flow for each request.
+func Magnolia() Deployment {
+	return Deployment{
+		Name: "magnolia", Daemons: 9, Upstreams: 14, Slots: 2, QueueLimit: 8,
+		MeanWorkTime: 32 * time.Millisecond, Objective: 150 * time.Millisecond, UrgentShare: 0.22, RequestsPerFlow: 1,
 	}
 }
 
@@ -46,10 +56,12 @@
 type Placement string
 
 // Placements. OursWithoutRefusal is ours, but rejections are hidden from it: it refuses no flow and
-// does not avoid upstreams that reject requests.
+// does not avoid upstreams that reject requests. OursByRejections refuses flows only while upstreams reject
+// requests.
 const (
 	Ours               Placement = "ours"
 	OursWithoutRefusal Placement = "unrefused"
+	OursByRejections   Placement = "by-rejections"
 	Random             Placement = "random"
 	FewestFlows        Placement = "fewest-flows"
 )
--- a/pkg/load/packets/patterns.go
+++ b/pkg/load/packets/patterns.go
@@ -26,7 +26,7 @@
 			Phases: []Phase{
 				{Name: CalmPhase, Duration: calmDuration, Load: usualLoad}, {Name: BurstPhase, Duration: burstDuration, Load: 1.4}, {Name: AfterPhase, Duration: calmDuration, Load: usualLoad},
 			},
-			Baselines: []Placement{OursWithoutRefusal, Random},
+			Baselines: []Placement{OursByRejections, OursWithoutRefusal, Random},
 		},
 		{
 			// The load of the usual requests stays at 0.39 of the capacity.
@@ -34,7 +34,7 @@
 			Phases: []Phase{
 				{Name: CalmPhase, Duration: 2 * calmDuration, Load: usualLoad}, {Name: FloodPhase, Duration: burstDuration, Load: 1.49, UrgentShare: 0.74}, {Name: AfterPhase, Duration: calmDuration, Load: usualLoad},
 			},
-			Baselines: []Placement{OursWithoutRefusal, Random},
+			Baselines: []Placement{OursByRejections, OursWithoutRefusal, Random},
 		},
 		{
 			Name: "packets-failing", Summary: "a fifth of the upstreams quickly reject most of their requests",
--- a/pkg/load/packets/placement.go
+++ b/pkg/load/packets/placement.go
@@ -53,7 +53,8 @@
 		}
 		return b
 	}
-	core := forward.New(forward.Config{DataCentre: dataCentre}, rng)
+	admission := map[Placement]forward.Admission{OursByRejections: forward.AdmitByRejections, OursWithoutRefusal: forward.AdmitAll}[placement]
+	core := forward.New(forward.Config{DataCentre: dataCentre, Admission: admission}, rng)
 	core.SetTable(routingTable(d))
 	for n := range d.Upstreams {
 		core.SetUpstream(registration(d, n))
--- a/pkg/load/packets/replay.go
+++ b/pkg/load/packets/replay.go
@@ -20,8 +20,6 @@
 	requestBytes   = 500
 	answerBytes    = 2400
 	rejectionBytes = 120
-	// meanRequestsPerFlow is the mean number of requests on a flow before its caller closes it.
-	meanRequestsPerFlow = 40
 	// maxLatencyMicros is the largest latency that is recorded, in microseconds. Queues hold a second
 	// of work.
 	maxLatencyMicros = int64(time.Minute / time.Microsecond)
@@ -268,7 +266,7 @@
 	}
 	f.lastPacket.Ack += bytes
 	f.sendPacket(r.now)
-	if r.rng.IntN(meanRequestsPerFlow) == 0 {
+	if r.rng.IntN(r.deployment.RequestsPerFlow) == 0 {
 		f.lastPacket.Flags |= forward.FIN
 		f.sendPacket(r.now)
 		return
--- a/pkg/load/packetsrun.go
+++ b/pkg/load/packetsrun.go
@@ -36,6 +36,7 @@
 const (
 	inTimeCheckName      = "in time, over every flow placed"
 	keptInFloodCheckName = "others served in the flood"
+	byRejectionsName     = "in time, over admission by rejections"
 )
 
 func packetScenarios() []Scenario {
@@ -75,7 +76,7 @@
 }
 
 func packetDeployments(name string) ([]packets.Deployment, error) {
-	all := []packets.Deployment{packets.Karri(), packets.Guild()}
+	all := []packets.Deployment{packets.Karri(), packets.Guild(), packets.Magnolia()}
 	if name == "" {
 		return all, nil
 	}
@@ -84,7 +85,7 @@
 			return []packets.Deployment{d}, nil
 		}
 	}
-	return nil, usageErrorf("deployment %q is unknown: use karri or guild", name)
+	return nil, usageErrorf("deployment %q is unknown: use karri, guild or magnolia", name)
 }
 
 func (r *Report) addPacketsResult(m *packets.Result) {
@@ -116,6 +117,7 @@
 		withoutRefusal := results[packets.OursWithoutRefusal].Phase(packets.BurstPhase)
 		out = append(out,
 			atLeast(inTimeCheckName, share(burst.ServedInTime(), burst.Offered())/share(withoutRefusal.ServedInTime(), withoutRefusal.Offered()), minBurstInTimeRatio),
+			overByRejections(packets.BurstPhase, results),
 			atLeast("served, over every flow placed", share(burst.Served(), burst.Offered())/share(withoutRefusal.Served(), withoutRefusal.Offered()), minBurstServedRatio),
 			atMost("unserved urgent requests, over the others", burst.Urgent.UnservedShare()/burst.Usual.UnservedShare(), maxUrgentUnservedRatio),
 		)
@@ -123,6 +125,7 @@
 	if flood := ours.Phase(packets.FloodPhase); flood != nil {
 		withoutRefusal := results[packets.OursWithoutRefusal].Phase(packets.FloodPhase)
 		out = append(out,
+			overByRejections(packets.FloodPhase, results),
 			atLeast(keptInFloodCheckName, share(flood.Usual.Served(), flood.Usual.Offered), minKeptInFlood),
 			atLeast(inTimeCheckName, share(flood.ServedInTime(), flood.Offered())/share(withoutRefusal.ServedInTime(), withoutRefusal.Offered()), minBurstInTimeRatio),
 		)
@@ -148,4 +151,10 @@
 	return out
 }
 
+// overByRejections compares the requests served in time with those of admission by rejections alone.
+func overByRejections(phase string, results map[packets.Placement]*packets.Result) Check {
+	ours, byRejections := results[packets.Ours].Phase(phase), results[packets.OursByRejections].Phase(phase)
+	return atLeast(byRejectionsName, share(ours.ServedInTime(), ours.Offered())/share(byRejections.ServedInTime(), byRejections.Offered()), minBurstInTimeRatio)
+}
+
 func share(part, whole int) float64 { return float64(part) / float64(max(whole, 1)) }
