Answer accepted HTTP requests before a planned stop

Cause: a report of other operators. supervise closed HTTP servers with their connections, so that requests which had just been accepted were cut off (TestAcceptedRequestsAreAnsweredAtStop failed with EOF). Servers now answer what they have accepted, for at most 1 s, and a control host does so while its group still runs.

--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -160,6 +160,7 @@
 	tree := supervise.New()
 	tree.Add(func(treeCtx context.Context) error {
 		h.awaitStop(ctx, treeCtx)
+		supervise.StopServer(httpServer) // while the group still runs, which the accepted calls need
 		return nil
 	})
 	for _, task := range []func(context.Context) error{h.group.Run, h.followConfig, h.watchDirectory, h.sharing.run, h.saveRegistrations} {
--- a/pkg/supervise/supervise.go
+++ b/pkg/supervise/supervise.go
@@ -43,7 +43,19 @@
 			return errors.WithStack(err)
 		}
 		return nil
-	}, func() { server.Close() })
+	}, func() { StopServer(server) })
+}
+
+// serverStopTimeout is how long a stopping HTTP server waits for the requests that it has accepted.
+const serverStopTimeout = time.Second
+
+// StopServer stops an HTTP server after it has answered the accepted requests, or after serverStopTimeout.
+func StopServer(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), serverStopTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		server.Close() // requests that take longer are cut off
+	}
 }
 
 // Run runs the components until all have returned, and returns the error of the one that returned first.
--- a/pkg/supervise/supervise_test.go
+++ b/pkg/supervise/supervise_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -30,3 +31,39 @@
 	_, err = net.Dial("tcp4", listener.Addr().String())
 	assert.Assert(t, err != nil, "the server is closed")
 }
+
+// Guards against a planned stop that cuts off requests which the server has just accepted.
+func TestAcceptedRequestsAreAnsweredAtStop(t *testing.T) {
+	const requests = 20
+	accepted, answer := make(chan struct{}, requests), make(chan struct{})
+	tree := New()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	tree.Serve(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		accepted <- struct{}{}
+		<-answer
+	})}, listener)
+	stop := make(chan struct{})
+	tree.Add(func(context.Context) error { <-stop; return nil })
+	ended := make(chan error, 1)
+	go func() { ended <- tree.Run() }()
+	results := make(chan error, requests)
+	for range requests {
+		go func() {
+			response, err := http.Get("http://" + listener.Addr().String())
+			if err == nil {
+				err = response.Body.Close()
+			}
+			results <- err
+		}()
+	}
+	for range requests {
+		<-accepted
+	}
+	close(stop)
+	time.AfterFunc(100*time.Millisecond, func() { close(answer) })
+	for range requests {
+		assert.NilError(t, <-results)
+	}
+	assert.NilError(t, <-ended)
+}
