--- a/pkg/control/ensemble/core.go
+++ b/pkg/control/ensemble/core.go
@@ -304,7 +304,7 @@
 // publish makes the state of the core available to other goroutines.
 func (c *core) publish() {
 	st := c.node.Status()
-	c.group.processedAt.Store(time.Now().UnixNano())
+	c.group.processedAt.Store(int64(time.Since(c.group.begin)))
 	previous := c.group.Status()
 	c.group.status.Store(&Status{Status: st, Version: c.document.Version})
 	newDocument := c.group.Document().Version != c.document.Version
--- a/pkg/control/ensemble/ensemble.go
+++ b/pkg/control/ensemble/ensemble.go
@@ -29,6 +29,7 @@
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/ident"
 	"rosemarygate/pkg/storage"
+	"rosemarygate/pkg/wallclock"
 )
 
 const (
@@ -108,7 +109,8 @@
 
 	document    atomic.Pointer[Document]
 	status      atomic.Pointer[Status]
-	processedAt atomic.Int64 // Unix nanoseconds when the core last finished all pending work
+	begin       time.Time    // of the group in this process
+	processedAt atomic.Int64 // nanoseconds after begin when the core last finished all pending work
 
 	mu                sync.Mutex
 	changed           chan struct{} // closed when the document or the membership changes
@@ -121,7 +123,7 @@
 	g := &Group{
 		cfg: cfg, selfID: MemberID(cfg.PeerAddress), log: cfg.Log,
 		calls: make(chan func(*core), queueLength), incoming: make(chan agreement.Message, queueLength),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), begin: time.Now(),
 	}
 	if g.cfg.FS == nil {
 		g.cfg.FS = storage.OS{}
@@ -173,7 +175,8 @@
 // Current reports whether the host is in contact with the leader of the group, so that it receives
 // every new document.
 func (g *Group) Current() bool {
-	stalled := time.Since(time.Unix(0, g.processedAt.Load())) > stallLimit
+	// Both times are on the monotonic clock: a time of day that is set back would hide a stall.
+	stalled := time.Since(g.begin)-time.Duration(g.processedAt.Load()) > stallLimit
 	return !stalled && g.Status().Leader != agreement.None
 }
 
@@ -269,7 +272,7 @@
 		return founder, founding
 	}
 	// After the clock was set back, the incarnation must still be larger than any used before.
-	next := max(ident.Incarnation(time.Now().UnixNano()), g.lastIncarnation+1) + ident.Incarnation(g.incarnationOffset)
+	next := max(ident.Incarnation(wallclock.Now().UnixNano()), g.lastIncarnation+1) + ident.Incarnation(g.incarnationOffset)
 	return agreement.Replica{ID: g.selfID, Incarnation: next}, nil
 }
 
--- a/pkg/controlhost/calls.go
+++ b/pkg/controlhost/calls.go
@@ -11,6 +11,7 @@
 	"rosemarygate/pkg/control/ensemble"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/routing"
+	"rosemarygate/pkg/wallclock"
 )
 
 // shareConfirmTimeout limits the wait until the other control hosts have confirmed that an upstream
@@ -60,7 +61,7 @@
 	defer h.observe("announce", time.Now())
 	now := h.clock()
 	r.LastAnnounced, r.WarmupEnd = now, now+r.WarmupEnd
-	if time.UnixMilli(r.StartUnixMs).Sub(time.Now()) > maxStartAhead {
+	if time.UnixMilli(r.StartUnixMs).Sub(wallclock.Now()) > maxStartAhead {
 		err := errors.WithStack(&directory.InvalidError{Field: "start", Problem: "is in the future"})
 		h.RefuseAnnouncement(r.Name, err)
 		return err
--- a/pkg/storage/brokenfs/brokenfs.go
+++ b/pkg/storage/brokenfs/brokenfs.go
@@ -28,6 +28,9 @@
 // removal of the folder does not end the fault.
 func SwitchPath(dataDir string) string { return filepath.Clean(dataDir) + ".fault" }
 
+// ClockPath returns the path of the file with the offset of the process's clock, in milliseconds.
+func ClockPath(dataDir string) string { return filepath.Clean(dataDir) + ".clock" }
+
 // FS is a file system with switchable faults. Reads never fail.
 type FS struct {
 	storage.FS
