--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -1,16 +1,21 @@
 package directory
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	entrypb "rosemarygate/api/entry/v1"
+	"rosemarygate/pkg/routing"
 	"rosemarygate/pkg/testseed"
 )
 
@@ -286,3 +291,50 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, r, cmpopts.EquateComparable(netip.AddrPort{}))
 }
+
+// Guards against a snapshot that fills the link of a starting daemon: 1,000 routes and 200 upstreams have to
+// arrive over 2 Mbit/s within 100 ms, a tenth of a second in which callers wait.
+func TestPackedSnapshotIsSmall(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 8))
+	name := func(n int) string { return strconv.FormatUint(rng.Uint64(), 36)[:n] }
+	table := &routing.Table{Version: 7, Services: []string{"huvo11a", "wuno96b"}}
+	for i := range 1000 {
+		table.Routes = append(table.Routes, routing.Route{
+			Name: "r-" + name(7), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 8443),
+			Timeout: time.Duration(1000+rng.IntN(2000)) * time.Millisecond, Objective: 150 * time.Millisecond, Priority: uint8(1 + i%2),
+			Split: []routing.Share{{Service: table.Services[i%2], Weight: 1}},
+		})
+	}
+	s := &entrypb.Snapshot{Table: table.Proto()}
+	for i := range 200 {
+		r := Registration{
+			Incarnation: Incarnation{Key: Key(rng.Uint64() >> 24), StartUnixMs: 1_790_000_000_000 + rng.Int64N(100_000)}, Service: table.Services[i%2],
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % 4), 64, byte(i)}), 8203), DataCentre: "southeast-a", Slots: 2, Sequence: rng.Uint64N(100), State: Ready,
+		}
+		r.Name = "i-" + r.Key.String()
+		s.Registrations = append(s.Registrations, r.Proto(0))
+	}
+	packed, err := PackSnapshot(s)
+	assert.NilError(t, err)
+	const linkBytesPerSecond = 2_000_000 / 8
+	t.Logf("%d bytes, %d packed", proto.Size(s), len(packed))
+	assert.Assert(t, len(packed) <= linkBytesPerSecond/10)
+	got, err := UnpackSnapshot(packed)
+	assert.NilError(t, err)
+	assert.Assert(t, proto.Equal(got, s))
+}
+
+// Guards against a damaged snapshot, or one that unpacks to more than memory holds, ending a daemon.
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	packed, err := PackSnapshot(&entrypb.Snapshot{Registrations: []*entrypb.Registration{{Name: strings.Repeat("a", 100)}}})
+	assert.NilError(t, err)
+	for n := range packed {
+		if _, err := UnpackSnapshot(packed[:n]); err == nil {
+			t.Errorf("%d of %d bytes are accepted", n, len(packed))
+		}
+	}
+	bomb, err := PackSnapshot(&entrypb.Snapshot{Registrations: []*entrypb.Registration{{Name: strings.Repeat("a", maxSnapshotBytes)}}})
+	assert.NilError(t, err)
+	_, err = UnpackSnapshot(bomb)
+	assert.ErrorContains(t, err, "larger than 32 MB")
+}
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -95,6 +95,7 @@
 	sharing          *sharing
 	saver            *registrationSaver
 	notifyAddresses  notifyAddresses
+	snapshots        snapshotCache
 	ctx              context.Context
 	stop             context.CancelFunc
 }
--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -50,12 +50,14 @@
 	return data
 }
 
+var lastAddress atomic.Uint32
+
+// freeAddress returns a loopback address of its own for each call. A free port of 127.0.0.1 may be taken by a
+// connection of another test before it is used.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	n := lastAddress.Add(1)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(16 + os.Getpid()%200), byte(n >> 8), byte(n)}), 7720)
 }
 
 // startHosts starts control hosts that found a group.
--- a/pkg/controlhost/watch.go
+++ b/pkg/controlhost/watch.go
@@ -1,12 +1,14 @@
 package controlhost
 
 import (
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
 	entrypb "rosemarygate/api/entry/v1"
+	"rosemarygate/pkg/control/directory"
 	"rosemarygate/pkg/events"
 	"rosemarygate/pkg/routing"
 )
@@ -31,7 +33,7 @@
 	if added := h.learnNotifyAddresses([]string{request.GetNotifyAddress()}); len(added) > 0 {
 		h.sharing.shareNotifyAddresses(added)
 	}
-	w := watchState{host: h, daemonVersion: request.GetVersion()}
+	w := watchState{host: h, daemonVersion: request.GetVersion(), acceptsPacked: request.GetAcceptsPacked()}
 	timer := time.NewTimer(statusInterval)
 	defer timer.Stop()
 	for {
@@ -63,6 +65,7 @@
 	sentTable     *routing.Table // latest table sent on this stream, nil before the first one
 	sentRevision  uint64
 	started       bool
+	acceptsPacked bool // the daemon understands packed snapshots
 }
 
 // nextUpdate returns everything that has changed since the last call.
@@ -75,8 +78,21 @@
 			u.Status.ControlHosts = append(u.Status.ControlHosts, a.String())
 		}
 	}
+	first := !w.started
 	w.started = true
-	if t := h.table.Load(); t.Version > w.daemonVersion {
+	t := h.table.Load()
+	if first && w.acceptsPacked {
+		packed, revision, err := h.packedSnapshot(t, t.Version > w.daemonVersion)
+		if err == nil {
+			u.PackedSnapshot, w.sentRevision = packed, revision
+			if t.Version > w.daemonVersion {
+				w.sentTable, w.daemonVersion = t, t.Version
+			}
+			return u
+		}
+		events.SnapshotNotPacked.Log(h.log, logrus.Fields{"error": err})
+	}
+	if t.Version > w.daemonVersion {
 		if w.sentTable == nil {
 			u.Table = t.Proto()
 		} else {
@@ -94,6 +110,55 @@
 	return u
 }
 
+// maxSnapshotAge is how long a packed snapshot is used. The ages of its registrations are too low by as much.
+const maxSnapshotAge = 200 * time.Millisecond
+
+// snapshotCache holds the latest packed snapshots: with and without a table. After a loss of power all daemons
+// need the same ones within a fraction of a second.
+type snapshotCache struct {
+	mu       sync.Mutex
+	withBase [2]packedSnapshot // index 1: with the table
+}
+
+type packedSnapshot struct {
+	data     []byte
+	table    *routing.Table
+	revision uint64
+	at       time.Duration
+}
+
+// packedSnapshot returns the registrations and, if requested, a table as a packed snapshot, and the revision
+// of the registrations.
+func (h *Host) packedSnapshot(t *routing.Table, withTable bool) ([]byte, uint64, error) {
+	c := &h.snapshots
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached := &c.withBase[0]
+	if withTable {
+		cached = &c.withBase[1]
+	}
+	now := h.clock()
+	if cached.data != nil && now-cached.at < maxSnapshotAge && (!withTable || cached.table == t) {
+		return cached.data, cached.revision, nil
+	}
+	s := &entrypb.Snapshot{}
+	if withTable {
+		s.Table = t.Proto()
+	}
+	h.mu.Lock()
+	for _, r := range h.directory.Changes(0) {
+		s.Registrations = append(s.Registrations, r.Proto(now))
+	}
+	revision := h.directory.Revision()
+	h.mu.Unlock()
+	data, err := directory.PackSnapshot(s)
+	if err != nil {
+		return nil, 0, err
+	}
+	*cached = packedSnapshot{data, t, revision, now}
+	return data, revision, nil
+}
+
 // tableDifference is the difference between two tables.
 type tableDifference struct {
 	from, to *routing.Table
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -184,7 +184,7 @@
 	version := w.daemon.core.Version()
 	w.daemon.mu.Unlock()
 	stream, err := entrypb.NewWatcherClient(conn).Watch(ctx, &entrypb.WatchRequest{
-		Daemon: w.daemon.cfg.Name, Version: version, NotifyAddress: w.daemon.notifyAddressText(),
+		Daemon: w.daemon.cfg.Name, Version: version, NotifyAddress: w.daemon.notifyAddressText(), AcceptsPacked: true,
 	}, grpc.WaitForReady(true))
 	if err != nil {
 		return connected, err
@@ -202,6 +202,14 @@
 			w.setConnected(streamIndex, true)
 			events.WatchStarted.Log(w.daemon.log, logrus.Fields{"host": host, "current": u.GetStatus().GetCurrent(), "settled": u.GetStatus().GetSettled()})
 		}
+		if len(u.GetPackedSnapshot()) > 0 {
+			snapshot, err := directory.UnpackSnapshot(u.GetPackedSnapshot())
+			if err != nil {
+				events.UpdateRefused.Log(w.daemon.log, logrus.Fields{"host": host, "error": err})
+				return connected, err
+			}
+			u.Table, u.Registrations = snapshot.GetTable(), snapshot.GetRegistrations()
+		}
 		if u.GetTable() != nil {
 			if table, err = routing.Apply(table, u.GetTable()); err != nil {
 				events.UpdateRefused.Log(w.daemon.log, logrus.Fields{"host": host, "error": err})
