First update of a watch names only what the daemon does not have

A starting daemon requested table and registrations on both streams, and every new watch of a running one repeated all registrations. TestDifferingFindsEveryDifference compares random directories.

--- a/pkg/control/directory/directory_test.go
+++ b/pkg/control/directory/directory_test.go
@@ -338,3 +338,41 @@
 	_, err = UnpackSnapshot(bomb)
 	assert.ErrorContains(t, err, "larger than 32 MB")
 }
+
+// Guards against daemons that miss a registration because the digests hide a difference, and against updates
+// that repeat what the daemon has.
+func TestDifferingFindsEveryDifference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		host, daemon := New(testConfig), New(Config{RetainFor: time.Minute})
+		n := rapid.IntRange(0, 40).Draw(t, "registrations")
+		for i := range n {
+			r := registration(Key(i+1), 1, 1)
+			host.Announce(r)
+			switch rapid.IntRange(0, 5).Draw(t, "difference") {
+			case 0: // unknown to the daemon
+				continue
+			case 1:
+				r.State = Draining
+			case 2:
+				r.Silent = true
+			case 3:
+				r.Slots++
+			}
+			daemon.Announce(r)
+		}
+		differing := map[Incarnation]bool{}
+		for _, r := range host.Differing(daemon.Digests()) {
+			differing[r.Incarnation] = true
+		}
+		for _, r := range host.Changes(0) {
+			got, ok := daemon.Get(r.Incarnation)
+			same := ok && got.State == r.State && got.Silent == r.Silent && got.Slots == r.Slots
+			if !same && !differing[r.Incarnation] {
+				t.Fatalf("the difference of %v is not found", r.Incarnation)
+			}
+		}
+		if len(host.Differing(host.Digests())) != 0 || len(host.Differing(nil)) != host.Len() {
+			t.Fatal("equal directories differ, or a daemon without state does not get everything")
+		}
+	})
+}
--- a/pkg/controlhost/watch.go
+++ b/pkg/controlhost/watch.go
@@ -33,7 +33,7 @@
 	if added := h.learnNotifyAddresses([]string{request.GetNotifyAddress()}); len(added) > 0 {
 		h.sharing.shareNotifyAddresses(added)
 	}
-	w := watchState{host: h, daemonVersion: request.GetVersion(), acceptsPacked: request.GetAcceptsPacked()}
+	w := watchState{host: h, daemonVersion: request.GetVersion(), acceptsPacked: request.GetAcceptsPacked(), digests: request.GetRegistrationDigests()}
 	timer := time.NewTimer(statusInterval)
 	defer timer.Stop()
 	for {
@@ -65,7 +65,8 @@
 	sentTable     *routing.Table // latest table sent on this stream, nil before the first one
 	sentRevision  uint64
 	started       bool
-	acceptsPacked bool // the daemon understands packed snapshots
+	acceptsPacked bool     // the daemon understands packed snapshots
+	digests       []uint64 // of the registrations that the daemon had at the start of the watch
 }
 
 // nextUpdate returns everything that has changed since the last call.
@@ -81,7 +82,7 @@
 	first := !w.started
 	w.started = true
 	t := h.table.Load()
-	if first && w.acceptsPacked {
+	if first && w.acceptsPacked && len(w.digests) == 0 {
 		packed, revision, err := h.packedSnapshot(t, t.Version > w.daemonVersion)
 		if err == nil {
 			u.PackedSnapshot, w.sentRevision = packed, revision
@@ -103,7 +104,11 @@
 	now := h.clock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, r := range h.directory.Changes(w.sentRevision) {
+	changes := h.directory.Changes
+	if first && len(w.digests) > 0 {
+		changes = func(uint64) []directory.Registration { return h.directory.Differing(w.digests) }
+	}
+	for _, r := range changes(w.sentRevision) {
 		u.Registrations = append(u.Registrations, r.Proto(now))
 	}
 	w.sentRevision = h.directory.Revision()
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -146,6 +146,13 @@
 	})
 }
 
+// hasTable reports whether the daemon has a routing table.
+func (d *Daemon) hasTable() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Version() > 0
+}
+
 // Ready reports whether the fabric may send new flows.
 func (d *Daemon) Ready() bool { return d.prepared.Load() && !d.stopping.Load() }
 
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -39,6 +39,8 @@
 	maxChangeLines = 20
 	// redialPause is the wait between two attempts to connect to a control host.
 	redialPause = 50 * time.Millisecond
+	// snapshotTimeout is how long the second stream of a starting daemon waits for the snapshot of the first.
+	snapshotTimeout = 500 * time.Millisecond
 	// settleTimeout is how long a daemon waits for a settled control host when every service already has
 	// an upstream.
 	settleTimeout = time.Second
@@ -59,6 +61,10 @@
 	connected      [watchStreams]bool               // by stream
 	cancelDial     [watchStreams]context.CancelFunc // by stream
 
+	snapshotRequestedAt time.Duration // when the first stream requested a snapshot, 0 if none has
+	snapshotReceived    chan struct{} // closed when a table and registrations have arrived
+	hasSnapshot         bool          // it is closed
+
 	firstUpdateAt time.Duration
 	currentSeen   bool // an update from a current control host has arrived
 	settledSeen   bool // an update from a settled control host has arrived
@@ -180,11 +186,17 @@
 	defer cancel()
 	silenceTimer := time.AfterFunc(watchSilenceTimeout, cancel)
 	defer silenceTimer.Stop()
+	w.awaitSnapshot(ctx, streamIndex)
 	w.daemon.mu.Lock()
 	version := w.daemon.core.Version()
+	var digests []uint64
+	if w.daemon.directory.Len() > 0 {
+		digests = w.daemon.directory.Digests()
+	}
 	w.daemon.mu.Unlock()
 	stream, err := entrypb.NewWatcherClient(conn).Watch(ctx, &entrypb.WatchRequest{
 		Daemon: w.daemon.cfg.Name, Version: version, NotifyAddress: w.daemon.notifyAddressText(), AcceptsPacked: true,
+		RegistrationDigests: digests,
 	}, grpc.WaitForReady(true))
 	if err != nil {
 		return connected, err
@@ -217,6 +229,9 @@
 			}
 		}
 		w.applyUpdate(host, u, table)
+		if w.daemon.hasTable() {
+			w.recordSnapshot()
+		}
 		now := w.daemon.clock()
 		switch {
 		case u.GetStatus().GetCurrent():
@@ -229,6 +244,40 @@
 	}
 }
 
+// awaitSnapshot waits while another stream of a daemon without state receives its snapshot, so that the link
+// carries it only once.
+func (w *watches) awaitSnapshot(ctx context.Context, stream int) {
+	w.mu.Lock()
+	if w.snapshotReceived == nil {
+		w.snapshotReceived = make(chan struct{})
+	}
+	received := w.snapshotReceived
+	first := w.snapshotRequestedAt == 0
+	if first {
+		w.snapshotRequestedAt = w.daemon.clock()
+	}
+	remaining := w.snapshotRequestedAt + snapshotTimeout - w.daemon.clock()
+	w.mu.Unlock()
+	if first {
+		return
+	}
+	select {
+	case <-received:
+	case <-ctx.Done():
+	case <-time.After(max(remaining, 0)):
+	}
+}
+
+// recordSnapshot ends the wait of the other streams for the first snapshot.
+func (w *watches) recordSnapshot() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.snapshotReceived != nil && !w.hasSnapshot {
+		w.hasSnapshot = true
+		close(w.snapshotReceived)
+	}
+}
+
 // applyUpdate applies an update to the core and the directory. table is the latest table of the control
 // host, nil if it has sent none.
 func (w *watches) applyUpdate(host netip.AddrPort, u *entrypb.Update, table *routing.Table) {
