--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -52,6 +52,7 @@
 	upstreams          map[directory.Incarnation]*Upstream
 	upstreamsByCookie  map[directory.Cookie]*Upstream
 	placeableByService map[string][]*Upstream // upstreams that may get new flows
+	slotLimits         map[string]int         // by service, until its upstreams change
 	flows              map[Flow]*flowState
 	held               []heldPacket
 	flowsToReset       []Packet                          // latest packet of each
@@ -86,7 +87,7 @@
 	return &Core{
 		cfg: cfg, rng: rng, removedRoutes: map[netip.AddrPort]bool{},
 		upstreams: map[directory.Incarnation]*Upstream{}, upstreamsByCookie: map[directory.Cookie]*Upstream{},
-		placeableByService: map[string][]*Upstream{}, flows: map[Flow]*flowState{}, limits: map[string]*flowLimit{}, catchUps: map[string]*catchUp{},
+		placeableByService: map[string][]*Upstream{}, flows: map[Flow]*flowState{}, limits: map[string]*flowLimit{}, catchUps: map[string]*catchUp{}, slotLimits: map[string]int{},
 	}
 }
 
@@ -164,6 +165,7 @@
 		c.collectFlowsToReset(u)
 	}
 	u.Registration = r
+	delete(c.slotLimits, r.Service)
 	upstreams := c.placeableByService[r.Service]
 	i := slices.Index(upstreams, u)
 	placeable := r.State == directory.Ready && c.upstreamsByCookie[u.cookie] == u
@@ -205,6 +207,7 @@
 	if c.upstreamsByCookie[u.cookie] == u {
 		delete(c.upstreamsByCookie, u.cookie)
 	}
+	delete(c.slotLimits, u.Service)
 	upstreams := c.placeableByService[u.Service]
 	if position := slices.Index(upstreams, u); position >= 0 {
 		c.placeableByService[u.Service] = slices.Delete(upstreams, position, position+1)
--- a/pkg/forward/load_test.go
+++ b/pkg/forward/load_test.go
@@ -102,3 +102,19 @@
 	}
 	assert.Assert(t, counts[1] < 100 && counts[1] > 0, "%v", counts)
 }
+
+// Guards against an announcement with far too many slots drawing the flows of its whole service.
+func TestImplausibleSlotsDrawFewFlows(t *testing.T) {
+	c := newCore(10)
+	odd := testUpstream(11, "north", directory.Ready)
+	odd.Slots = directory.MaxSlots
+	c.SetUpstream(odd)
+	counts := map[directory.Key]int{}
+	for n := range 200 {
+		a := c.HandlePacket(0, synPacket(n, 0))
+		c.HandlePacket(0, dataPacket(n, 1, a.Cookie))
+		counts[a.Upstream.Key]++
+	}
+	// It counts as 16 slots beside 20 of the others.
+	assert.Assert(t, counts[11] <= 100, "%v", counts)
+}
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -115,8 +115,9 @@
 func (c *Core) chooseUpstream(now time.Duration, service string, tried []*Upstream) *Upstream {
 	var best *Upstream
 	lowest, ties := math.Inf(1), 0
+	maxSlots := c.maxPlausibleSlots(service)
 	for _, u := range c.placeableByService[service] {
-		cost := c.cost(now, u, tried)
+		cost := c.cost(now, u, tried, maxSlots)
 		switch {
 		case cost < lowest:
 			best, lowest, ties = u, cost, 1
@@ -130,14 +131,36 @@
 	return best
 }
 
+// maxSlotsRatio is how many times the median of its service an upstream's announced slots may count. An entry
+// with far more is a fault of its writer and would draw all flows of the service.
+const maxSlotsRatio = 8
+
+// maxPlausibleSlots returns the largest number of slots that counts for an upstream of a service.
+func (c *Core) maxPlausibleSlots(service string) int {
+	limit, known := c.slotLimits[service]
+	if !known {
+		var slots []int
+		for _, u := range c.placeableByService[service] {
+			slots = append(slots, u.Slots)
+		}
+		slices.Sort(slots)
+		if len(slots) > 0 {
+			limit = maxSlotsRatio * slots[(len(slots)-1)/2]
+		}
+		c.slotLimits[service] = limit
+	}
+	return limit
+}
+
 // cost returns the load per slot of an upstream as observed by this daemon, plus penalties. Penalties
-// do not exclude an upstream: when most upstreams are suspect, the others must not get all flows.
-func (c *Core) cost(now time.Duration, u *Upstream, tried []*Upstream) float64 {
+// do not exclude an upstream: when most upstreams are suspect, the others must not get all flows. At most
+// maxSlots of its slots count.
+func (c *Core) cost(now time.Duration, u *Upstream, tried []*Upstream, maxSlots int) float64 {
 	load := float64(u.inProgress) + idleFlowWeight*float64(u.flows)
 	if now < u.WarmupEnd {
 		load = (load + 1) * coldMultiplier
 	}
-	load /= float64(max(u.Slots, 1))
+	load /= float64(max(min(u.Slots, maxSlots), 1))
 	if u.DataCentre != c.cfg.DataCentre {
 		load += remotePenalty // a network partition between the data centres would break the flow
 	}
