Never reset a flow because of a copy of its SYN

A SYN that waits for its turn may be a copy of one that another daemon has placed, or whose flow has opened meanwhile; refusing it after the wait would reset an open flow. Such a SYN is dropped now, and a copy of a SYN whose flow has opened is ignored (found by reading; TestCopyOfOpenFlowIsNotRefused and TestTurnWaitIsBounded fail without it).

--- a/pkg/forward/catchup.go
+++ b/pkg/forward/catchup.go
@@ -18,8 +18,8 @@
 // for its turn.
 
 const (
-	// maxTurnWait bounds the wait of an overdue flow for its turn. It is refused then, so that its caller can
-	// still try again before its deadline.
+	// maxTurnWait bounds the wait of an overdue flow for its turn. Its SYN is dropped then; its caller sends
+	// another copy or tries again.
 	maxTurnWait = 500 * time.Millisecond
 	// minCatchUpWindow and maxCatchUpWindow bound the window of unanswered flows of a service.
 	minCatchUpWindow = 1
--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -315,7 +315,8 @@
 			case AwaitingCookie:
 				a.Reason = UnknownCookie
 			case AwaitingTurn:
-				a = Action{Verdict: Reset, Reason: Overdue}
+				// No reset: another daemon may have placed another copy of the SYN meanwhile.
+				a.Reason = Overdue
 			}
 		}
 		released = append(released, Released{h.packet, a})
--- a/pkg/forward/limit.go
+++ b/pkg/forward/limit.go
@@ -107,6 +107,7 @@
 	if route == nil || route.Objective <= 0 {
 		return
 	}
+	l.expire(now)
 	s.limited, s.limitedSince = true, now
 	l.inProgress++
 	l.requests = append(l.requests, limitedRequest{s, now, now + maxRequestAge*route.Objective})
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -84,6 +84,7 @@
 	HoldBufferFull               // too many packets are held
 	Overloaded                   // the service rejects requests; a new flow would be rejected too
 	OverLimit                    // answers of the service are slow, and its requests in progress reach their limit
+	LateSYN                      // copy of a SYN whose flow has opened
 	AwaitingTurn                 // the flow's request is late already; requests that can be in time go first
 	Overdue                      // no upstream had capacity for a request that was late already
 	reasonCount
@@ -92,7 +93,7 @@
 var reasonNames = [reasonCount]string{
 	"placed", "placed_again", "known", "known_flow", "no_table", "no_route", "route_removed",
 	"no_upstream", "upstream_gone", "unknown_cookie", "no_cookie", "awaiting_cookie", "unprepared", "hold_buffer_full",
-	"overloaded", "over_limit", "awaiting_turn", "overdue",
+	"overloaded", "over_limit", "late_syn", "awaiting_turn", "overdue",
 }
 
 // String returns the name of the reason in counters and logs.
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -45,6 +45,10 @@
 	var tried []*Upstream
 	var suspected *Upstream
 	if s := c.flows[p.Flow()]; s != nil && now-s.lastSeen < synRetryWindow {
+		if !s.halfOpen && now-s.placedAt < synRetryWindow {
+			// Refusing the copy would reset an open flow, and another upstream must not answer it.
+			return Action{Verdict: Drop, Reason: LateSYN}
+		}
 		tried = s.triedUpstreams
 		if s.halfOpen && p.Ack <= s.synCopy && s.upstream.State == directory.Ready {
 			// The network has duplicated the packet; a second upstream must not answer it.
