Never refuse a SYN that was held until its caller has sent another copy

A SYN held by a starting daemon for 200 ms or more may have a copy at another daemon whose flow is open; a refusal after the wait would reset it (found by reading; TestLongHeldSYNIsNotRefused fails without).

--- a/pkg/forward/catchup_test.go
+++ b/pkg/forward/catchup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -153,3 +154,22 @@
 	request.Seq = 101
 	assert.Equal(t, c.HandlePacket(time.Second, request).Upstream, first.Upstream)
 }
+
+// Guards against a reset of a flow whose SYN this daemon has held for so long that another daemon may have
+// placed the caller's next copy.
+func TestLongHeldSYNIsNotRefused(t *testing.T) {
+	c := New(Config{DataCentre: "north"}, rand.New(rand.NewPCG(1, 2)))
+	assert.Equal(t, c.HandlePacket(0, synPacket(1, 0)).Verdict, Hold)
+	assert.Equal(t, c.HandlePacket(150*time.Millisecond, synPacket(2, 0)).Verdict, Hold)
+	c.SetTable(testTable(1, route443))
+	c.SetUpstream(testUpstream(1, "north", directory.Ready))
+	c.SetPrepared()
+	l := c.limitOf("a")
+	l.active, l.size, l.slowShare, l.refusedAt = true, 0, 1, 200*time.Millisecond
+	verdicts := map[netip.AddrPort]Verdict{}
+	for _, r := range c.Release(200 * time.Millisecond) {
+		verdicts[r.Packet.Caller] = r.Action.Verdict
+	}
+	assert.Equal(t, verdicts[testCaller(1)], Forward)
+	assert.Equal(t, verdicts[testCaller(2)], Reset, "its caller has sent no other copy")
+}
--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -62,7 +62,6 @@
 	limits             map[string]*flowLimit             // by service
 	releaseDue         bool                              // a held packet may be decided before its hold time has passed
 	handshakes         handshakes
-	placements         uint64           // number of placements so far
 	overloadChanges    []OverloadChange // not yet taken by the caller
 	sweptAt            time.Duration
 	prepared           bool
--- a/pkg/forward/limit.go
+++ b/pkg/forward/limit.go
@@ -7,13 +7,11 @@
 
 // Limit of requests in progress in floods.
 //
-// When callers exceed the capacity of the upstreams for seconds, the queues of the upstreams are full, and
-// most requests that are served wait there until they are late. Rejections begin only then. A daemon cannot
-// see the queues, but the answer times show them: while many answers of a service are slow, the daemon limits
-// its requests in progress and refuses new flows beyond the limit at once. The limit follows the answer times,
-// so that the upstreams stay busy and their queues short. It applies where callers open a flow for each
-// request: requests on open flows cannot be refused, and refusing only the few new flows would not shorten the
-// queues.
+// When callers exceed the capacity of the upstreams for seconds, most requests that are served wait in full
+// queues until they are late; rejections begin only then. The answer times show the queues to a daemon: while
+// many answers are slow, it limits its requests in progress and refuses new flows beyond the limit at once.
+//
+// The limit applies only where callers open a flow for each request. Requests on open flows cannot be refused.
 
 const (
 	// slowAnswerObjectiveShare is the share of a route's objective from which an answer is slow. It leaves time
--- a/pkg/forward/place.go
+++ b/pkg/forward/place.go
@@ -63,7 +63,9 @@
 	if overdue && !c.admitsOverdue(now, service, p.Flow()) {
 		return Action{Verdict: Hold, Reason: AwaitingTurn, Suspected: suspected}
 	}
-	if p.Ack == 0 { // a retransmitted SYN is not refused: an upstream may still answer an earlier copy
+	// A retransmitted SYN is not refused, nor one that was held until the caller has retransmitted it: an
+	// upstream may still answer another copy.
+	if p.Ack == 0 && now-arrivedAt < synDelays[1] {
 		if refusal := c.admitFlow(now, service, route.Priority); refusal != nil {
 			c.closeFlow(p.Flow())
 			return *refusal
