--- a/pkg/edge/notification.go
+++ b/pkg/edge/notification.go
@@ -57,7 +57,7 @@
 }
 
 // hostStarted makes a stream that is not connected try a control host at once. While all streams are
-// connected, or one is and the daemon is ready, nothing changes.
+// connected, nothing changes.
 func (w *watches) hostStarted(host netip.AddrPort) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/pkg/forward/catchup.go
+++ b/pkg/forward/catchup.go
@@ -13,15 +13,15 @@
 // While no upstream or no daemon answers, callers retransmit their SYNs, and all of them return at the same
 // moment. They exceed the queues of the upstreams, so that new requests are late as well although the
 // upstreams have capacity for them. A flow whose request has missed its latency objective already is
-// overdue: it yields to the others. An overdue flow is placed only while the unanswered flows of its service
-// fit into a window, which grows while answers are fast and shrinks when they are slow. Otherwise it waits
+// overdue: it yields to the others. An overdue flow is placed only while the unanswered requests of its
+// service fit into a window, which grows while answers are fast and shrinks when they are slow. Otherwise it waits
 // for its turn.
 
 const (
 	// maxTurnWait bounds the wait of an overdue flow for its turn. Its SYN is dropped then; its caller sends
 	// another copy or tries again.
 	maxTurnWait = 500 * time.Millisecond
-	// minCatchUpWindow and maxCatchUpWindow bound the window of unanswered flows of a service.
+	// minCatchUpWindow and maxCatchUpWindow bound the window of unanswered requests of a service.
 	minCatchUpWindow = 1
 	maxCatchUpWindow = 64
 	// catchUpGrowth is the growth of the window with each fast answer.
