--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -134,7 +134,7 @@
 	if trouble {
 		for i, m := range f.controlList() {
 			body := marshal(map[string]any{
-				"service": "pressline", "address": netip.AddrPortFrom(f.ip(kindServer, 200), serverPort).String(), "zone": zoneNames[0], "version": "v1",
+				"service": "pressline", "address": netip.AddrPortFrom(f.ip(kindServer, 200), f.ports.server).String(), "zone": zoneNames[0], "version": "v1",
 				"concurrency": serverSlots, "state": "ready", "warmupRemainingMs": 0, "sequence": i + 1, "born": time.Now().UnixMilli(),
 			})
 			path := "/Instances.Heartbeat/%FF%FE-0badc0de"
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -182,6 +182,7 @@
 		case p := <-fl.inbox:
 			ended, was := fl.take(&p, &response)
 			if was {
+				fl.z.f.rec.event("request %s ends with the reset, without an answer; runs of it: %d", attempt, fl.z.f.runsOf(attempt))
 				return wasReset, false
 			}
 			if head, rest, complete := bytes.Cut(response, []byte("\r\n\r\n")); complete && len(rest) >= 600 {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -39,7 +39,7 @@
 var zoneNames = []string{"perth-a", "perth-b", "perth-c"}
 
 // ports are the same on all machines.
-type ports struct{ control, datagram, readiness, internal uint16 }
+type ports struct{ control, datagram, readiness, server, internal uint16 }
 
 // fleet is the system under test with the platform's part that the case plays.
 type fleet struct {
@@ -87,7 +87,7 @@
 	for range 50 {
 		f.subnet = byte(20 + rand.IntN(200))
 		base := uint16(20000 + rand.IntN(8000))
-		f.ports = ports{control: base, datagram: base + 1, readiness: base + 2, internal: base + 3}
+		f.ports = ports{control: base, datagram: base + 1, readiness: base + 2, server: base + 3, internal: base + 4}
 		if f.free() {
 			break
 		}
@@ -107,26 +107,33 @@
 	return f, nil
 }
 
-// free reports whether the ports can be used on the first addresses.
+// free reports whether the ports can be used on the first addresses of each kind.
 func (f *fleet) free() bool {
 	if f.ports.control == 0 {
 		return false
 	}
-	for _, port := range []uint16{f.ports.control, f.ports.readiness, f.ports.internal, 9102} {
-		l, err := net.Listen("tcp4", netip.AddrPortFrom(f.ip(1, 1), port).String())
-		if err != nil {
-			return false
+	for kind := kindCore; kind <= kindProxy; kind++ {
+		for _, port := range []uint16{f.ports.control, f.ports.readiness, f.ports.server, f.ports.internal, metricsPort} {
+			l, err := net.Listen("tcp4", netip.AddrPortFrom(f.ip(kind, 1), port).String())
+			if err != nil {
+				return false
+			}
+			l.Close()
+		}
+		for _, port := range []uint16{f.ports.datagram, f.ports.server, f.ports.internal} {
+			c, err := net.ListenPacket("udp4", netip.AddrPortFrom(f.ip(kind, 1), port).String())
+			if err != nil {
+				return false
+			}
+			c.Close()
 		}
-		l.Close()
-	}
-	c, err := net.ListenPacket("udp4", netip.AddrPortFrom(f.ip(1, 1), f.ports.datagram).String())
-	if err != nil {
-		return false
 	}
-	c.Close()
 	return true
 }
 
+// metricsPort is the port of the metrics in the deploy file.
+const metricsPort = 9102
+
 func (f *fleet) ip(kind, n int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, f.subnet, byte(kind), byte(n)})
 }
--- a/review/standin/ledger.go
+++ b/review/standin/ledger.go
@@ -34,6 +34,12 @@
 	}
 }
 
+func (f *fleet) runsOf(attempt string) int {
+	books.mu.Lock()
+	defer books.mu.Unlock()
+	return books.runs[attempt]
+}
+
 func (f *fleet) addServer(s *server) {
 	books.mu.Lock()
 	defer books.mu.Unlock()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -16,7 +16,6 @@
 )
 
 const (
-	serverPort    = 8080
 	serverSlots   = 3
 	firstRetry    = 200 * time.Millisecond // of a packet, doubled up to maxRetry
 	maxRetry      = 1600 * time.Millisecond
@@ -67,7 +66,7 @@
 	key := uint64(rand.Uint32())<<8 | uint64(n)
 	s := &server{
 		f: f, key: key, id: fmt.Sprintf("i-%010x", key), born: time.Now().UnixMilli(), service: service, zone: zoneNames[zone],
-		address: netip.AddrPortFrom(f.ip(kindServer, n), serverPort), slots: make(chan struct{}, serverSlots),
+		address: netip.AddrPortFrom(f.ip(kindServer, n), f.ports.server), slots: make(chan struct{}, serverSlots),
 		stopped: make(chan struct{}), alive: true, flows: map[netip.AddrPort]*serverFlow{},
 	}
 	s.endpoints = func() []string {
