Keep the other components running while an HTTP server stops

Callers saw: at a planned stop of a control host, calls that it had accepted could get 503, because the group had ended before they were answered.

Cause: http.Server.Serve returns as soon as Shutdown is called, and the first component that returns ends the supervisor tree. The control host stops its server first so that accepted calls can still use the group, but the group was told to end at the same moment.

Evidence: TestStoppedServerDoesNotEndTree, which failed before with "assertion failed: endedEarly is true".

Why this works: the component of a stopped server waits for the end of the tree. Interrupting it ends the tree's context as well, so a tree that has only servers still ends.

--- a/pkg/supervise/supervise.go
+++ b/pkg/supervise/supervise.go
@@ -36,14 +36,18 @@
 	t.group.Add(run, func(error) { stop() })
 }
 
-// Serve adds an HTTP server.
+// Serve adds an HTTP server. A component may stop the server before the tree ends: the others go on.
 func (t *Tree) Serve(server *http.Server, listener net.Listener) {
 	t.AddStoppable(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.WithStack(err)
 		}
+		<-t.ctx.Done() // the first component that returns ends the tree
 		return nil
-	}, func() { StopServer(server) })
+	}, func() {
+		StopServer(server)
+		t.cancel()
+	})
 }
 
 // serverStopTimeout is how long a stopping HTTP server waits for the requests that it has accepted.
--- a/pkg/supervise/supervise_test.go
+++ b/pkg/supervise/supervise_test.go
@@ -67,3 +67,25 @@
 	}
 	assert.NilError(t, <-ended)
 }
+
+// Guards against components that end while a stopping server still answers accepted requests, which may
+// need them.
+func TestStoppedServerDoesNotEndTree(t *testing.T) {
+	tree := New()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{}
+	tree.Serve(server, listener)
+	endedEarly := false
+	tree.Add(func(ctx context.Context) error {
+		StopServer(server)
+		select {
+		case <-ctx.Done():
+			endedEarly = true
+		case <-time.After(50 * time.Millisecond):
+		}
+		return nil
+	})
+	assert.NilError(t, tree.Run())
+	assert.Assert(t, !endedEarly)
+}
