Hand the vote of a stopping control host over before it ends

No read and no change was answered any more; all control hosts returned 503.

Cause: a host that is told to stop gave up its leadership, but not its vote. nextChange promoted a learner only after a voter had been silent for 3 s, on top of about 1 s of unanswered heartbeats. Until then the voters were the host that had gone, the one with the empty disk and one more, and a majority of them never exists again.

Evidence: in the logs of the case, 1002 of the old host at 13.844, the last line of a leader (4028) at 16.928, and no 4026 between them.

Ruled out: a successor that had not caught up (4027 shows the acknowledged version), a change that was proposed and not committed (no 4026), the handover of the leadership (3 ms).

Done: a stopping host asks the leader for its removal (MsgLeave) until that is committed, at most until 1 s before the end of the grace period. The policy treats a leaving voter as a lost one: a learner that has caught up is promoted, then the voter is removed, and the second change no longer waits for a tick. With enough other voters it is only removed; without a host to spare the stop does not wait, as most stops are restarts. Removed hosts are told at once. A voter that is silent without a word is replaced after 1.5 s instead of 3 s. Several voters may be lost where the group has more than it needs: the longest silent one goes first. Events 4031 and 4032, voters in 4028 and a gauge.

Why this works: the removal is committed by a majority of the remaining voters before the process ends, so a host that is gone never counts as lost.

--- a/pkg/agreement/election.go
+++ b/pkg/agreement/election.go
@@ -138,6 +138,9 @@
 			return
 		}
 	}
+	for _, p := range n.progress {
+		p.leaveTicks = max(0, p.leaveTicks-1)
+	}
 	n.heartbeatElapsed++
 	if n.heartbeatElapsed >= n.cfg.HeartbeatTicks {
 		n.heartbeatElapsed = 0
--- a/pkg/agreement/membership.go
+++ b/pkg/agreement/membership.go
@@ -233,6 +233,7 @@
 	Member
 	Responsive bool // answered one of the latest heartbeats
 	CaughtUp   bool // holds every committed entry and is responsive
+	Leaving    bool // requested to be replaced, since it is about to stop
 }
 
 // Members returns the status of the members, nil unless this node is the leader.
@@ -243,7 +244,10 @@
 	out := make([]MemberStatus, 0, len(n.membership()))
 	for _, m := range n.membership() {
 		self := m.Replica == n.self
-		out = append(out, MemberStatus{Member: m, Responsive: n.isResponsive(m.Replica), CaughtUp: self || n.caughtUp(m.Replica)})
+		out = append(out, MemberStatus{
+			Member: m, Responsive: n.isResponsive(m.Replica), CaughtUp: self || n.caughtUp(m.Replica),
+			Leaving: n.progress[m.Replica].leaveTicks > 0,
+		})
 	}
 	return out
 }
--- a/pkg/agreement/node.go
+++ b/pkg/agreement/node.go
@@ -238,6 +238,8 @@
 		n.stepHeartbeatReply(m)
 	case MsgTimeoutNow:
 		n.stepTimeoutNow(m)
+	case MsgLeave:
+		n.stepLeave(m)
 	case MsgReadIndex:
 		return n.queueRead(m.From, m.Context)
 	case MsgJoinRefused:
--- a/pkg/agreement/node_test.go
+++ b/pkg/agreement/node_test.go
@@ -343,3 +343,53 @@
 	m = messageFromReplica2(agreement.MsgSnapshot, 3, 0)
 	assert.ErrorIs(t, n.Step(m), agreement.ErrInvalidMessage)
 }
+
+// leaving reports whether the leader counts a replica as leaving.
+func leaving(leader *agreement.Node, r agreement.Replica) bool {
+	for _, m := range leader.Members() {
+		if m.Replica == r {
+			return m.Leaving
+		}
+	}
+	return false
+}
+
+// Guards against a host that was told to stop and did not end, but whose vote is given to another one much
+// later.
+func TestRequestToLeaveExpires(t *testing.T) {
+	g, leader := newGroupWithLeader(t, agreement.Config{ManualMembership: true}, 3, 3)
+	assert.ErrorIs(t, leader.RequestLeave(), agreement.ErrNoLeader)
+	follower := g.follower()
+	assert.NilError(t, follower.RequestLeave())
+	g.exchangeMessages()
+	assert.Assert(t, leaving(leader, follower.Status().Self))
+	g.tickAll(10)
+	assert.Assert(t, !leaving(leader, follower.Status().Self))
+}
+
+// Guards against a removed replica that finds out only after an election timeout, and against a stopping
+// one that never does because the notice was lost.
+func TestRemovalIsNotifiedAtOnce(t *testing.T) {
+	g, leader := newGroupWithLeader(t, agreement.Config{ManualMembership: true}, 4, 4)
+	for _, noticeLost := range []bool{false, true} {
+		var removed *agreement.Node
+		for _, n := range g.nodes {
+			if st := n.Status(); n != leader && leader.Status().Membership.IsVoter(st.Self) {
+				removed = n
+			}
+		}
+		id := removed.Status().Self.ID
+		g.disconnected[id] = noticeLost
+		_, err := leader.ProposeChange(agreement.Change{Kind: agreement.Remove, Replica: removed.Status().Self})
+		assert.NilError(t, err)
+		g.exchangeMessages()
+		assert.Equal(t, removed.Status().Removed, !noticeLost)
+		g.disconnected[id] = false
+		if noticeLost {
+			assert.NilError(t, removed.RequestLeave())
+			g.exchangeMessages()
+		}
+		assert.Assert(t, removed.Status().Removed)
+		g.disconnected[id] = true
+	}
+}
--- a/pkg/agreement/progress.go
+++ b/pkg/agreement/progress.go
@@ -32,6 +32,7 @@
 	stalledReplies       int    // consecutive heartbeat replies without a larger match
 	snapshotHeartbeats   int    // heartbeats since the snapshot was sent
 	confirmedReadRound   uint64 // latest read round that the replica confirmed
+	leaveTicks           int    // ticks for which the latest request to leave still counts
 }
 
 func (p *progress) startProbing() {
--- a/pkg/agreement/removal.go
+++ b/pkg/agreement/removal.go
@@ -49,6 +49,43 @@
 	n.send(Message{Kind: MsgRemoved, To: to, Index: n.log.committed})
 }
 
+// RequestLeave asks the leader to replace this replica, which is about to stop. The request counts for an
+// election timeout, so the caller repeats it until Status shows that the replica is removed, or stops
+// without a replacement.
+func (n *Node) RequestLeave() error {
+	if n.leader == None || n.leader == n.self {
+		return ErrNoLeader
+	}
+	n.send(Message{Kind: MsgLeave, To: n.leader})
+	return nil
+}
+
+// stepLeave records a member's request to leave. A replica whose removal is already committed gets the
+// notice again.
+func (n *Node) stepLeave(m Message) {
+	if n.role != Leader {
+		return
+	}
+	if p := n.progress[m.From]; p != nil {
+		p.leaveTicks = n.cfg.ElectionTicks
+		return
+	}
+	if n.hasCommittedInTerm() && !n.log.membershipAt(n.log.committed).Contains(m.From) {
+		n.sendRemoved(m.From)
+	}
+}
+
+// notifyRemoved sends a notice to the members that the committed entries have removed. Leaders send
+// entries to members only, so without it such a replica would find out only after an election timeout.
+func (n *Node) notifyRemoved(committedBefore uint64) {
+	before, now := n.log.membershipAt(committedBefore), n.log.membershipAt(n.log.committed)
+	for _, m := range before {
+		if _, member := now.Find(m.Replica.ID); !member && m.Replica != n.self {
+			n.sendRemoved(m.Replica)
+		}
+	}
+}
+
 // stepRemoved handles the notice of a leader of any term that the membership committed at m.Index lacks
 // this replica. The notice is outdated if the log has a later membership with this replica. The next
 // append, heartbeat or snapshot of a leader revokes it, since only members receive those.
--- a/pkg/agreement/replication.go
+++ b/pkg/agreement/replication.go
@@ -93,7 +93,9 @@
 	for _, e := range n.log.slice(n.log.committed, index) {
 		n.uncommittedBytes = max(0, n.uncommittedBytes-e.size())
 	}
+	committedBefore := n.log.committed
 	n.log.committed = index
+	n.notifyRemoved(committedBefore)
 	n.broadcastAppend(true)
 	n.releaseReads()
 	if !n.membership().IsVoter(n.self) && n.log.latestMembership().index <= index {
--- a/pkg/agreement/types.go
+++ b/pkg/agreement/types.go
@@ -92,6 +92,7 @@
 	MsgJoin           MessageKind = 13
 	MsgJoinRefused    MessageKind = 14
 	MsgRemoved        MessageKind = 15 // notifies a replica that it is no longer a member
+	MsgLeave          MessageKind = 16 // a voter that is about to stop asks the leader to replace it
 )
 
 // Message is one message between replicas. Messages may be lost, duplicated and reordered.
@@ -113,7 +114,7 @@
 
 // valid reports whether the fields of a message are consistent with each other.
 func (m *Message) valid() bool {
-	if m.From == None || m.Term == 0 || m.Kind < MsgPreVote || m.Kind > MsgRemoved {
+	if m.From == None || m.Term == 0 || m.Kind < MsgPreVote || m.Kind > MsgLeave {
 		return false
 	}
 	for i := range m.Entries {
--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -75,7 +75,7 @@
 		}
 		return controlhost.New(controlhost.Config{
 			Name: s.Name, ControlAddress: s.ControlAddress, PeerAddress: s.PeerAddress, PeerListenAddress: peerListen, Seeds: n.seeds, FirstStart: s.FirstStart, DataDir: s.DataDir,
-			ToleratedDisks: s.ToleratedDisks, AnnouncementInterval: s.AnnouncementInterval, FlowLifetime: s.FlowLifetime,
+			ToleratedDisks: s.ToleratedDisks, AnnouncementInterval: s.AnnouncementInterval, GracePeriod: s.GracePeriod, FlowLifetime: s.FlowLifetime,
 			Decode: platform.DecodeConfig, Handler: platform.ControlHandler, Log: n.log, Metrics: n.metrics, FS: dataFS(s.DataDir),
 		}).Run, nil
 	})
--- a/pkg/control/ensemble/calls.go
+++ b/pkg/control/ensemble/calls.go
@@ -144,6 +144,35 @@
 	}
 }
 
+// Leave makes another host a voter in place of this one before a planned stop, or only removes this one
+// if enough voters remain. Afterwards the host no longer takes part in the group. The error is
+// ErrTooFewMembers, returned at once, if the group has too few other members, and ErrNotReplaced if ctx
+// ends first; the host then stays a voter.
+func (g *Group) Leave(ctx context.Context) error {
+	g.leaving.Store(true)
+	for {
+		select {
+		case <-g.left:
+			return nil
+		default:
+		}
+		if st := g.Status(); !canLeave(st.Membership, st.Self, g.cfg.ToleratedDisks) {
+			return ErrTooFewMembers
+		}
+		select {
+		case g.calls <- func(c *core) { _ = c.node.RequestLeave() }: // repeated if there is no leader yet
+		default: // the core is busy
+		}
+		select {
+		case <-g.left:
+			return nil
+		case <-ctx.Done():
+			return errors.Wrap(ErrNotReplaced, ctx.Err().Error())
+		case <-time.After(tickInterval):
+		}
+	}
+}
+
 // TransferLeadership transfers the leadership to another host before a planned stop. It returns when
 // this host is no longer the leader, or when ctx ends.
 func (g *Group) TransferLeadership(ctx context.Context) error {
--- a/pkg/control/ensemble/core.go
+++ b/pkg/control/ensemble/core.go
@@ -43,6 +43,7 @@
 	previousLeader     agreement.Replica
 	answerTimes        answerTimes
 	leaderSince        time.Time
+	membershipApplied  bool // a membership change was committed since the last proposal of one
 	nextJoin           time.Time
 }
 
@@ -111,6 +112,14 @@
 		if err := c.processReady(); err != nil {
 			return err
 		}
+		// The replacement of a voter takes two changes. Between them a lost voter still counts.
+		for c.membershipApplied {
+			c.membershipApplied = false
+			c.proposeMembershipChange()
+			if err := c.processReady(); err != nil {
+				return err
+			}
+		}
 		if err := c.checkMembership(); err != nil {
 			return err
 		}
@@ -260,6 +269,7 @@
 				c.document = d
 			}
 		}
+		c.membershipApplied = c.membershipApplied || e.Kind == agreement.EntryMembership
 		c.completeProposal(e)
 	}
 	for _, read := range rd.Reads {
@@ -337,7 +347,7 @@
 func (c *core) trackLeadership(st agreement.Status) {
 	if st.Leader != c.previousLeader {
 		events.GroupLeaderChanged.Log(c.group.log, logrus.Fields{
-			"leader": memberName(st.Leader), "term": st.Term, "commit": st.Commit, "members": len(st.Membership),
+			"leader": memberName(st.Leader), "term": st.Term, "commit": st.Commit, "members": len(st.Membership), "voters": st.Membership.Voters(),
 		})
 	}
 	if st.Role == agreement.Leader && c.previousRole != agreement.Leader {
--- a/pkg/control/ensemble/ensemble.go
+++ b/pkg/control/ensemble/ensemble.go
@@ -57,11 +57,13 @@
 
 // Errors of this package.
 var (
-	ErrNoMajority   = errors.New("no majority of the control hosts answers: retry at another host, or when the connections are back")
-	ErrNotLeader    = errors.New("this control host is not the leader: retry at another host")
-	ErrTooFewVoters = errors.New("the group has fewer voters than the tolerated losses need: retry when more control hosts have joined")
-	errRemoved      = errors.New("the group has removed this host: its log is discarded and it joins again")
-	errSuperseded   = errors.New("the group has a later incarnation of this host: it joins again with a new one")
+	ErrNoMajority    = errors.New("no majority of the control hosts answers: retry at another host, or when the connections are back")
+	ErrNotLeader     = errors.New("this control host is not the leader: retry at another host")
+	ErrTooFewVoters  = errors.New("the group has fewer voters than the tolerated losses need: retry when more control hosts have joined")
+	errRemoved       = errors.New("the group has removed this host: its log is discarded and it joins again")
+	ErrTooFewMembers = errors.New("the group has too few other control hosts to replace this one: add one first if it is gone for good")
+	ErrNotReplaced   = errors.New("no other control host took over the vote in time: the host counts as lost until it is back or replaced")
+	errSuperseded    = errors.New("the group has a later incarnation of this host: it joins again with a new one")
 )
 
 // Document is one version of the configuration. This package does not interpret its content. A
@@ -109,8 +111,10 @@
 
 	document    atomic.Pointer[Document]
 	status      atomic.Pointer[Status]
-	begin       time.Time    // of the group in this process
-	processedAt atomic.Int64 // nanoseconds after begin when the core last finished all pending work
+	begin       time.Time     // of the group in this process
+	processedAt atomic.Int64  // nanoseconds after begin when the core last finished all pending work
+	leaving     atomic.Bool   // the host stops and does not join again
+	left        chan struct{} // closed when the group has removed the leaving host
 
 	mu                sync.Mutex
 	changed           chan struct{} // closed when the document or the membership changes
@@ -123,7 +127,7 @@
 	g := &Group{
 		cfg: cfg, selfID: MemberID(cfg.PeerAddress), log: cfg.Log,
 		calls: make(chan func(*core), queueLength), incoming: make(chan agreement.Message, queueLength),
-		changed: make(chan struct{}), begin: time.Now(),
+		changed: make(chan struct{}), left: make(chan struct{}), begin: time.Now(),
 	}
 	if g.cfg.FS == nil {
 		g.cfg.FS = storage.OS{}
@@ -221,6 +225,11 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if g.leaving.Load() && errors.Is(err, errRemoved) {
+			close(g.left)
+			<-ctx.Done()
+			break
+		}
 		g.status.Store(&Status{})
 		events.ReplicaFailed.Log(g.log, logrus.Fields{"error": err})
 		if errors.Is(err, errSuperseded) {
--- a/pkg/control/ensemble/policy.go
+++ b/pkg/control/ensemble/policy.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// replaceVoterAfter is the silence after which a voter is replaced by a learner that has caught
-	// up. It has to be longer than an election, and shorter than the time in which the successor of a
-	// lost host takes over its role (4 s on the smallest deployments).
-	replaceVoterAfter = 3 * time.Second
+	// replaceVoterAfter is the silence, after the heartbeats that make a member unresponsive, after which
+	// a voter is replaced by a learner that has caught up. Until then the loss of one more disk may stop
+	// the group for good. A voter that was only slow joins again at once.
+	replaceVoterAfter = 1500 * time.Millisecond
 	// removeLearnerAfter is the silence after which a learner is removed from the group; it may join
 	// again.
 	removeLearnerAfter = 30 * time.Second
@@ -72,15 +72,24 @@
 	return min(maxVoters, max(odd, minVoters, minVotersFor(tolerated)))
 }
 
+// canLeave reports whether a voter can be removed from the group: enough other members remain to be
+// voters.
+func canLeave(members agreement.Membership, self agreement.Replica, tolerated int) bool {
+	return members.IsVoter(self) && len(members)-1 >= max(minVoters, minVotersFor(tolerated))
+}
+
 // nextChange returns the next membership change, if one is needed: learners that have caught up
-// become voters while voters are missing or silent, and a silent voter is removed once enough live
-// voters remain.
+// become voters while voters are missing, silent or leaving, and a voter that is silent or leaving is
+// removed once there are more voters than needed. Of several the longest silent one goes first.
 func nextChange(members []memberView, tolerated int) (agreement.Change, bool) {
-	live, liveVoters := 0, 0
-	var silentVoter, silentLearner, caughtUpLearner *memberView
+	live, voters, liveVoters := 0, 0, 0
+	var lostVoter, silentLearner, caughtUpLearner *memberView
 	for i := range members {
 		m := &members[i]
-		isLive := m.silentFor < replaceVoterAfter
+		isLive := m.silentFor < replaceVoterAfter && !m.Leaving
+		if m.Voter {
+			voters++
+		}
 		switch {
 		case isLive && m.Voter:
 			live++
@@ -91,8 +100,8 @@
 				caughtUpLearner = m
 			}
 		case m.Voter:
-			if silentVoter == nil || m.silentFor > silentVoter.silentFor {
-				silentVoter = m
+			if lostVoter == nil || m.silentFor > lostVoter.silentFor {
+				lostVoter = m
 			}
 		case m.silentFor > removeLearnerAfter:
 			silentLearner = m
@@ -102,8 +111,8 @@
 	switch {
 	case caughtUpLearner != nil && liveVoters < target:
 		return agreement.Change{Kind: agreement.Promote, Replica: caughtUpLearner.Replica}, true
-	case silentVoter != nil && liveVoters >= target:
-		return agreement.Change{Kind: agreement.Remove, Replica: silentVoter.Replica}, true
+	case lostVoter != nil && voters > target:
+		return agreement.Change{Kind: agreement.Remove, Replica: lostVoter.Replica}, true
 	case silentLearner != nil:
 		return agreement.Change{Kind: agreement.Remove, Replica: silentLearner.Replica}, true
 	}
--- a/pkg/control/ensemble/schedule_test.go
+++ b/pkg/control/ensemble/schedule_test.go
@@ -20,7 +20,8 @@
 func (s *sim) lostHosts() int {
 	count := 0
 	for _, h := range s.hosts {
-		if h.permanentlyLost && s.round < h.lostUntil || !h.permanentlyLost && s.round < max(h.lostUntil, h.downUntil, h.frozenUntil, h.disconnectedUntil)+catchUpRounds {
+		stopping := h.isStopping(s.round) && h.node != nil
+		if stopping || h.permanentlyLost && s.round < h.lostUntil || !h.permanentlyLost && s.round < max(h.lostUntil, h.downUntil, h.frozenUntil, h.disconnectedUntil)+catchUpRounds {
 			count++
 		}
 	}
@@ -43,10 +44,10 @@
 		}
 		return
 	}
-	if h.permanentlyLost || s.lostHosts() >= s.tolerated || s.round < 100 {
+	if h.permanentlyLost || h.stopAtRound > 0 || s.lostHosts() >= s.tolerated || s.round < 100 {
 		return
 	}
-	switch s.rng.IntN(6) {
+	switch s.rng.IntN(8) {
 	case 0:
 		h.frozenUntil = endRound
 	case 1:
@@ -57,15 +58,39 @@
 		h.node, h.downUntil, h.disk = nil, endRound, disk{empty: true}
 	case 5: // the host is permanently lost; a successor starts at another address
 		h.node, h.permanentlyLost, h.lostUntil = nil, true, endRound+catchUpRounds
-		successor := &simHost{address: address(len(s.hosts) + 1), disk: disk{empty: true}, downUntil: endRound - 4}
-		s.hosts = append(s.hosts, successor)
-		// The seeds are hosts that are not permanently lost, so they may differ from the earlier
-		// ones.
-		s.seeds = nil
-		for _, h := range s.hosts {
-			if !h.permanentlyLost && len(s.seeds) < 3 {
-				s.seeds = append(s.seeds, h.address)
-			}
+		s.addHost(endRound - 4)
+	case 6: // a planned restart
+		h.stopAtRound, h.lostUntil = s.round, s.round+graceRounds+5
+	case 7: // a planned replacement: the successor has caught up when the host is told to stop
+		s.addHost(s.round)
+		h.stopAtRound, h.removed = s.round+catchUpRounds+s.rng.IntN(60), true
+	}
+}
+
+// addHost adds a host with an empty disk that starts in a round.
+func (s *sim) addHost(startRound int) *simHost {
+	h := &simHost{address: address(len(s.hosts) + 1), disk: disk{empty: true}, downUntil: startRound}
+	s.hosts = append(s.hosts, h)
+	s.selectSeeds()
+	return h
+}
+
+// selectSeeds makes the first hosts that are not gone for good the seeds, so they may differ from the
+// earlier ones.
+func (s *sim) selectSeeds() {
+	s.seeds = nil
+	for _, h := range s.hosts {
+		if !h.permanentlyLost && !h.removed && len(s.seeds) < 3 {
+			s.seeds = append(s.seeds, h.address)
+		}
+	}
+}
+
+// delayStops postpones a planned stop while as many hosts are lost as the deployment tolerates.
+func (s *sim) delayStops() {
+	for _, h := range s.hosts {
+		if h.stopAtRound == s.round && s.lostHosts() > s.tolerated {
+			h.stopAtRound++
 		}
 	}
 }
@@ -81,6 +106,7 @@
 func (s *sim) run() string {
 	for ; s.round < s.rounds && s.violation == ""; s.round++ {
 		s.restartHosts()
+		s.delayStops()
 		s.injectFault()
 		s.deliver()
 		s.tickHosts()
--- a/pkg/control/ensemble/sim_test.go
+++ b/pkg/control/ensemble/sim_test.go
@@ -51,6 +51,9 @@
 	frozenUntil       int
 	disconnectedUntil int
 	permanentlyLost   bool
+	stopAtRound       int                         // round in which the process is told to stop, 0 if it is not
+	killAtRound       int                         // round by which a process that was told to stop is killed
+	removed           bool                        // does not start again after the stop
 	proposals         map[proposalPosition]uint64 // version by position
 	expectedReads     map[uint64]uint64           // lowest version that the read may return, by context
 	readyReads        []agreement.ReadState
@@ -86,12 +89,17 @@
 }
 
 func newSim(seed uint64) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 9)), incarnationClock: 1000, usedIncarnations: map[uint64]bool{}, rounds: scheduleRounds}
-	size := 3 + s.rng.IntN(4)
-	s.tolerated = 1
+	rng := rand.New(rand.NewPCG(seed, 9))
+	size, tolerated := 3+rng.IntN(4), 1
 	if size >= 5 {
-		s.tolerated = 1 + s.rng.IntN(2)
+		tolerated = 1 + rng.IntN(2)
 	}
+	return newSimOf(seed, size, tolerated)
+}
+
+// newSimOf returns a group of a given size. The first three hosts found it, and the others join.
+func newSimOf(seed uint64, size, tolerated int) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 10)), tolerated: tolerated, incarnationClock: 1000, usedIncarnations: map[uint64]bool{}, rounds: scheduleRounds}
 	for i := range 3 {
 		s.seeds = append(s.seeds, address(i+1))
 	}
@@ -251,6 +259,9 @@
 			continue
 		}
 		h.node.Tick()
+		if h.isStopping(s.round) && s.stop(h) {
+			continue
+		}
 		if members := h.node.Members(); members != nil {
 			if change, ok := nextChange(h.answerTimes.views(s.now(), members), s.tolerated); ok {
 				_, _ = h.node.ProposeChange(change)
@@ -272,6 +283,40 @@
 	}
 }
 
+// isStopping reports whether the process was told to stop.
+func (h *simHost) isStopping(round int) bool { return h.stopAtRound > 0 && round >= h.stopAtRound }
+
+// graceRounds is the time after which a process that was told to stop is killed.
+const graceRounds = 45
+
+// stop takes the steps of a planned stop: the host transfers its leadership and leaves the group. It
+// reports whether the process has ended.
+func (s *sim) stop(h *simHost) bool {
+	if h.killAtRound == 0 {
+		h.killAtRound = s.round + graceRounds
+	}
+	st := h.node.Status()
+	switch {
+	case st.Removed || !canLeave(st.Membership, st.Self, s.tolerated) || s.round >= h.killAtRound:
+		h.node, h.stopAtRound, h.killAtRound = nil, 0, 0
+		if h.removed {
+			h.permanentlyLost = true
+		} else {
+			h.downUntil = s.round + 5
+		}
+		return true
+	case st.Role == agreement.Leader:
+		for _, m := range h.node.Members() {
+			if m.Voter && m.CaughtUp && h.node.TransferLeadership(m.Replica) == nil {
+				break
+			}
+		}
+	default:
+		_ = h.node.RequestLeave() // repeated if there is no leader yet
+	}
+	return false
+}
+
 // runClients submits a document and reads, each at a random host.
 func (s *sim) runClients() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -52,6 +52,8 @@
 	maxLogLinesPerSecond = 100
 	// leadershipTransferTimeout limits the transfer of the leadership at a planned stop.
 	leadershipTransferTimeout = time.Second
+	// stopReserve is the part of the grace period that is left for the end of the process.
+	stopReserve = time.Second
 )
 
 // Config describes a control host.
@@ -65,6 +67,7 @@
 	DataDir                     string
 	ToleratedDisks              int
 	AnnouncementInterval        time.Duration // time between two announcements of an upstream
+	GracePeriod                 time.Duration // from the stop signal to the end of the process
 	FlowLifetime                time.Duration
 	// Decode decodes the content of a configuration.
 	Decode func(content []byte) (*routing.Table, error)
@@ -160,8 +163,17 @@
 
 	tree := supervise.New()
 	tree.Add(func(treeCtx context.Context) error {
-		h.awaitStop(ctx, treeCtx)
+		select {
+		case <-treeCtx.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		events.DaemonStopping.Log(h.log, logrus.Fields{"daemon": h.cfg.Name})
+		stopCtx, cancel := context.WithTimeout(treeCtx, h.cfg.GracePeriod-stopReserve)
+		defer cancel()
+		h.transferLeadership(stopCtx)
 		supervise.StopServer(httpServer) // while the group still runs, which the accepted calls need
+		h.leaveGroup(stopCtx)
 		return nil
 	})
 	for _, task := range []func(context.Context) error{h.group.Run, h.followConfig, h.watchDirectory, h.sharing.run, h.saveRegistrations} {
@@ -175,22 +187,26 @@
 	return err
 }
 
-// awaitStop waits until ctx requests the stop of the host, and then transfers its leadership. treeCtx
-// ends when another task has ended.
-func (h *Host) awaitStop(ctx, treeCtx context.Context) {
-	select {
-	case <-treeCtx.Done():
-		return
-	case <-ctx.Done():
-	}
-	events.DaemonStopping.Log(h.log, logrus.Fields{"daemon": h.cfg.Name})
-	timeoutCtx, cancel := context.WithTimeout(treeCtx, leadershipTransferTimeout)
+// transferLeadership gives up the leadership of the group at a planned stop.
+func (h *Host) transferLeadership(ctx context.Context) {
+	timeoutCtx, cancel := context.WithTimeout(ctx, leadershipTransferTimeout)
 	defer cancel()
 	if err := h.group.TransferLeadership(timeoutCtx); err != nil {
 		events.LeadershipNotTransferred.Log(h.log, logrus.Fields{"error": err})
 	}
 }
 
+// leaveGroup gives up this host's vote in the group at a planned stop. The host may not come back, and until
+// it was replaced it would count as lost.
+func (h *Host) leaveGroup(ctx context.Context) {
+	begin := time.Now()
+	if err := h.group.Leave(ctx); err != nil {
+		events.GroupNotLeft.Log(h.log, logrus.Fields{"error": err})
+		return
+	}
+	events.GroupLeft.Log(h.log, logrus.Fields{"took_ms": time.Since(begin).Milliseconds()})
+}
+
 // followConfig decodes each configuration that comes into force.
 func (h *Host) followConfig(ctx context.Context) error {
 	for {
@@ -261,6 +277,7 @@
 	m := h.cfg.Metrics
 	m.Gauge("config_version", func() float64 { return float64(h.table.Load().Version) })
 	m.Gauge("group_members", func() float64 { return float64(len(h.group.Status().Membership)) })
+	m.Gauge("group_voters", func() float64 { return float64(h.group.Status().Membership.Voters()) })
 	m.Gauge("group_current", func() float64 {
 		if h.group.Current() {
 			return 1
--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -79,7 +79,7 @@
 	for _, peer := range seeds {
 		cfg := Config{
 			Name: peer.String(), ControlAddress: freeAddress(t), PeerAddress: peer, Seeds: func() []netip.AddrPort { return seeds[:min(n, 3)] }, FirstStart: true,
-			DataDir: filepath.Join(t.TempDir(), "data"), ToleratedDisks: min((n-1)/2, 2), AnnouncementInterval: 500 * time.Millisecond, FlowLifetime: time.Minute,
+			DataDir: filepath.Join(t.TempDir(), "data"), ToleratedDisks: min((n-1)/2, 2), AnnouncementInterval: 500 * time.Millisecond, GracePeriod: gracePeriod, FlowLifetime: time.Minute,
 			Decode: decodeTestConfig, Handler: func(*Host) http.Handler { return http.NotFoundHandler() }, Log: log, Metrics: telemetry.NewSet(),
 		}
 		change(&cfg)
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -114,5 +114,7 @@
 	GroupLeaderChanged       = add(Event{4028, logrus.InfoLevel, "leader of the group changed", "check the connections between the control hosts if it repeats"})
 	ConfigSubmissionAnswered = add(Event{4029, logrus.InfoLevel, "request of an operator to change the configuration answered", ""})
 	ConfigReadAnswered       = add(Event{4030, logrus.InfoLevel, "request to read the configuration answered", ""})
+	GroupLeft                = add(Event{4031, logrus.InfoLevel, "control host that stops has left the voters of the group", ""})
+	GroupNotLeft             = add(Event{4032, logrus.InfoLevel, "control host stops without leaving the voters of the group", "add another control host if this one does not come back"})
 	CountersDropped          = add(Event{4018, logrus.WarnLevel, "daily counters were dropped before they were reported", "repair the connection to the control replicas"})
 )
