Refuse texts that protobuf cannot encode, and isolate such registrations

Cause: the id comes percent-decoded from the path, and Registration.Check looked at lengths only. Names are protobuf strings, and a message is not encoded at all if one of its strings is not valid UTF-8. Updates to entry daemons, batches to other control hosts and registrations.bin all hold every registration, so each of them failed until the entry expired after 60 s.

Evidence: 612 to 614 lines 4014 on each entry daemon in 20 s, with "grpc: error while marshaling: string field contains invalid UTF-8", 102 to 118 lines 3008 and 16 to 18 lines 3010 on each control host, 4027 on all of them.

Ruled out: the control hosts lacked the version (4027), lost connections (4013 before each 4014, code Internal), the table (3008 and 3010 carry none).

Done: Check refuses texts that are not valid UTF-8, so announcements get 400 and what another process sends is refused entry by entry. Where many registrations are encoded, one that cannot be is left out (3021, counter). Ended watches and sharing streams are counted by code, failed writes as well.

Why this works: the boundary keeps such texts out, and if one is in the directory all the same, no other registration is affected by it.

--- a/pkg/control/directory/registration.go
+++ b/pkg/control/directory/registration.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -121,6 +122,9 @@
 func (r *Registration) Check(now time.Duration) error {
 	invalid := func(field, problem string) error { return &InvalidError{field, problem} }
 	a := r.Address.Addr()
+	if err := r.CheckText(); err != nil {
+		return err
+	}
 	switch {
 	case len(r.Name) > MaxNameBytes:
 		return invalid("name", "is too long")
@@ -142,6 +146,17 @@
 	return nil
 }
 
+// CheckText returns an *InvalidError for the first text that is not valid UTF-8. Protobuf refuses to encode
+// such a text, and with it the whole message.
+func (r *Registration) CheckText() error {
+	for _, text := range []struct{ field, value string }{{"name", r.Name}, {"service", r.Service}, {"data centre", r.DataCentre}} {
+		if !utf8.ValidString(text.value) {
+			return &InvalidError{text.field, "is not valid UTF-8"}
+		}
+	}
+	return nil
+}
+
 var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
 
 // FromProto is the inverse of Proto; now is the receiver's time. The error is an *InvalidError: a process of
--- a/pkg/controlhost/keep.go
+++ b/pkg/controlhost/keep.go
@@ -94,6 +94,7 @@
 		if changed {
 			if err := h.writeRegistrations(registrations); err != nil {
 				events.RegistrationsNotSaved.Log(h.log, logrus.Fields{"error": err})
+				h.count("registration_save_failures")
 				pause = saveRetryInterval
 				h.saver.request()
 			} else {
@@ -117,11 +118,7 @@
 func (h *Host) registrationsPath() string { return filepath.Join(h.cfg.DataDir, registrationsFile) }
 
 func (h *Host) writeRegistrations(registrations []directory.Registration) error {
-	batch := &entrypb.Batch{NotifyAddresses: h.notifyAddresses.texts()}
-	now := h.clock()
-	for i := range registrations {
-		batch.Registrations = append(batch.Registrations, registrations[i].Proto(now))
-	}
+	batch := &entrypb.Batch{NotifyAddresses: h.notifyAddresses.texts(), Registrations: h.encodeRegistrations(registrations, h.clock())}
 	data, err := proto.Marshal(batch)
 	if err != nil {
 		return errors.WithStack(err)
--- a/pkg/controlhost/sharing.go
+++ b/pkg/controlhost/sharing.go
@@ -112,17 +112,21 @@
 // shareChange forwards a changed registration. It returns a channel that is closed when every
 // connected host has confirmed it, or when one of them does not confirm in time.
 func (s *sharing) shareChange(r directory.Registration) <-chan struct{} {
-	registration := r.Proto(s.host.clock())
+	allConfirmed := make(chan struct{})
+	encoded := s.host.encodeRegistrations([]directory.Registration{r}, s.host.clock())
+	if len(encoded) == 0 {
+		close(allConfirmed)
+		return allConfirmed
+	}
 	var confirmations []chan struct{}
 	s.mu.Lock()
 	for _, p := range s.peers {
 		confirmed := make(chan struct{})
-		if p.enqueue(registration, confirmed) {
+		if p.enqueue(encoded[0], confirmed) {
 			confirmations = append(confirmations, confirmed)
 		}
 	}
 	s.mu.Unlock()
-	allConfirmed := make(chan struct{})
 	go func() {
 		defer close(allConfirmed)
 		for _, w := range confirmations {
@@ -181,6 +185,7 @@
 		p.mu.Unlock()
 		if wasConnected {
 			events.SharingEnded.Log(p.sharing.host.log, logrus.Fields{"host": p.address, "error": err})
+			p.sharing.host.count("sharing_ended", "code", errorCode(err))
 		}
 		select {
 		case <-ctx.Done():
@@ -249,14 +254,12 @@
 	h.mu.Lock()
 	registrations := h.directory.Changes(0)
 	h.mu.Unlock()
+	encoded := h.encodeRegistrations(registrations, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.connected, p.queue, p.lastConfirmed, p.lastBatchNumber = true, nil, time.Now(), 0
+	p.connected, p.queue, p.lastConfirmed, p.lastBatchNumber = true, encoded, time.Now(), 0
 	p.batchWaiters = map[uint64][]chan struct{}{}
 	p.notifyAddresses = h.notifyAddresses.texts()
-	for i := range registrations {
-		p.queue = append(p.queue, registrations[i].Proto(now))
-	}
 }
 
 func (p *sharePeer) hasQueued() bool {
--- a/pkg/controlhost/watch.go
+++ b/pkg/controlhost/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/status"
 
 	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/control/directory"
@@ -42,12 +43,14 @@
 		h.mu.Unlock()
 		if err := stream.Send(w.nextUpdate()); err != nil {
 			events.WatchEnded.Log(h.log, logrus.Fields{"daemon": request.GetDaemon(), "error": err})
+			h.count("watches_ended", "code", status.Code(err).String())
 			return err
 		}
 		timer.Reset(statusInterval)
 		select {
 		case <-stream.Context().Done():
 			events.WatchEnded.Log(h.log, logrus.Fields{"daemon": request.GetDaemon(), "error": stream.Context().Err()})
+			h.count("watches_ended", "code", status.FromContextError(stream.Context().Err()).Code().String())
 			return stream.Context().Err()
 		case <-h.ctx.Done():
 			return nil
@@ -108,9 +111,7 @@
 	if first && len(w.digests) > 0 {
 		changes = func(uint64) []directory.Registration { return h.directory.Differing(w.digests) }
 	}
-	for _, r := range changes(w.sentRevision) {
-		u.Registrations = append(u.Registrations, r.Proto(now))
-	}
+	u.Registrations = h.encodeRegistrations(changes(w.sentRevision), now)
 	w.sentRevision = h.directory.Revision()
 	return u
 }
@@ -151,9 +152,7 @@
 		s.Table = t.Proto()
 	}
 	h.mu.Lock()
-	for _, r := range h.directory.Changes(0) {
-		s.Registrations = append(s.Registrations, r.Proto(now))
-	}
+	s.Registrations = h.encodeRegistrations(h.directory.Changes(0), now)
 	revision := h.directory.Revision()
 	h.mu.Unlock()
 	data, err := directory.PackSnapshot(s)
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/status"
 
 	entrypb "rosemarygate/api/entry/v1"
 	"rosemarygate/pkg/control/directory"
@@ -98,6 +99,7 @@
 			}
 			if ctx.Err() == nil {
 				events.WatchEnded.Log(w.daemon.log, logrus.Fields{"host": host, "error": err})
+				w.daemon.cfg.Metrics.Counter("watches_ended", "code", status.Code(err).String()).Inc()
 			}
 		}
 		cancelDial()
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -84,6 +84,7 @@
 	NotifyAddressRefused     = add(Event{3018, logrus.WarnLevel, "address of an entry daemon for notifications is invalid and ignored", "check the release of the entry daemon"})
 	HostStartReceived        = add(Event{3019, logrus.InfoLevel, "entry daemon was told that a control host has started", ""})
 	SnapshotNotPacked        = add(Event{3020, logrus.WarnLevel, "snapshot for an entry daemon cannot be compressed and is sent as it is", "report the error field"})
+	RegistrationNotEncoded   = add(Event{3021, logrus.WarnLevel, "registration cannot be encoded; it is left out of messages and files", "correct the writer that announces this upstream; the error names the field"})
 	RegistrationsReceived    = add(Event{3014, logrus.InfoLevel, "entry daemon received many changed registrations at once", ""})
 	ConfigInForce            = add(Event{4001, logrus.InfoLevel, "configuration in force", ""})
 	ConfigRefused            = add(Event{4002, logrus.WarnLevel, "configuration refused", "read the error field and correct the folder"})
