Let half of an even group go on when a copy of the other half is lost

With four hosts the group stopped for good: no read and no change was answered.

Cause: until the killed host's vote is replaced, which takes 2.5 s of silence, it counts like any other, and a group of three voters needs two of them. More voters alone do not help, as four need three.

Ruled out: replacing silent voters sooner. Every slow host would be replaced, and a window remains. Waiting for acknowledgements of learners: a leader that falls back to the voters cannot prove later that no entry was missed.

Done: all hosts vote, up to seven. A later incarnation of a host that asks to join proves that its earlier copy is lost, and messages state what their sender knows of losses. A majority of the voters that are not lost decides if it meets every majority of all. A vote, an acknowledgement or a read confirmation counts for that only if its sender stated the loss. While a membership change is not committed, elections, commits and reads need a quorum of the membership before it as well, and the members of both take part.

Changed expectations: TestNextChange said that a fourth host waits for a fifth before it votes, since an odd number was the aim; now it says that the fourth one votes, and the row on a short silence has four voters, none of which may be replaced. The schedules kill hosts for good now.

Price: a group of four that is cut into halves accepts no change until the cut ends.

--- a/pkg/agreement/convert.go
+++ b/pkg/agreement/convert.go
@@ -104,16 +104,32 @@
 		Kind: controlpb.AgreementKind(m.Kind), From: ReplicaProto(m.From), To: ReplicaProto(m.To),
 		Term: m.Term, Group: m.Group, Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit,
 		Entries: EntriesProto(m.Entries), Reject: m.Reject, Hint: m.Hint,
-		Snapshot: SnapshotProto(m.Snapshot), Context: m.Context, Force: m.Force,
+		Snapshot: SnapshotProto(m.Snapshot), Context: m.Context, Force: m.Force, Lost: replicasProto(m.Lost),
 	}
 }
 
+func replicasProto(replicas []Replica) []*controlpb.Replica {
+	var out []*controlpb.Replica
+	for _, r := range replicas {
+		out = append(out, ReplicaProto(r))
+	}
+	return out
+}
+
+func replicasFromProto(in []*controlpb.Replica) []Replica {
+	var out []Replica
+	for _, p := range in {
+		out = append(out, ReplicaFromProto(p))
+	}
+	return out
+}
+
 // MessageFromProto is the inverse of MessageProto.
 func MessageFromProto(p *controlpb.AgreementMessage) Message {
 	return Message{
 		Kind: MessageKind(p.GetKind()), From: ReplicaFromProto(p.GetFrom()), To: ReplicaFromProto(p.GetTo()),
 		Term: p.GetTerm(), Group: p.GetGroup(), Index: p.GetIndex(), LogTerm: p.GetLogTerm(), Commit: p.GetCommit(),
 		Entries: EntriesFromProto(p.GetEntries()), Reject: p.GetReject(), Hint: p.GetHint(),
-		Snapshot: SnapshotFromProto(p.GetSnapshot()), Context: p.GetContext(), Force: p.GetForce(),
+		Snapshot: SnapshotFromProto(p.GetSnapshot()), Context: p.GetContext(), Force: p.GetForce(), Lost: replicasFromProto(p.GetLost()),
 	}
 }
--- a/pkg/agreement/doc.go
+++ b/pkg/agreement/doc.go
@@ -13,8 +13,11 @@
 //   - A term has at most one leader, because a replica votes once in a term and syncs the vote first.
 //   - A leader commits an entry of its own term, and with it all entries before it, once a majority
 //     of the voters has synced it. A committed entry is in the log of every later leader.
+//   - Where voters are known to be lost, a majority of the others is enough if it meets every majority of
+//     all voters (quorum.go).
 //   - The membership of a node is the latest in its log, committed or not. A change adds or removes
-//     at most one voter, and the next change is accepted only after it is committed.
+//     at most one voter, and the next change is accepted only after it is committed. Until then elections,
+//     commits and reads need a quorum of the membership before the change as well.
 //   - A read is released only after a majority has confirmed the leader after the read arrived.
 //     This does not depend on clocks.
 //   - A replica that a leader notified of its removal neither campaigns nor requests to join until a
--- a/pkg/agreement/election.go
+++ b/pkg/agreement/election.go
@@ -52,8 +52,8 @@
 }
 
 func (n *Node) requestVotes(kind MessageKind, term uint64, force bool) {
-	n.votes = map[Replica]bool{n.self: true}
-	for _, m := range n.membership() {
+	n.votes = map[Replica]statement{n.self: {true, n.knownLost()}}
+	for _, m := range n.participants() {
 		if m.Replica == n.self || !m.Voter {
 			continue
 		}
@@ -96,16 +96,15 @@
 	if !isPreVoteReply && (n.role != Candidate || m.Kind != MsgVoteReply) {
 		return
 	}
-	n.votes[m.From] = !m.Reject
+	n.votes[m.From] = statement{!m.Reject, m.Lost}
 	n.countVotes()
 }
 
-// countVotes ends the election when a majority of the voters has granted or refused.
+// countVotes ends the election when a quorum has granted or a majority has refused.
 func (n *Node) countVotes() {
-	granted := func(r Replica) bool { return n.votes[r] }
-	refused := func(r Replica) bool { v, ok := n.votes[r]; return ok && !v }
+	refused := func(r Replica) bool { v, ok := n.votes[r]; return ok && !v.agrees }
 	switch {
-	case n.membership().hasQuorum(granted):
+	case n.isDecided(func(r Replica) statement { return n.votes[r] }):
 		n.winElection()
 	case n.membership().hasQuorum(refused):
 		n.becomeFollower(n.term, None)
@@ -151,7 +150,8 @@
 
 // checkQuorum reports whether a majority of the voters answered since the last check.
 func (n *Node) checkQuorum() bool {
-	ok := n.membership().hasQuorum(n.isActive)
+	lost := n.knownLost()
+	ok := n.membership().agreesWithout(lost, func(r Replica) statement { return statement{n.isActive(r), lost} })
 	for _, p := range n.progress {
 		p.recentlyActive = false
 	}
--- a/pkg/agreement/node.go
+++ b/pkg/agreement/node.go
@@ -73,12 +73,14 @@
 	heartbeatElapsed int
 	electionTimeout  int // ticks, randomised
 
-	votes            map[Replica]bool
+	votes            map[Replica]statement
 	progress         map[Replica]*progress
 	uncommittedBytes int     // bytes of this leader's entries that are not yet committed
 	transferTarget   Replica // target of a leadership transfer, None if there is none
 	reads            readQueue
 
+	lost map[ident.DaemonID]ident.Incarnation // latest copies that are known to be lost
+
 	pendingSnapshot *Snapshot // received, but not yet handled by the caller
 	pendingMessages []Message
 	releasedReads   []ReadState
@@ -126,6 +128,7 @@
 	if n.diverged {
 		return
 	}
+	n.forgetReplaced()
 	n.electionElapsed++
 	if n.role == Leader {
 		n.tickLeader()
@@ -153,6 +156,7 @@
 		return ErrDiverged
 	}
 	if m.Kind == MsgJoin {
+		n.recordIncarnation(m.From)
 		return n.stepJoin(m)
 	}
 	if n.handleRemovedCandidate(m) {
@@ -168,6 +172,7 @@
 	if !m.valid() {
 		return ErrInvalidMessage
 	}
+	n.recordLost(m.Lost...)
 	if m.Kind == MsgRemoved {
 		n.stepRemoved(m)
 		return nil
@@ -254,6 +259,7 @@
 func (n *Node) send(m Message) {
 	m.From = n.self
 	m.Group = n.group
+	m.Lost = n.knownLost()
 	if m.Term == 0 {
 		m.Term = n.term
 	}
--- a/pkg/agreement/node_test.go
+++ b/pkg/agreement/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -393,3 +394,74 @@
 		g.disconnected[id] = true
 	}
 }
+
+// isolate connects the nodes with the given IDs with each other only.
+func (g *memGroup) isolate(ids ...ident.DaemonID) {
+	for _, n := range g.nodes {
+		id := n.Status().Self.ID
+		g.disconnected[id] = !slices.Contains(ids, id)
+	}
+}
+
+// evenGroup returns a group of four voters and a learner, its leader, and the IDs of the other voters.
+func evenGroup(t *testing.T) (*memGroup, *agreement.Node, []ident.DaemonID) {
+	t.Helper()
+	g, leader := newGroupWithLeader(t, agreement.Config{ManualMembership: true}, 4, 5)
+	var others []ident.DaemonID
+	for id := ident.DaemonID(1); id <= 4; id++ {
+		if id != leader.Status().Self.ID {
+			others = append(others, id)
+		}
+	}
+	return g, leader, others
+}
+
+// Guards against a group of four that stops for good when one voter has left without notice and another
+// one has lost its disk: the two intact copies have every committed entry.
+func TestHalfOfEvenGroupGoesOnAfterLostDisk(t *testing.T) {
+	g, leader, others := evenGroup(t)
+	_, err := leader.Propose(nil)
+	assert.NilError(t, err)
+	g.exchangeMessages()
+	commit := leader.Status().Commit
+	g.isolate(others[1], others[2]) // the leader has left, and the disk of others[0] is lost
+	g.tickAll(50)
+	assert.Assert(t, g.leader() == nil || g.leader() == leader, "two of four decide although no copy is known to be lost")
+	for _, n := range g.nodes {
+		if n.Status().Self.ID == others[1] { // only one of them is told
+			assert.NilError(t, n.Step(agreement.Message{Kind: agreement.MsgJoin, From: agreement.Replica{ID: others[0], Incarnation: 2}}))
+		}
+	}
+	g.tickAll(50)
+	var elected *agreement.Node
+	for _, n := range g.nodes {
+		if id := n.Status().Self.ID; (id == others[1] || id == others[2]) && n.Status().Role == agreement.Leader {
+			elected = n
+		}
+	}
+	assert.Assert(t, elected != nil)
+	index, err := elected.Propose(nil)
+	assert.NilError(t, err)
+	g.exchangeMessages()
+	g.tickAll(5)
+	assert.Assert(t, index > commit && elected.Status().Commit >= index)
+	_, err = elected.ProposeChange(agreement.Change{Kind: agreement.AddLearner, Replica: agreement.Replica{ID: others[0], Incarnation: 2}})
+	assert.NilError(t, err)
+	g.exchangeMessages()
+	g.tickAll(5)
+	assert.Equal(t, elected.Status().Membership.Voters(), 3)
+}
+
+// Guards against a membership change that a quorum of the new membership commits alone: half of the voters
+// before it, with one copy lost, could then decide without it.
+func TestChangeNeedsQuorumOfPreviousMembership(t *testing.T) {
+	g, leader, others := evenGroup(t)
+	g.isolate(leader.Status().Self.ID, others[0], 5)
+	index, err := leader.ProposeChange(agreement.Change{Kind: agreement.Promote, Replica: agreement.Replica{ID: 5, Incarnation: 1}})
+	assert.NilError(t, err)
+	g.exchangeMessages()
+	assert.Assert(t, leader.Status().Commit < index, "three of five commit the change, but two of the four before it")
+	g.isolate(leader.Status().Self.ID, others[0], others[1], 5)
+	g.tickAll(5)
+	assert.Assert(t, leader.Status().Commit >= index)
+}
--- a/pkg/agreement/progress.go
+++ b/pkg/agreement/progress.go
@@ -27,12 +27,14 @@
 	unansweredHeartbeats int  // heartbeats sent since the last answer
 	probeSent            bool // while probing: an append is in flight
 	inflight             []inflightAppend
-	inflightBytes        int    // of all in-flight appends
-	matchAtLastReply     uint64 // match at the previous heartbeat reply
-	stalledReplies       int    // consecutive heartbeat replies without a larger match
-	snapshotHeartbeats   int    // heartbeats since the snapshot was sent
-	confirmedReadRound   uint64 // latest read round that the replica confirmed
-	leaveTicks           int    // ticks for which the latest request to leave still counts
+	inflightBytes        int            // of all in-flight appends
+	matchAtLastReply     uint64         // match at the previous heartbeat reply
+	stalledReplies       int            // consecutive heartbeat replies without a larger match
+	snapshotHeartbeats   int            // heartbeats since the snapshot was sent
+	confirmedReadRound   uint64         // latest read round that the replica confirmed
+	statedMatch          statedProgress // match
+	statedReadRound      statedProgress // confirmedReadRound
+	leaveTicks           int            // ticks for which the latest request to leave still counts
 }
 
 func (p *progress) startProbing() {
--- a/pkg/agreement/read.go
+++ b/pkg/agreement/read.go
@@ -45,14 +45,21 @@
 	return nil
 }
 
-// releaseReads releases the reads whose round a majority of the voters has confirmed.
+// releaseReads releases the reads whose round a quorum has confirmed.
 func (n *Node) releaseReads() {
 	for len(n.reads.pending) > 0 {
 		r := n.reads.pending[0]
-		confirmed := func(v Replica) bool {
-			return v == n.self || n.progress[v] != nil && n.progress[v].confirmedReadRound >= r.round
+		confirmed := func(v Replica) statement {
+			p := n.progress[v]
+			switch {
+			case v == n.self:
+				return statement{true, n.knownLost()}
+			case p == nil:
+				return statement{}
+			}
+			return statement{p.confirmedReadRound >= r.round, p.statedReadRound.lostAt(r.round)}
 		}
-		if !n.membership().hasQuorum(confirmed) {
+		if !n.isDecided(confirmed) {
 			return
 		}
 		n.reads.pending = n.reads.pending[1:]
--- a/pkg/agreement/replication.go
+++ b/pkg/agreement/replication.go
@@ -4,10 +4,11 @@
 
 const snapshotRetryHeartbeats = 20 // heartbeats without an acknowledgement before a snapshot is sent again
 
-// syncProgress updates the leader's progress table to the current membership.
+// syncProgress updates the leader's progress table to the deciding memberships.
 func (n *Node) syncProgress() {
-	next := make(map[Replica]*progress, len(n.membership()))
-	for _, m := range n.membership() {
+	participants := n.participants()
+	next := make(map[Replica]*progress, len(participants))
+	for _, m := range participants {
 		p := n.progress[m.Replica]
 		if p == nil {
 			p = &progress{next: n.log.lastIndex() + 1}
@@ -74,19 +75,36 @@
 	return t == n.term
 }
 
-// maybeCommit commits the largest index of this term that a majority of the voters has synced.
-func (n *Node) maybeCommit() {
-	var acked []uint64
-	for _, m := range n.membership() {
-		if m.Voter {
-			acked = append(acked, n.progress[m.Replica].match)
+// committable returns the largest index that a quorum has synced.
+func (n *Node) committable() uint64 {
+	var candidates []uint64
+	for _, p := range n.progress {
+		if p.match > n.log.committed {
+			candidates = append(candidates, p.match)
 		}
 	}
-	if len(acked) == 0 {
-		return
+	slices.Sort(candidates)
+	for _, index := range slices.Backward(slices.Compact(candidates)) {
+		synced := func(r Replica) statement {
+			p := n.progress[r]
+			switch {
+			case p == nil:
+				return statement{}
+			case r == n.self:
+				return statement{p.match >= index, n.knownLost()}
+			}
+			return statement{p.match >= index, p.statedMatch.lostAt(index)}
+		}
+		if n.isDecided(synced) {
+			return index
+		}
 	}
-	slices.Sort(acked)
-	index := acked[(len(acked)-1)/2]
+	return 0
+}
+
+// maybeCommit commits the largest index of this term that a quorum has synced.
+func (n *Node) maybeCommit() {
+	index := n.committable()
 	if index <= n.log.committed || !n.log.matches(index, n.term) {
 		return
 	}
@@ -95,7 +113,10 @@
 	}
 	committedBefore := n.log.committed
 	n.log.committed = index
-	n.notifyRemoved(committedBefore)
+	if membershipIndex := n.log.latestMembership().index; committedBefore < membershipIndex && membershipIndex <= index {
+		n.notifyRemoved(committedBefore)
+		n.syncProgress()
+	}
 	n.broadcastAppend(true)
 	n.releaseReads()
 	if !n.membership().IsVoter(n.self) && n.log.latestMembership().index <= index {
@@ -104,7 +125,7 @@
 }
 
 func (n *Node) broadcastAppend(allowEmpty bool) {
-	for _, m := range n.membership() {
+	for _, m := range n.participants() {
 		if m.Replica != n.self {
 			n.sendAppend(m.Replica, allowEmpty)
 		}
@@ -144,7 +165,7 @@
 }
 
 func (n *Node) broadcastHeartbeat() {
-	for _, m := range n.membership() {
+	for _, m := range n.participants() {
 		if m.Replica == n.self {
 			continue
 		}
@@ -239,8 +260,11 @@
 		n.appendRejected(m, p)
 		return
 	}
+	p.statedMatch.record(m.Lost, m.Index)
 	if p.recordAck(m.Index) || p.state == probing && p.probeSent {
 		n.appendAccepted(p)
+	} else if len(m.Lost) > 0 {
+		n.maybeCommit()
 	}
 	n.sendAppend(m.From, false)
 	if m.From == n.transferTarget {
@@ -279,9 +303,13 @@
 	p.recentlyActive = true
 	p.unansweredHeartbeats = 0
 	p.confirmedReadRound = max(p.confirmedReadRound, m.Context)
+	p.statedReadRound.record(m.Lost, m.Context)
 	n.releaseReads()
+	// An acknowledgement from before a loss was known is requested again.
+	lost := n.knownLost()
+	outdated := len(lost) > 0 && !areLost(p.statedMatch.lostAt(p.match), lost)
 	stalled := p.recordHeartbeatReply(n.log.lastIndex())
-	n.sendAppend(m.From, stalled)
+	n.sendAppend(m.From, stalled || outdated)
 	if m.From == n.transferTarget {
 		n.continueTransfer()
 	}
--- a/pkg/agreement/types.go
+++ b/pkg/agreement/types.go
@@ -110,6 +110,9 @@
 	Snapshot *Snapshot
 	Context  uint64 // read round of a heartbeat, or the context of a read
 	Force    bool   // the leader itself requested the election, so its lease does not block the vote
+	// Lost are the latest copies that the sender knew to be lost when it wrote the message, sorted by ID.
+	// Earlier incarnations are lost as well.
+	Lost []Replica
 }
 
 // valid reports whether the fields of a message are consistent with each other.
--- a/pkg/control/ensemble/core.go
+++ b/pkg/control/ensemble/core.go
@@ -155,6 +155,8 @@
 
 // admit adds the sender of a join request as a learner, or forwards the request to the leader.
 func (c *core) admit(m agreement.Message) {
+	// The node learns that the copy of an earlier incarnation is lost. It adds no members itself.
+	_ = c.node.Step(m)
 	st := c.node.Status()
 	forwarded, add := decideJoin(&st, m)
 	if forwarded != nil {
--- a/pkg/control/ensemble/policy.go
+++ b/pkg/control/ensemble/policy.go
@@ -65,11 +65,11 @@
 func minVotersFor(tolerated int) int { return 2*tolerated + 1 }
 
 // targetVoters returns the number of voters for a group with the given number of live members: as
-// many as possible, since a majority of all hosts then includes a majority of the voters, and an odd
-// number, since one voter more would not make the group tolerate more losses.
+// many as possible, since a majority of all hosts then includes a majority of the voters. An even number
+// tolerates that a host leaves for good and a disk is lost before the group has replaced the host; it
+// accepts no changes while it is cut into halves.
 func targetVoters(live, tolerated int) int {
-	odd := live - 1 + live%2
-	return min(maxVoters, max(odd, minVoters, minVotersFor(tolerated)))
+	return min(maxVoters, max(live, minVoters, minVotersFor(tolerated)))
 }
 
 // canLeave reports whether a voter can be removed from the group: enough other members remain to be
--- a/pkg/control/ensemble/policy_test.go
+++ b/pkg/control/ensemble/policy_test.go
@@ -39,7 +39,7 @@
 		id        int
 	}{
 		{"complete", []memberView{voter(1, 0), voter(2, 0), voter(3, 0)}, 1, 0, 0},
-		{"fourth host waits for a fifth", []memberView{voter(1, 0), voter(2, 0), voter(3, 0), learner(4)}, 1, 0, 0},
+		{"fourth host", []memberView{voter(1, 0), voter(2, 0), voter(3, 0), learner(4)}, 1, agreement.Promote, 4},
 		{"fifth host", []memberView{voter(1, 0), voter(2, 0), voter(3, 0), learner(4), learner(5)}, 1, agreement.Promote, 4},
 		{"learner lags", []memberView{voter(1, 0), voter(2, 0), voter(3, 0), newMemberView(4, false, false, 0), learner(5)}, 1, agreement.Promote, 5},
 		{"two disks", []memberView{voter(1, 0), voter(2, 0), voter(3, 0), learner(4)}, 2, agreement.Promote, 4},
@@ -47,7 +47,7 @@
 		{"lost voter, no successor", []memberView{voter(1, 0), voter(2, 0), voter(3, gone)}, 1, 0, 0},
 		{"lost voter, successor", []memberView{voter(1, 0), voter(2, 0), voter(3, gone), learner(4)}, 1, agreement.Promote, 4},
 		{"successor votes", []memberView{voter(1, 0), voter(2, 0), voter(3, gone), voter(4, 0)}, 1, agreement.Remove, 3},
-		{"short silence", []memberView{voter(1, 0), voter(2, 0), voter(3, time.Second), learner(4)}, 1, 0, 0},
+		{"short silence", []memberView{voter(1, 0), voter(2, 0), voter(3, time.Second), voter(4, 0)}, 1, 0, 0},
 		{"two of five lost", []memberView{voter(1, 0), voter(2, 0), voter(3, 0), voter(4, gone), voter(5, gone)}, 2, 0, 0},
 		{"leaving voter, learner", []memberView{leaving(1), voter(2, 0), voter(3, 0), learner(4)}, 1, agreement.Promote, 4},
 		{"leaving voter is replaced", []memberView{leaving(1), voter(2, 0), voter(3, 0), voter(4, 0)}, 1, agreement.Remove, 1},
--- a/pkg/control/ensemble/removal_test.go
+++ b/pkg/control/ensemble/removal_test.go
@@ -183,4 +183,9 @@
 			}
 		}
 	}
+	for size := 5; size <= 6; size++ {
+		for first := range size {
+			enumerateRemovals(t, uint64(1+first), removalSchedule{size: size, tolerated: 2, removals: 1, first: first, kill: true, after: 1})
+		}
+	}
 }
--- a/pkg/control/ensemble/schedule_test.go
+++ b/pkg/control/ensemble/schedule_test.go
@@ -47,7 +47,7 @@
 	if h.permanentlyLost || h.stopAtRound > 0 || s.lostHosts() >= s.tolerated || s.round < 100 {
 		return
 	}
-	switch s.rng.IntN(8) {
+	switch s.rng.IntN(9) {
 	case 0:
 		h.frozenUntil = endRound
 	case 1:
@@ -57,6 +57,9 @@
 	case 4: // the disk is lost
 		h.node, h.downUntil, h.disk = nil, endRound, disk{empty: true}
 	case 5: // the host is permanently lost; a successor starts at another address
+		if s.round < s.nextRemovalRound {
+			return
+		}
 		h.node, h.permanentlyLost, h.lostUntil = nil, true, endRound+catchUpRounds
 		s.addHost(endRound - 4)
 	case 6: // a planned restart
@@ -64,6 +67,12 @@
 	case 7: // a planned replacement: the successor has caught up when the host is told to stop
 		s.addHost(s.round)
 		h.stopAtRound, h.removed = s.round+catchUpRounds+s.rng.IntN(60), true
+	case 8: // the same, but the host is killed for good
+		if s.round < s.nextRemovalRound {
+			return
+		}
+		s.addHost(s.round)
+		h.stopAtRound, h.removed, h.killed = s.round+catchUpRounds+s.rng.IntN(60), true, true
 	}
 }
 
--- a/pkg/control/ensemble/sim_test.go
+++ b/pkg/control/ensemble/sim_test.go
@@ -54,6 +54,7 @@
 	stopAtRound       int                         // round in which the process is told to stop, 0 if it is not
 	killAtRound       int                         // round by which a process that was told to stop is killed
 	removed           bool                        // does not start again after the stop
+	killed            bool                        // is killed instead of told to stop
 	proposals         map[proposalPosition]uint64 // version by position
 	expectedReads     map[uint64]uint64           // lowest version that the read may return, by context
 	readyReads        []agreement.ReadState
@@ -64,8 +65,11 @@
 type proposalPosition struct{ term, index uint64 }
 
 type sim struct {
-	rng              *rand.Rand
-	round            int
+	rng   *rand.Rand
+	round int
+	// nextRemovalRound is the first round in which another host may disappear for good without notice. Before
+	// the group has replaced the previous one, the remaining half cannot tell two such hosts from a partition.
+	nextRemovalRound int
 	rounds           int // of the schedule
 	tolerated        int
 	hosts            []*simHost
@@ -242,6 +246,7 @@
 }
 
 func (s *sim) handleJoin(h *simHost, m agreement.Message) {
+	_ = h.node.Step(m)
 	st := h.node.Status()
 	forwarded, add := decideJoin(&st, m)
 	if forwarded != nil {
@@ -289,6 +294,10 @@
 // graceRounds is the time after which a process that was told to stop is killed.
 const graceRounds = 45
 
+// replacementRounds is the time in which the group replaces a host that was killed: an election, the silence,
+// and the two changes.
+const replacementRounds = 60
+
 // stop takes the steps of a planned stop: the host transfers its leadership and leaves the group. It
 // reports whether the process has ended.
 func (s *sim) stop(h *simHost) bool {
@@ -297,8 +306,11 @@
 	}
 	st := h.node.Status()
 	switch {
-	case st.Removed || !canLeave(st.Membership, st.Self, s.tolerated) || s.round >= h.killAtRound:
+	case h.killed || st.Removed || !canLeave(st.Membership, st.Self, s.tolerated) || s.round >= h.killAtRound:
 		h.node, h.stopAtRound, h.killAtRound = nil, 0, 0
+		if h.killed {
+			s.nextRemovalRound = s.round + replacementRounds
+		}
 		if h.removed {
 			h.permanentlyLost = true
 		} else {
