Group the errors of the ensemble and bound short grace periods

Done: errors that callers see come before internal ones; a grace period of less than the reserve still leaves half of it for the handover; two comments of quorum.go say more plainly what they guard.

--- a/pkg/agreement/quorum.go
+++ b/pkg/agreement/quorum.go
@@ -96,8 +96,8 @@
 			return false
 		}
 	}
-	// The last copy of several does not go on alone: the operator may have recovered the group from
-	// another one, which is lost only to this group.
+	// The last copy of several does not decide alone: the operator may have recovered the group from another
+	// one, whose new incarnation makes it look lost here.
 	latest := n.membership()
 	agreed := 0
 	for _, member := range latest {
@@ -137,8 +137,8 @@
 	return lost
 }
 
-// forgetReplaced forgets lost copies that are members no more. They are forgotten with the next tick only:
-// until then this replica states what it was just told, to one whose membership still has them.
+// forgetReplaced forgets the losses of copies that are in no deciding membership. It runs between messages,
+// so that a reply still states a loss that the request stated: the sender may lag behind in memberships.
 func (n *Node) forgetReplaced() {
 	maps.DeleteFunc(n.lost, func(id ident.DaemonID, incarnation ident.Incarnation) bool {
 		return !slices.ContainsFunc(n.participants(), func(m Member) bool { return m.Replica.ID == id && m.Replica.Incarnation <= incarnation })
--- a/pkg/control/ensemble/ensemble.go
+++ b/pkg/control/ensemble/ensemble.go
@@ -60,9 +60,9 @@
 	ErrNoMajority    = errors.New("no majority of the control hosts answers: retry at another host, or when the connections are back")
 	ErrNotLeader     = errors.New("this control host is not the leader: retry at another host")
 	ErrTooFewVoters  = errors.New("the group has fewer voters than the tolerated losses need: retry when more control hosts have joined")
-	errRemoved       = errors.New("the group has removed this host: its log is discarded and it joins again")
 	ErrTooFewMembers = errors.New("the group has too few other control hosts to replace this one: add one first if it is gone for good")
 	ErrNotReplaced   = errors.New("no other control host took over the vote in time: the host counts as lost until it is back or replaced")
+	errRemoved       = errors.New("the group has removed this host: its log is discarded and it joins again")
 	errSuperseded    = errors.New("the group has a later incarnation of this host: it joins again with a new one")
 )
 
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -169,7 +169,7 @@
 		case <-ctx.Done():
 		}
 		events.DaemonStopping.Log(h.log, logrus.Fields{"daemon": h.cfg.Name})
-		stopCtx, cancel := context.WithTimeout(treeCtx, h.cfg.GracePeriod-stopReserve)
+		stopCtx, cancel := context.WithTimeout(treeCtx, max(h.cfg.GracePeriod-stopReserve, h.cfg.GracePeriod/2))
 		defer cancel()
 		h.transferLeadership(stopCtx)
 		supervise.StopServer(httpServer) // while the group still runs, which the accepted calls need
