Postpone the end of a deregistered upstream that shows signs of life

Cause: a control host counted the upstream as gone 1.5 s after the first call that it got, whatever came afterwards. A repeated call or a heartbeat shows that the process still runs and has had no reply.

TestRepeatedDeregistrationPostponesExit failed before: gone 1.5 s after the first call.

Ruled out: lost calls (every call arrived), a longer delay for all (flows of upstreams that have ended would be reset later on every release).

Done: a later sign of life of a deregistered process, at any control host, postpones its end to 3 s after it. Hosts tell each other that an upstream has deregistered, which also keeps a late "ready" from reverting it at hosts that have only heard of it (found by the new test).

Why this works: the pause between two calls is 1 s and a growing backoff, so each sign of life comes before the end that the previous one allows. An upstream with a reply sends nothing more and is gone after 1.5 s as before.

Changed tests: TestDeregisteredUpstreamIsGoneAfterExitDelay said that a second call does not postpone the end, which was the fault; the new test replaces that line. TestChangesReachAllHosts waited for the end by announcing the process again and again, which now keeps it alive; it waits for the state and then expects the announcement to be refused at every host.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -37,6 +37,7 @@
 	Registration
 	revision         uint64
 	unavailableSince time.Duration // when the incarnation became gone, or Silent changed last
+	deregisteredAt   time.Duration // time of the first deregistration that this process got
 	goneAt           time.Duration // time at which a deregistered process becomes gone, 0 if none is pending
 }
 
@@ -122,7 +123,11 @@
 		d.markGone(old, r.LastAnnounced)
 		return Changed
 	}
-	if old.State == Gone || r.Sequence < old.Sequence {
+	if old.State == Gone {
+		return Superseded
+	}
+	old.postponeExit(r.LastAnnounced)
+	if r.Sequence < old.Sequence {
 		return Superseded
 	}
 	silent := old.Silent && d.detectsSilence() && r.Sequence == old.Sequence || r.Silent && !d.detectsSilence()
@@ -133,9 +138,10 @@
 	if r.Service != old.Service || r.Address != old.Address || r.Sequence-old.Sequence > maxSequenceStep {
 		return Contradicted
 	}
-	if old.goneAt > 0 {
+	if old.Deregistered {
 		r.State = Draining // a late announcement does not revert the deregistration
 	}
+	old.Deregistered = old.Deregistered || r.Deregistered
 	warmupExtended := r.WarmupEnd > r.LastAnnounced && r.WarmupEnd > old.WarmupEnd+minWarmupExtension
 	changed := r.State != old.State || r.Slots != old.Slots || r.DataCentre != old.DataCentre || warmupExtended
 	old.State, old.Slots, old.DataCentre, old.Sequence = r.State, r.Slots, r.DataCentre, r.Sequence
@@ -211,7 +217,11 @@
 	if r == nil {
 		return false
 	}
-	if r.State == Gone || sequence < r.Sequence {
+	if r.State == Gone {
+		return true
+	}
+	r.postponeExit(at)
+	if sequence < r.Sequence {
 		return true
 	}
 	// The sequence number is not updated: the content of that announcement may still arrive.
@@ -220,13 +230,27 @@
 	return true
 }
 
-// exitDelay is the time from a deregistration until the upstream process counts as gone: it exits when it
-// has the reply, for which it waits up to 1 s. Flows must not be reset while the upstream still serves them.
-const exitDelay = 1500 * time.Millisecond
+// Times from a deregistration until the upstream process counts as gone. Flows must not be reset while the
+// upstream still serves them.
+const (
+	// exitDelay applies to the first call: the process exits when it has the reply, for which it waits 1 s.
+	exitDelay = 1500 * time.Millisecond
+	// repeatedExitDelay applies after a sign of life that follows the first call: replies get lost, and the
+	// process repeats the call after 1 s and a growing pause.
+	repeatedExitDelay = 3 * time.Second
+)
+
+// postponeExit records a sign of life of a deregistered process. Its sequence number does not matter: each
+// control host gives the next one to the deregistration that it gets.
+func (r *record) postponeExit(at time.Duration) {
+	if r.goneAt > 0 && at > r.deregisteredAt {
+		r.goneAt = max(r.goneAt, at+repeatedExitDelay)
+	}
+}
 
 // Deregister records that an upstream process is about to exit, and reports whether the directory has it.
-// The process gets no new flows from then on and is gone after exitDelay. A start of 0 selects the latest
-// process.
+// The process gets no new flows from then on and is gone after exitDelay. A repeated call, here or at another
+// control host, shows that it still runs and has had no reply. A start of 0 selects the latest process.
 func (d *Directory) Deregister(k Key, start int64, now time.Duration) bool {
 	if start == 0 {
 		start = d.latestStart[k]
@@ -235,11 +259,20 @@
 	if r == nil {
 		return false
 	}
-	if r.State != Gone && r.goneAt == 0 {
-		// With the next sequence number other processes accept the new state.
-		r.State, r.Sequence, r.goneAt = Draining, r.Sequence+1, now+exitDelay
-		d.recordChange(r)
+	if r.State == Gone {
+		return true
 	}
+	delay := exitDelay
+	if r.Deregistered {
+		delay = repeatedExitDelay
+	}
+	if r.goneAt == 0 {
+		r.deregisteredAt = now
+	}
+	// With the next sequence number other processes accept the new state.
+	r.State, r.Sequence, r.Deregistered, r.goneAt = Draining, r.Sequence+1, true, now+delay
+	r.LastAnnounced = max(r.LastAnnounced, now)
+	d.recordChange(r)
 	return true
 }
 
--- a/pkg/control/directory/registration.go
+++ b/pkg/control/directory/registration.go
@@ -84,6 +84,7 @@
 	WarmupEnd     time.Duration // end of the warm-up after the start, in which the upstream is slow
 	LastAnnounced time.Duration // time of the last announcement
 	Silent        bool          // no announcement for longer than the interval of a live upstream
+	Deregistered  bool          // the upstream has said at least once that it is about to exit
 }
 
 // Proto returns the protobuf form of a registration, with times relative to now.
@@ -93,7 +94,7 @@
 		Address: routing.AddressNumber(r.Address.Addr()), Port: uint32(r.Address.Port()),
 		DataCentre: r.DataCentre, Slots: uint32(r.Slots), BornUnixMs: r.StartUnixMs, Sequence: r.Sequence,
 		State: entrypb.State(r.State), WarmupMs: max(0, r.WarmupEnd-now).Milliseconds(),
-		AgeMs: max(0, now-r.LastAnnounced).Milliseconds(), Silent: r.Silent,
+		AgeMs: max(0, now-r.LastAnnounced).Milliseconds(), Silent: r.Silent, Deregistered: r.Deregistered,
 	}
 }
 
@@ -182,7 +183,7 @@
 		State:         State(p.GetState()),
 		WarmupEnd:     now + time.Duration(p.GetWarmupMs())*time.Millisecond,
 		LastAnnounced: now - time.Duration(min(p.GetAgeMs(), maxAge.Milliseconds()))*time.Millisecond,
-		Silent:        p.GetSilent(),
+		Silent:        p.GetSilent(), Deregistered: p.GetDeregistered(),
 	}
 	return r, r.Check(now)
 }
