Let a group of three go on when its leader is lost right after a promotion

Callers saw: nothing yet; the fault came with the quorum of the membership before a change. After a disk had been lost and its host had become a voter again, the loss of the leader in the same moment left the group without a leader until that one was back.

Cause: the change from two voters to three was in the logs of the other two, which did not know yet that it was committed. They asked for both voters before the change, of which one was gone.

Rebuilt as TestLeaderLostRightAfterPromotion, which failed before with "elected is nil".

Ruled out: load. The order of events alone brings it about.

Why this works: of two voters before a change one is enough. Every majority of three has one of them, and groups of up to three decide by plain majorities: a majority of the voters that are not lost is no smaller than one of all. For larger even groups the rule stays; with one host lost they have a quorum before and after each change.

--- a/pkg/agreement/node_test.go
+++ b/pkg/agreement/node_test.go
@@ -465,3 +465,24 @@
 	g.tickAll(5)
 	assert.Assert(t, leader.Status().Commit >= index)
 }
+
+// Guards against a group that has no leader after the leader was lost right after it promoted the third
+// voter, before the others knew that the change was committed.
+func TestLeaderLostRightAfterPromotion(t *testing.T) {
+	g, leader := newGroupWithLeader(t, agreement.Config{ManualMembership: true}, 2, 3)
+	_, err := leader.ProposeChange(agreement.Change{Kind: agreement.Promote, Replica: agreement.Replica{ID: 3, Incarnation: 1}})
+	assert.NilError(t, err)
+	index := leader.Status().LastIndex
+	for leader.HasReady() { // the change is sent, and no acknowledgement returns
+		for i, n := range g.nodes {
+			if n == leader {
+				g.processReady(i, n)
+			}
+		}
+	}
+	g.disconnected[leader.Status().Self.ID] = true
+	g.tickAll(50)
+	elected := g.leader()
+	assert.Assert(t, elected != nil)
+	assert.Assert(t, elected.Status().Commit >= index)
+}
--- a/pkg/agreement/quorum.go
+++ b/pkg/agreement/quorum.go
@@ -22,7 +22,10 @@
 // their sizes make them meet. TestQuorumsIntersect checks this for all groups of up to seven voters.
 //
 // Groups of adjacent memberships have to meet as well. Until a change is committed, a decision needs a
-// quorum of the membership before it and one of the membership after it.
+// quorum of the membership before it and one of the membership after it. Of two voters before it one is
+// enough, which every majority of three has: up to three voters decide by plain majorities, as a majority of
+// those that are not lost is no smaller. Otherwise a group that lost its leader right after the promotion of
+// the third voter would have to wait for it.
 
 // statement is what a voter has said about a decision.
 type statement struct {
@@ -91,21 +94,31 @@
 // isDecided reports whether a quorum of each deciding membership agrees.
 func (n *Node) isDecided(of func(Replica) statement) bool {
 	lost := n.knownLost()
-	for _, m := range n.decidingMemberships() {
+	latest := n.membership()
+	memberships := n.decidingMemberships()
+	for i, m := range memberships {
+		isPrevious := i < len(memberships)-1
+		if isPrevious && m.Voters() == 2 && m.agreeing(of) > 0 {
+			continue
+		}
 		if !m.agreesWithout(lost, of) {
 			return false
 		}
 	}
 	// The last copy of several does not decide alone: the operator may have recovered the group from another
 	// one, whose new incarnation makes it look lost here.
-	latest := n.membership()
-	agreed := 0
-	for _, member := range latest {
+	return latest.agreeing(of) >= min(2, latest.Voters())
+}
+
+// agreeing returns the number of voters that agree.
+func (m Membership) agreeing(of func(Replica) statement) int {
+	count := 0
+	for _, member := range m {
 		if member.Voter && of(member.Replica).agrees {
-			agreed++
+			count++
 		}
 	}
-	return agreed >= min(2, latest.Voters())
+	return count
 }
 
 // recordIncarnation records that a replica exists. Earlier incarnations of a member are lost then.
