--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -77,7 +77,8 @@
 	c              *client
 	key            flowKey
 	arrived        chan packet
-	iss, next      uint32 // first and next own sequence number
+	through        *process // edge that gets all packets, nil for the one that the router selects
+	iss, next      uint32   // first and next own sequence number
 	acked          uint32
 	peerNext, echo uint32
 	open           bool
@@ -100,10 +101,13 @@
 )
 
 // dial opens a flow from a new port.
-func (c *client) dial(route netip.AddrPort) (*flow, outcome) {
+func (c *client) dial(route netip.AddrPort) (*flow, outcome) { return c.dialThrough(nil, route) }
+
+// dialThrough opens a flow whose packets all go to one edge, or to those that the router selects if it is nil.
+func (c *client) dialThrough(edge *process, route netip.AddrPort) (*flow, outcome) {
 	c.mu.Lock()
 	c.port++
-	fl := &flow{c: c, key: flowKey{netip.AddrPortFrom(c.ip, c.port), route}, arrived: make(chan packet, 64), iss: c.rng.Uint32()}
+	fl := &flow{c: c, through: edge, key: flowKey{netip.AddrPortFrom(c.ip, c.port), route}, arrived: make(chan packet, 64), iss: c.rng.Uint32()}
 	fl.next, fl.acked = fl.iss+1, fl.iss+1
 	c.flows[c.port] = fl
 	c.mu.Unlock()
@@ -138,7 +142,10 @@
 	if p.flags&flagSYN == 0 {
 		p.ack, p.echo = fl.peerNext, fl.echo
 	}
-	edge := fl.c.f.route(fl.c.zone, fl.key)
+	edge := fl.through
+	if edge == nil {
+		edge = fl.c.f.route(fl.c.zone, fl.key)
+	}
 	_, _ = fl.c.conn.WriteToUDPAddrPort(p.encode(nil), edge.datagram()) // lost like any datagram
 }
 
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -18,15 +17,24 @@
 	"time"
 )
 
-// Figures of the deployment kbr-floor.
-const (
-	heartbeatPeriod = 1200 * time.Millisecond
-	stabilityWindow = 4 * time.Second
-	configApply     = 3 * time.Second
-	reorderTime     = 2 * time.Second
-	gracePeriod     = 6 * time.Second
-	graceSeconds    = 6
-	restartDelay    = 300 * time.Millisecond
+// deployment holds the figures of a sheet that the stand-ins use.
+type deployment struct {
+	coresPerZone   int
+	toleratedDisks int
+	heartbeat      time.Duration
+	stability      time.Duration // stabilityWindowMs
+	catchUp        time.Duration
+	recovery       time.Duration
+	drain          time.Duration
+	configApply    time.Duration
+	ack            time.Duration
+}
+
+var (
+	// kbrFloor is the sheet of kbr-floor.
+	kbrFloor = deployment{1, 1, 1200 * time.Millisecond, 4 * time.Second, 4 * time.Second, 12 * time.Second, 3 * time.Second, 3 * time.Second, 5 * time.Second}
+	// kbrFloorGrown is the sheet of kbr-floor-grown, but for the number of edges and targets.
+	kbrFloorGrown = deployment{2, 2, 1200 * time.Millisecond, 5 * time.Second, 6 * time.Second, 15 * time.Second, 4 * time.Second, 4 * time.Second, 6 * time.Second}
 )
 
 var zones = []string{"perth-a", "perth-b", "perth-c"}
@@ -36,6 +44,7 @@
 
 // fleet is the deployment: the processes of the system and the stand-ins around them.
 type fleet struct {
+	sheet    deployment
 	record   *recorder
 	observer *observer
 	root     string
@@ -50,7 +59,7 @@
 	stopOnce sync.Once
 	work     sync.WaitGroup
 
-	mu      sync.Mutex
+	mu      sync.Mutex // guards targets, and cores once the machines run
 	targets []*target
 }
 
@@ -63,6 +72,7 @@
 	ip       netip.Addr
 	settings string
 	dataDir  string
+	seeds    []string // of its settings file; those of the first start if there are none
 
 	mu          sync.Mutex
 	cmd         *exec.Cmd
@@ -74,7 +84,7 @@
 }
 
 func newFleet(root, logs string, r *recorder) (*fleet, error) {
-	f := &fleet{record: r, root: root, logs: logs, stop: make(chan struct{}), commands: map[string][]string{}}
+	f := &fleet{sheet: kbrFloor, record: r, root: root, logs: logs, stop: make(chan struct{}), commands: map[string][]string{}}
 	f.observer = newObserver(f)
 	var err error
 	if f.root, err = filepath.Abs(root); err != nil {
@@ -132,15 +142,24 @@
 	clientMachine
 )
 
+// coreList returns the core machines that serve now, as the operator's list has them.
+func (f *fleet) coreList() []*process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.cores)
+}
+
 // address returns the address of a machine.
 func (f *fleet) address(kind, i int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, f.network[0], f.network[1] + byte(kind), byte(1 + i)})
 }
 
-// build lays out the machines: edges per zone, and one core in each zone.
+// build lays out the machines: the edges of each zone, and the cores of the sheet.
 func (f *fleet) build(edgesPerZone ...int) {
-	for i, zone := range zones {
-		f.cores = append(f.cores, &process{f: f, name: "core-" + zone + "-1", role: "control", zone: zone, ip: f.address(coreMachine, i)})
+	for _, zone := range zones {
+		for k := range f.sheet.coresPerZone {
+			f.cores = append(f.cores, &process{f: f, name: fmt.Sprintf("core-%s-%d", zone, k+1), role: "control", zone: zone, ip: f.address(coreMachine, len(f.cores))})
+		}
 	}
 	n := 0
 	for i, count := range edgesPerZone {
@@ -151,9 +170,20 @@
 	}
 }
 
-func (f *fleet) seeds() []string {
+// seedMachines returns the machines that the settings name as seeds: the first core of each zone.
+func (f *fleet) seedMachines() []*process {
+	var out []*process
+	for i := 0; i < len(f.cores); i += f.sheet.coresPerZone {
+		out = append(out, f.cores[i])
+	}
+	return out
+}
+
+func (f *fleet) seeds() []string { return controlsOf(f.seedMachines()) }
+
+func controlsOf(machines []*process) []string {
 	var out []string
-	for _, p := range f.cores[:3] {
+	for _, p := range machines {
 		out = append(out, p.control())
 	}
 	return out
@@ -168,20 +198,24 @@
 // writeSettings writes the settings file of a process as the platform does.
 func (p *process) writeSettings(bootstrap bool) error {
 	f := p.f
+	if len(p.seeds) == 0 {
+		p.seeds = f.seeds()
+	}
 	zoneMap := map[string]string{}
 	for _, z := range zones {
 		zoneMap[z] = "perth"
 	}
 	s := map[string]any{
 		"nodeName": p.name, "role": p.role, "ip": p.ip.String(), "zone": p.zone, "region": "perth", "zones": zoneMap,
-		"internalPortRange": []uint16{f.ports.peer, f.ports.peer + 15}, "seeds": f.seeds(), "bootstrap": bootstrap,
-		"discovery": "registry", "entrypoint": "announce", "heartbeatMs": heartbeatPeriod.Milliseconds(),
+		"internalPortRange": []uint16{f.ports.peer, f.ports.peer + 15}, "seeds": p.seeds, "bootstrap": bootstrap,
+		"discovery": "registry", "entrypoint": "announce", "heartbeatMs": f.sheet.heartbeat.Milliseconds(),
 		"invariants":     []string{"base", "drain", "config", "cost", "recover", "flows"},
-		"faultTolerance": map[string]int{"machines": 1, "zones": 1, "regions": 0},
+		"faultTolerance": map[string]int{"machines": f.sheet.toleratedDisks, "zones": 1, "regions": 0},
 		"bounds": map[string]any{
-			"seedLagS": 3, "reuseAfterS": 2, "stabilityWindowMs": stabilityWindow.Milliseconds(), "ackMs": 5000, "catchUpS": 4, "drainMs": 3000,
-			"graceS": graceSeconds, "lossSlackMs": 200, "configApplyMs": configApply.Milliseconds(), "downgradeMs": 250, "maxSkewMs": 12000,
-			"recoveryS": 12, "reorderMs": reorderTime.Milliseconds(), "flowTtlS": 60,
+			"seedLagS": 3, "reuseAfterS": 2, "stabilityWindowMs": f.sheet.stability.Milliseconds(), "ackMs": f.sheet.ack.Milliseconds(),
+			"catchUpS": f.sheet.catchUp.Seconds(), "drainMs": f.sheet.drain.Milliseconds(), "graceS": 6, "lossSlackMs": 200,
+			"configApplyMs": f.sheet.configApply.Milliseconds(), "downgradeMs": 250, "maxSkewMs": 12000,
+			"recoveryS": f.sheet.recovery.Seconds(), "reorderMs": 2000, "flowTtlS": 60,
 		},
 		"config_mode": "highest", "hash": "mod", "forwardingMode": "echo",
 	}
@@ -209,6 +243,15 @@
 	return os.WriteFile(p.settings, content, 0o600)
 }
 
+// logPath returns the file with what the process prints.
+func (p *process) logPath() string {
+	folder := p.f.logs
+	if folder == "" {
+		folder = p.f.dir
+	}
+	return filepath.Join(folder, p.name+".log")
+}
+
 // start starts the process.
 func (p *process) start(bootstrap bool) error {
 	if err := p.writeSettings(bootstrap); err != nil {
@@ -218,14 +261,11 @@
 	cmd := exec.Command(filepath.Join(p.f.root, words[0]), words[1:]...)
 	cmd.Dir = p.f.root
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.f.dir, "ROSEMARYGATE_BOOT=" + p.settings}
-	var log io.WriteCloser
-	if p.f.logs != "" {
-		var err error
-		if log, err = os.OpenFile(filepath.Join(p.f.logs, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
-			return err
-		}
-		cmd.Stdout, cmd.Stderr = log, log
+	log, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
 	}
+	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -235,9 +275,7 @@
 	p.mu.Unlock()
 	go func() {
 		_ = cmd.Wait() // how it ended does not matter
-		if log != nil {
-			log.Close()
-		}
+		log.Close()
 		close(exited)
 	}()
 	return nil
@@ -263,7 +301,7 @@
 func (p *process) calm() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.disturbed && time.Since(p.disturbedAt) >= stabilityWindow
+	return !p.disturbed && time.Since(p.disturbedAt) >= p.f.sheet.stability
 }
 
 // freeze stops the process for a time, as node_freeze does.
@@ -295,7 +333,7 @@
 func (f *fleet) stopAll() {
 	f.stopOnce.Do(func() {
 		close(f.stop)
-		for _, p := range slices.Concat(f.cores, f.edges) {
+		for _, p := range slices.Concat(f.coreList(), f.edges) {
 			p.signal(syscall.SIGKILL)
 			p.mu.Lock()
 			exited := p.exited
--- a/review/standin2/latesyn.go
+++ b/review/standin2/latesyn.go
@@ -44,13 +44,13 @@
 	if err := f.startTargets(); err != nil {
 		return err
 	}
-	if err := f.replaceConfig(configuration(1, feedRoute, countRoute, labelRoute), 10*time.Second); err != nil {
+	if _, err := f.replaceConfig(configuration(1, feedRoute, countRoute, labelRoute), 10*time.Second); err != nil {
 		return err
 	}
 	if err := f.awaitReady(15 * time.Second); err != nil {
 		return err
 	}
-	time.Sleep(stabilityWindow)
+	time.Sleep(f.sheet.stability)
 	return nil
 }
 
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -22,7 +24,11 @@
 type caseRun func(f *fleet, trouble bool) (broken int, err error)
 
 var cases = map[string]caseRun{
-	"late-syn": runLateSYN,
+	"late-syn":    runLateSYN,
+	"empty-seeds": runEmptySeeds,
+	"new-core":    runNewCore,
+	"lost-reply":  runLostReply,
+	"other-names": runOtherNames,
 }
 
 func main() {
@@ -52,6 +58,13 @@
 		return exitFailed
 	}
 	defer f.stopAll()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		f.stopAll()
+		os.Exit(exitFailed)
+	}()
 	r.note("case %s, disruption %v", name, trouble)
 	broken, err := play(f, trouble)
 	f.stopAll()
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -132,19 +132,20 @@
 	}
 }
 
-// replaceConfig sends a configuration until a core machine acknowledges it.
-func (f *fleet) replaceConfig(c map[string]any, limit time.Duration) error {
+// replaceConfig sends a configuration until a core machine acknowledges it, and returns that machine.
+func (f *fleet) replaceConfig(c map[string]any, limit time.Duration) (*process, error) {
 	deadline := time.Now().Add(limit)
 	for time.Now().Before(deadline) {
-		p := f.cores[rand.IntN(len(f.cores))]
+		cores := f.coreList()
+		p := cores[rand.IntN(len(cores))]
 		status, _ := call("POST", p.control(), "/Config.Replace", c)
 		f.record.note("operator sends version %v to %s: %d", c["version"], p.name, status)
 		if status == http.StatusOK {
-			return nil
+			return p, nil
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	return fmt.Errorf("no core machine acknowledged version %v", c["version"])
+	return nil, fmt.Errorf("no core machine acknowledged version %v", c["version"])
 }
 
 // awaitReady waits until all edges are in rotation.
--- a/review/standin2/target.go
+++ b/review/standin2/target.go
@@ -38,6 +38,7 @@
 	ended    atomic.Bool
 	mu       sync.Mutex
 	draining bool
+	leaving  bool // it deregisters and sends no heartbeat any more
 	sequence uint64
 	flows    map[flowKey]*targetFlow
 	ran      map[string]int // runs by Attempt-Id
@@ -51,6 +52,7 @@
 	since               time.Time
 	echo                uint32
 	finished            bool
+	closing             bool // it ends after the next answer
 	unacked             []packet
 	timer               *time.Timer
 	retransmits         int
@@ -110,22 +112,27 @@
 
 // beat announces the target about every heartbeat period, to another core machine after a failure.
 func (t *target) beat() {
-	i := rand.IntN(len(t.f.cores))
+	i := rand.IntN(len(t.f.coreList()))
 	for {
 		t.mu.Lock()
+		if t.leaving {
+			t.mu.Unlock()
+			return
+		}
 		t.sequence++
 		state, sequence := "ready", t.sequence
 		if t.draining {
 			state = "draining"
 		}
 		t.mu.Unlock()
-		status, _ := call("POST", t.f.cores[i].control(), "/Instances.Heartbeat/"+t.id, map[string]any{
+		cores := t.f.coreList()
+		status, _ := call("POST", cores[i%len(cores)].control(), "/Instances.Heartbeat/"+t.id, map[string]any{
 			"service": t.service, "address": t.address.String(), "zone": t.zone, "version": "v1", "concurrency": 3, "state": state,
 			"warmupRemainingMs": 0, "sequence": sequence, "born": t.born,
 		})
-		wait := heartbeatPeriod
+		wait := t.f.sheet.heartbeat
 		if status != http.StatusOK {
-			i, wait = (i+1)%len(t.f.cores), 100*time.Millisecond
+			i, wait = i+1, 100*time.Millisecond
 		}
 		select {
 		case <-t.stop:
@@ -247,6 +254,7 @@
 	size, _ = strconv.Atoi(headerOf(text, "Answer-Bytes")) // 0 without the header
 	t.ran[id]++
 	t.f.record.note("%s runs %s", t.id, id)
+	s.closing = s.closing || t.draining
 	time.AfterFunc(t.work, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -262,6 +270,10 @@
 			t.send(&p)
 			answer = answer[n:]
 		}
+		if s.closing {
+			t.send(&packet{src: key.route, dst: key.client, flags: flagACK | flagFIN, seq: s.next, ack: s.peerNext, sum: sumOfSender, echo: s.echo})
+			s.next++
+		}
 		t.armTimer(key, s)
 	})
 }
