--- a/pkg/agreement/bench_test.go
+++ b/pkg/agreement/bench_test.go
@@ -17,6 +17,7 @@
 	sent         []agreement.Message // all messages, while recordSent is set
 	recordSent   bool
 	disconnected map[ident.DaemonID]bool
+	isLost       func(agreement.Message) bool // nil if no message is lost
 	applied      []uint64
 	reads        []agreement.ReadState
 }
@@ -65,7 +66,7 @@
 		if g.recordSent {
 			g.sent = append(g.sent, m)
 		}
-		if !g.disconnected[m.From.ID] && !g.disconnected[m.To.ID] && int(m.To.ID) <= len(g.nodes) {
+		if !g.disconnected[m.From.ID] && !g.disconnected[m.To.ID] && int(m.To.ID) <= len(g.nodes) && (g.isLost == nil || !g.isLost(m)) {
 			_ = g.nodes[m.To.ID-1].Step(m)
 		}
 	}
--- a/pkg/agreement/node_test.go
+++ b/pkg/agreement/node_test.go
@@ -131,6 +131,41 @@
 	assert.Equal(t, g.applied[slow.ID-1], leader.Status().Commit)
 }
 
+// Guards against a follower that waits for seconds, and counts as lost meanwhile, because one snapshot or its
+// acknowledgement was lost.
+func TestLostSnapshotOrAcknowledgement(t *testing.T) {
+	for _, lostKind := range []agreement.MessageKind{agreement.MsgSnapshot, agreement.MsgAppendReply} {
+		g, leader := newGroupWithLeader(t, agreement.Config{RetainEntries: 1}, 3, 3)
+		slow := g.follower().Status().Self
+		g.disconnected[slow.ID] = true
+		for range 20 {
+			_, err := leader.Propose([]byte("x"))
+			assert.NilError(t, err)
+			g.exchangeMessages()
+		}
+		_, err := leader.Compact(leader.Status().Applied, []byte("state"))
+		assert.NilError(t, err)
+		delete(g.disconnected, slow.ID)
+		snapshots, lost := 0, false
+		g.isLost = func(m agreement.Message) bool {
+			if m.Kind == agreement.MsgSnapshot {
+				snapshots++
+			}
+			if lost || snapshots == 0 || m.Kind != lostKind || m.From != slow && m.To != slow {
+				return false
+			}
+			lost = true
+			return true
+		}
+		for ticks := 0; !lost; ticks++ {
+			assert.Assert(t, ticks < 30, "no snapshot was sent")
+			g.tickAll(1)
+		}
+		g.tickAll(10)
+		assert.Equal(t, g.applied[slow.ID-1], leader.Status().Commit, "message of kind %d lost", lostKind)
+	}
+}
+
 // Guards against a learner that votes or counts towards a majority before its promotion, and against a
 // promotion before it has caught up.
 func TestLearnerLifecycle(t *testing.T) {
--- a/pkg/agreement/progress.go
+++ b/pkg/agreement/progress.go
@@ -31,6 +31,7 @@
 	matchAtLastReply     uint64         // match at the previous heartbeat reply
 	stalledReplies       int            // consecutive heartbeat replies without a larger match
 	snapshotHeartbeats   int            // heartbeats since the snapshot was sent
+	snapshotIndex        uint64         // of the snapshot sent
 	confirmedReadRound   uint64         // latest read round that the replica confirmed
 	statedMatch          statedProgress // match
 	statedReadRound      statedProgress // confirmedReadRound
--- a/pkg/agreement/replication.go
+++ b/pkg/agreement/replication.go
@@ -2,7 +2,12 @@
 
 import "slices"
 
-const snapshotRetryHeartbeats = 20 // heartbeats without an acknowledgement before a snapshot is sent again
+const (
+	snapshotRetryHeartbeats = 20 // heartbeats without an acknowledgement before a snapshot is sent again
+	// snapshotProbeHeartbeats is the number of heartbeats after which the leader asks a replica whether it has
+	// the snapshot. A replica that waits for the retry counts as lost for longer than deployments allow.
+	snapshotProbeHeartbeats = 5
+)
 
 // syncProgress updates the leader's progress table to the deciding memberships.
 func (n *Node) syncProgress() {
@@ -159,8 +164,8 @@
 
 func (n *Node) sendSnapshot(to Replica, p *progress) {
 	p.state = snapshotting
-	p.snapshotHeartbeats = 0
 	s := n.log.snapshot
+	p.snapshotHeartbeats, p.snapshotIndex = 0, s.Index
 	n.send(Message{Kind: MsgSnapshot, To: to, Snapshot: &s})
 }
 
@@ -175,18 +180,24 @@
 			Kind: MsgHeartbeat, To: m.Replica,
 			Commit: min(p.match, n.log.committed), Context: n.reads.round,
 		})
-		n.retrySnapshot(p)
+		n.retrySnapshot(m.Replica, p)
 	}
 }
 
-// retrySnapshot returns to probing if the snapshot was probably lost.
-func (n *Node) retrySnapshot(p *progress) {
+// retrySnapshot returns to probing if the snapshot was probably lost. Before that it sends an empty append that only
+// a replica with the snapshot accepts: the snapshot or its acknowledgement may be lost. On a slow link the append
+// waits behind the snapshot.
+func (n *Node) retrySnapshot(to Replica, p *progress) {
 	if p.state != snapshotting {
 		return
 	}
 	p.snapshotHeartbeats++
 	if p.snapshotHeartbeats >= snapshotRetryHeartbeats {
 		p.startProbing()
+		return
+	}
+	if term, ok := n.log.term(p.snapshotIndex); ok && p.snapshotHeartbeats%snapshotProbeHeartbeats == 0 {
+		n.send(Message{Kind: MsgAppend, To: to, Index: p.snapshotIndex, LogTerm: term, Commit: n.log.committed})
 	}
 }
 
@@ -283,9 +294,8 @@
 
 // appendRejected sends again from the last index at which the logs may agree.
 func (n *Node) appendRejected(m Message, p *progress) {
-	stale := m.Index <= p.match || p.state == probing && m.Index != p.next-1
-	if stale || p.state == snapshotting {
-		return
+	if m.Index <= p.match || p.state == probing && m.Index != p.next-1 || p.state == snapshotting && m.Index != p.snapshotIndex {
+		return // an answer to an earlier append
 	}
 	hint, _ := n.log.conflictHint(m.Hint, m.LogTerm)
 	p.startProbing()
