--- a/pkg/agreement/removal.go
+++ b/pkg/agreement/removal.go
@@ -49,6 +49,19 @@
 	n.send(Message{Kind: MsgRemoved, To: to, Index: n.log.committed})
 }
 
+// NotifyRemoved repeats the notice to a replica that it is no longer a member. Only a leader that has committed
+// in its term knows every committed membership; otherwise nothing is sent.
+func (n *Node) NotifyRemoved(to Replica) {
+	if n.role != Leader || !n.hasCommittedInTerm() {
+		return
+	}
+	_, member := n.membership().Find(to.ID)
+	_, committed := n.log.membershipAt(n.log.committed).Find(to.ID)
+	if !member && !committed {
+		n.sendRemoved(to)
+	}
+}
+
 // RequestLeave asks the leader to replace this replica, which is about to stop. The request counts for an
 // election timeout, so the caller repeats it until Status shows that the replica is removed, or stops
 // without a replacement.
--- a/pkg/control/ensemble/core.go
+++ b/pkg/control/ensemble/core.go
@@ -51,6 +51,7 @@
 	membershipApplied  bool // a membership change was committed since the last proposal of one
 	nextJoin           time.Time
 	freshness          freshness
+	notices            notices
 }
 
 func (g *Group) newCore(store *storage.Store, st agreement.State) (*core, error) {
@@ -65,9 +66,10 @@
 	c := &core{
 		group: g, store: store, node: node, state: newState(), appliedIndex: st.Snapshot.Index, snapshotIndex: st.Snapshot.Index,
 		pendingProposals: map[uint64]pendingProposal{}, unconfirmedReads: map[uint64]pendingRead{}, answerTimes: answerTimes{},
+		notices: notices{},
 	}
 	if st.Snapshot.Index > 0 {
-		if c.state, err = restoreState(st.Snapshot.Data); err != nil {
+		if c.state, err = restoreState(&st.Snapshot); err != nil {
 			return nil, err
 		}
 	}
@@ -96,7 +98,9 @@
 		case <-ticker.C:
 			c.node.Tick()
 			c.proposeMembershipChange()
-			c.join()
+			st := c.node.Status()
+			c.join(&st)
+			c.notifyOutsiders(&st, time.Now())
 		case m := <-c.group.incoming:
 			c.step(m)
 		case f := <-c.group.calls:
@@ -146,6 +150,9 @@
 		c.admit(m)
 		return
 	}
+	if st := c.node.Status(); isFromContact(&st, &m) {
+		c.group.AddContact(MemberAddress(m.From.ID))
+	}
 	err := c.node.Step(m)
 	if errors.Is(err, agreement.ErrOtherGroup) || errors.Is(err, agreement.ErrDiverged) {
 		events.MessageRefused.Log(c.group.log, logrus.Fields{"from": memberName(m.From), "error": err})
@@ -174,10 +181,9 @@
 }
 
 // join sends join requests while the host is not a member, as far as it knows.
-func (c *core) join() {
-	st := c.node.Status()
+func (c *core) join(st *agreement.Status) {
 	now := time.Now()
-	if !asksToJoin(&st) || now.Before(c.nextJoin) {
+	if !asksToJoin(st) || now.Before(c.nextJoin) {
 		return
 	}
 	c.nextJoin = now.Add(joinInterval)
@@ -252,7 +258,7 @@
 
 func (c *core) apply(rd *agreement.Ready) error {
 	if rd.Snapshot != nil {
-		st, err := restoreState(rd.Snapshot.Data)
+		st, err := restoreState(rd.Snapshot)
 		if err != nil {
 			return err
 		}
@@ -261,12 +267,9 @@
 	for _, e := range rd.Committed {
 		c.bytesSinceSnapshot += len(e.Data)
 		c.appliedIndex = e.Index
-		var rejected error
-		if e.Kind == agreement.EntryData {
-			var err error
-			if rejected, err = c.state.apply(e.Index, e.Data); err != nil {
-				return err
-			}
+		rejected, err := c.state.applyEntry(&e)
+		if err != nil {
+			return err
 		}
 		c.membershipApplied = c.membershipApplied || e.Kind == agreement.EntryMembership
 		c.completeProposal(e, rejected)
--- a/pkg/control/ensemble/ensemble.go
+++ b/pkg/control/ensemble/ensemble.go
@@ -126,6 +126,7 @@
 	changed           chan struct{} // closed when the document or the membership changes
 	lastIncarnation   ident.Incarnation
 	incarnationOffset time.Duration // how far the next incarnation is ahead of the clock
+	contacts          contacts
 }
 
 // New returns a control host that Run starts.
@@ -198,7 +199,8 @@
 	return time.Since(g.begin)-time.Duration(g.processedAt.Load()) > stallLimit
 }
 
-// Peers returns the peer addresses of the other control hosts: the members and the seeds.
+// Peers returns the peer addresses of the other control hosts: the members and the seeds, and while this host is
+// outside the group also those from which it has heard.
 func (g *Group) Peers() []netip.AddrPort {
 	seen := map[netip.AddrPort]bool{g.cfg.PeerAddress: true}
 	var addresses []netip.AddrPort
@@ -208,9 +210,15 @@
 			addresses = append(addresses, a)
 		}
 	}
-	for _, m := range g.Status().Membership {
+	st := g.Status()
+	for _, m := range st.Membership {
 		add(MemberAddress(m.Replica.ID))
 	}
+	if !st.Membership.Contains(st.Self) {
+		for _, a := range g.contactAddresses() {
+			add(a)
+		}
+	}
 	for _, a := range g.cfg.Seeds() {
 		add(a)
 	}
@@ -244,6 +252,9 @@
 			<-ctx.Done()
 			break
 		}
+		if errors.Is(err, errRemoved) || errors.Is(err, errSuperseded) {
+			g.addMembersAsContacts(g.Status().Membership)
+		}
 		g.status.Store(&Status{})
 		g.fresh.Store(false)
 		events.ReplicaFailed.Log(g.log, logrus.Fields{"error": err})
--- a/pkg/control/ensemble/schedule_test.go
+++ b/pkg/control/ensemble/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,10 +45,11 @@
 		}
 		return
 	}
-	if h.permanentlyLost || h.stopAtRound > 0 || s.lostHosts() >= s.tolerated || s.round < 100 {
+	kind := s.rng.IntN(9)
+	if h.permanentlyLost || h.stopAtRound > 0 || s.round < 100 || s.lostHosts() >= s.toleratedFor(kind) {
 		return
 	}
-	switch s.rng.IntN(9) {
+	switch kind {
 	case 0:
 		h.frozenUntil = endRound
 	case 1:
@@ -56,11 +58,13 @@
 		h.node, h.downUntil = nil, endRound
 	case 4: // the disk is lost
 		h.node, h.downUntil, h.disk = nil, endRound, disk{empty: true}
+		s.lostDisks++
 	case 5: // the host is permanently lost; a successor starts at another address
 		if s.round < s.nextRemovalRound {
 			return
 		}
 		h.node, h.permanentlyLost, h.lostUntil = nil, true, endRound+catchUpRounds
+		s.lostDisks++
 		s.addHost(endRound - 4)
 	case 6: // a planned restart
 		h.stopAtRound, h.lostUntil = s.round, s.round+graceRounds+5
@@ -73,9 +77,37 @@
 		}
 		s.addHost(s.round)
 		h.stopAtRound, h.removed, h.killed = s.round+catchUpRounds+s.rng.IntN(60), true, true
+		s.lostDisks++
 	}
 }
 
+// toleratedFor returns the number of lost hosts at which no fault of a kind is added.
+func (s *sim) toleratedFor(kind int) int {
+	losesDisk := kind == 4 || kind == 5 || kind == 8
+	switch {
+	case s.overlapLosses && losesDisk && s.lostDisks >= s.tolerated:
+		return 0
+	case !s.overlapLosses || kind > 4:
+		return s.tolerated
+	}
+	return s.tolerated + 1
+}
+
+// recordLosses counts the lost disks anew once no host was lost, or about to be killed, for longer than the
+// recovery takes.
+func (s *sim) recordLosses() {
+	pending := slices.ContainsFunc(s.hosts, func(h *simHost) bool { return h.stopAtRound > 0 })
+	if pending || s.lostHosts() > 0 {
+		s.calmSince = s.round
+	}
+	if s.round-s.calmSince > recoveryRounds {
+		s.lostDisks = 0
+	}
+}
+
+// recoveryRounds is the time after the return of all hosts in which service may be suspended.
+const recoveryRounds = 150
+
 // addHost adds a host with an empty disk that starts in a round.
 func (s *sim) addHost(startRound int) *simHost {
 	h := &simHost{address: address(len(s.hosts) + 1), disk: disk{empty: true}, downUntil: startRound}
@@ -107,6 +139,7 @@
 func (s *sim) restartHosts() {
 	for _, h := range s.hosts {
 		if h.node == nil && !h.permanentlyLost && s.round >= h.downUntil {
+			h.contacts = nil
 			s.start(h, false)
 		}
 	}
@@ -116,6 +149,7 @@
 	for ; s.round < s.rounds && s.violation == ""; s.round++ {
 		s.restartHosts()
 		s.delayStops()
+		s.recordLosses()
 		s.injectFault()
 		s.deliver()
 		s.tickHosts()
--- a/pkg/control/ensemble/sim_test.go
+++ b/pkg/control/ensemble/sim_test.go
@@ -65,6 +65,9 @@
 	readOrders        map[uint64]map[string]uint64 // acknowledged orders at the start of a read, by context and data centre
 	readyReads        []agreement.ReadState
 	lastIncarnation   ident.Incarnation
+	firstSeeds        []netip.AddrPort // seeds of its first start
+	contacts          contacts         // of the process
+	notices           notices
 }
 
 // proposalPosition identifies an entry: a later leader may put another one at the same index.
@@ -93,6 +96,12 @@
 	bindLate bool
 	// skipReadConfirmation makes hosts answer reads without confirmation by a majority.
 	skipReadConfirmation bool
+	// keepFirstSeeds lets each host keep the seeds of its first start; otherwise all hosts have the same ones.
+	keepFirstSeeds bool
+	// overlapLosses lets one host more be lost than the deployment tolerates, though no more disks.
+	overlapLosses bool
+	lostDisks     int // since all hosts were back for longer than the recovery takes
+	calmSince     int // round from which on no host was lost
 	// refoundEmptyDisks disables the rule that a host with an empty disk founds a group only at the
 	// first start.
 	refoundEmptyDisks bool
@@ -129,8 +138,19 @@
 
 func (s *sim) now() time.Time { return time.Unix(0, 0).Add(time.Duration(s.round) * tickInterval) }
 
+// seedsOf returns the seeds in the settings of a host.
+func (s *sim) seedsOf(h *simHost) []netip.AddrPort {
+	if s.keepFirstSeeds {
+		return h.firstSeeds
+	}
+	return s.seeds
+}
+
 func (s *sim) start(h *simHost, firstStart bool) {
-	g := &Group{cfg: Config{PeerAddress: h.address, MayFound: firstStart || s.refoundEmptyDisks, Seeds: func() []netip.AddrPort { return s.seeds }}, selfID: MemberID(h.address), lastIncarnation: h.lastIncarnation}
+	if h.firstSeeds == nil {
+		h.firstSeeds = slices.Clone(s.seeds)
+	}
+	g := &Group{cfg: Config{PeerAddress: h.address, MayFound: firstStart || s.refoundEmptyDisks, Seeds: func() []netip.AddrPort { return s.seedsOf(h) }}, selfID: MemberID(h.address), lastIncarnation: h.lastIncarnation}
 	if s.refoundEmptyDisks {
 		g.lastIncarnation = 0
 	}
@@ -151,11 +171,12 @@
 		s.fail("host %s does not start: %v", h.address, err)
 		return
 	}
+	h.notices = notices{}
 	h.node, h.answerTimes, h.proposals, h.expectedReads, h.readyReads = node, answerTimes{}, map[proposalPosition]uint64{}, map[uint64]uint64{}, nil
 	h.proposedOrders, h.bindings, h.readOrders = map[proposalPosition]*simOrder{}, map[uint64]*simOrder{}, map[uint64]map[string]uint64{}
 	h.state, h.appliedIndex = newState(), h.disk.state.Snapshot.Index
 	if h.appliedIndex > 0 {
-		h.restore(s, h.disk.state.Snapshot.Data)
+		h.restore(s, &h.disk.state.Snapshot)
 	}
 	s.processReady(h)
 }
@@ -180,9 +201,9 @@
 	}
 }
 
-func (h *simHost) restore(s *sim, data []byte) {
+func (h *simHost) restore(s *sim, snapshot *agreement.Snapshot) {
 	var err error
-	if h.state, err = restoreState(data); err != nil {
+	if h.state, err = restoreState(snapshot); err != nil {
 		s.fail("snapshot cannot be read: %v", err)
 	}
 }
@@ -194,16 +215,13 @@
 		s.queue = append(s.queue, rd.Messages...)
 		if rd.Snapshot != nil {
 			h.appliedIndex = rd.Snapshot.Index
-			h.restore(s, rd.Snapshot.Data)
+			h.restore(s, rd.Snapshot)
 		}
 		for _, e := range rd.Committed {
 			h.appliedIndex = e.Index
-			var rejected error
-			if e.Kind == agreement.EntryData {
-				var err error
-				if rejected, err = h.state.apply(e.Index, e.Data); err != nil {
-					s.fail("entry cannot be read: %v", err)
-				}
+			rejected, err := h.state.applyEntry(&e)
+			if err != nil {
+				s.fail("entry cannot be read: %v", err)
 			}
 			if o := h.proposedOrders[proposalPosition{e.Term, e.Index}]; o != nil && rejected == nil {
 				s.replyToOrder(o)
@@ -256,6 +274,9 @@
 		if to == nil || !s.isRunning(to) || s.round < to.disconnectedUntil || from != nil && s.round < from.disconnectedUntil || s.rng.IntN(100) == 0 {
 			continue
 		}
+		if st := to.node.Status(); isFromContact(&st, &m) {
+			to.contacts.add(MemberAddress(m.From.ID))
+		}
 		if m.Kind == agreement.MsgJoin {
 			s.handleJoin(to, m)
 		} else if err := to.node.Step(m); err == agreement.ErrDiverged {
@@ -296,12 +317,22 @@
 		}
 		st := h.node.Status()
 		if asksToJoin(&st) && s.round%3 == 0 {
-			for _, a := range s.seeds {
+			for _, a := range slices.Concat(s.seedsOf(h), h.contacts) {
 				s.queue = append(s.queue, agreement.Message{Kind: agreement.MsgJoin, From: st.Self, To: agreement.Replica{ID: MemberID(a)}})
 			}
 		}
+		if st.Role == agreement.Leader {
+			if r, ok := h.notices.next(s.now(), st.Membership, h.state.removed, s.seedsOf(h)); ok {
+				h.node.NotifyRemoved(r)
+			}
+		} else {
+			clear(h.notices)
+		}
 		s.processReady(h)
 		if st.Removed || st.Superseded {
+			for _, m := range st.Membership {
+				h.contacts.add(MemberAddress(m.Replica.ID))
+			}
 			h.node, h.disk = nil, disk{empty: true}
 			s.start(h, false)
 		}
--- a/pkg/control/ensemble/state.go
+++ b/pkg/control/ensemble/state.go
@@ -8,12 +8,16 @@
 	"google.golang.org/protobuf/proto"
 
 	entrypb "rosemarygate/api/entry/v1"
+	"rosemarygate/pkg/agreement"
+	"rosemarygate/pkg/ident"
 )
 
-// state is the result of all applied entries: the document and the evacuations.
+// state is the result of all applied entries: the document, the evacuations and the removed members.
 type state struct {
 	document    Document
 	evacuations *entrypb.Evacuations // replaced on a change, never modified
+	membership  agreement.Membership
+	removed     []agreement.Replica // members that were removed and have not joined again, oldest first
 }
 
 func newState() state { return state{evacuations: &entrypb.Evacuations{}} }
@@ -27,13 +31,17 @@
 }
 
 // restoreState returns the state of a snapshot.
-func restoreState(data []byte) (state, error) {
-	p, err := unmarshalEntry(data)
+func restoreState(snapshot *agreement.Snapshot) (state, error) {
+	p, err := unmarshalEntry(snapshot.Data)
 	if err != nil {
 		return state{}, err
 	}
 	s := newState()
 	s.document = Document{p.GetVersion(), p.GetContent()}
+	s.membership = snapshot.Membership
+	for _, r := range p.GetRemovedMembers() {
+		s.removed = append(s.removed, agreement.Replica{ID: ident.DaemonID(r.GetId()), Incarnation: ident.Incarnation(r.GetIncarnation())})
+	}
 	if p.GetEvacuations() != nil {
 		s.evacuations = p.GetEvacuations()
 	}
@@ -45,10 +53,37 @@
 	if len(s.evacuations.GetDataCentres()) > 0 {
 		p.Evacuations = s.evacuations
 	}
+	for _, r := range s.removed {
+		p.RemovedMembers = append(p.RemovedMembers, &entrypb.RemovedMember{Id: uint64(r.ID), Incarnation: uint64(r.Incarnation)})
+	}
 	return proto.Marshal(p)
 }
 
-// apply applies the entry at an index of the log. rejected is the reason why an order changes nothing.
+// applyEntry applies an entry of the log. rejected is the reason why an order changes nothing.
+func (s *state) applyEntry(e *agreement.Entry) (rejected, err error) {
+	switch e.Kind {
+	case agreement.EntryData:
+		return s.apply(e.Index, e.Data)
+	case agreement.EntryMembership:
+		s.applyMembership(e.Membership)
+	}
+	return nil, nil
+}
+
+// applyMembership records which members a new membership lacks.
+func (s *state) applyMembership(next agreement.Membership) {
+	removed := slices.Clone(s.removed)
+	for _, m := range s.membership {
+		removed = append(removed, m.Replica)
+	}
+	removed = slices.DeleteFunc(removed, func(r agreement.Replica) bool {
+		_, isMember := next.Find(r.ID)
+		return isMember
+	})
+	s.membership, s.removed = next, removed[max(0, len(removed)-maxRemovedMembers):]
+}
+
+// apply applies the document or the order at an index of the log.
 func (s *state) apply(index uint64, data []byte) (rejected, err error) {
 	p, err := unmarshalEntry(data)
 	if err != nil {
--- a/pkg/control/ensemble/state_test.go
+++ b/pkg/control/ensemble/state_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	entrypb "rosemarygate/api/entry/v1"
+	"rosemarygate/pkg/agreement"
 )
 
 func orderEntry(t *testing.T, dataCentre string, begin bool, base uint64) []byte {
@@ -79,7 +80,7 @@
 	assert.NilError(t, err)
 	snapshot, err := s.marshal()
 	assert.NilError(t, err)
-	restored, err := restoreState(snapshot)
+	restored, err := restoreState(&agreement.Snapshot{Data: snapshot})
 	assert.NilError(t, err)
 	assert.Equal(t, restored.document.Version, uint64(3))
 	assert.Assert(t, proto.Equal(restored.evacuations, s.evacuations))
@@ -119,7 +120,7 @@
 	assert.NilError(t, err)
 	assert.NilError(t, rejected)
 	assert.Equal(t, string(s.document.Content), "seven")
-	restored, err := restoreState(old)
+	restored, err := restoreState(&agreement.Snapshot{Data: old})
 	assert.NilError(t, err)
 	assert.Equal(t, restored.document.Version, uint64(7))
 	assert.Equal(t, restored.evacuations.GetRevision(), uint64(0))
--- a/pkg/controlhost/sharing.go
+++ b/pkg/controlhost/sharing.go
@@ -340,6 +340,9 @@
 			s.host.oldReleases.Add(1)
 			defer s.host.oldReleases.Add(-1) // runs once: a stream has one first batch
 		}
+		if b.GetNumber() == 1 {
+			s.host.learnSender(b.GetSender())
+		}
 		w.merge(b)
 		s.host.mergeBatch(b)
 		if err := stream.Send(&entrypb.Confirmation{Number: b.GetNumber()}); err != nil {
@@ -348,6 +351,13 @@
 	}
 }
 
+// learnSender makes the sender of a stream known to the group: it may be a member, and this host outside the group.
+func (h *Host) learnSender(sender string) {
+	if a, err := netip.ParseAddrPort(sender); err == nil && a.Addr().Is4() {
+		h.group.AddContact(a)
+	}
+}
+
 // mergeBatch merges a batch from another control host. The first batch from a settled host contains
 // every live upstream.
 func (h *Host) mergeBatch(b *entrypb.Batch) {
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -116,6 +116,7 @@
 	LeadershipNotTransferred = add(Event{4019, logrus.WarnLevel, "leadership was not transferred before the stop", ""})
 	TotalsUnreadable         = add(Event{4023, logrus.ErrorLevel, "totals on the disk cannot be read", "read the error field, which names the remedy"})
 	LogOpened                = add(Event{4024, logrus.InfoLevel, "control host opened its log", ""})
+	ContactLearned           = add(Event{4037, logrus.InfoLevel, "control host heard from another one that it can ask to join the group", ""})
 	JoinRequested            = add(Event{4025, logrus.InfoLevel, "control host asked to join the group", ""})
 	MembershipChangeProposed = add(Event{4026, logrus.InfoLevel, "membership change proposed", ""})
 	DocumentAccepted         = add(Event{4027, logrus.InfoLevel, "configuration accepted by a majority", ""})
