--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -81,7 +81,7 @@
 type Daemon struct {
 	cfg   Config
 	log   logrus.FieldLogger
-	clock func() time.Duration
+	clock *steadyClock
 	conn  *net.UDPConn
 
 	mu                sync.Mutex // guards core and directory
@@ -112,9 +112,8 @@
 
 // New returns an entry daemon that is not running yet.
 func New(cfg Config) *Daemon {
-	begin := time.Now()
 	d := &Daemon{
-		cfg: cfg, log: cfg.Log, clock: func() time.Duration { return time.Since(begin) },
+		cfg: cfg, log: cfg.Log, clock: newSteadyClock(),
 		core: forward.New(forward.Config{
 			DataCentre: cfg.DataCentre, LinkBytesPerSecond: float64(cfg.LinkBitsPerSecond) / 8, CostObserver: newCostMetrics(cfg.Metrics).observe,
 			Name: cfg.Name, WarmupTolerance: cfg.WarmupTolerance, AnnouncementInterval: cfg.AnnouncementInterval,
@@ -152,8 +151,8 @@
 	m.Gauge("evacuations_in_force", locked(d.core.EvacuationCount))
 	m.Gauge("upstreams", locked(d.core.UpstreamCount))
 	m.Gauge("flows", locked(d.core.FlowCount))
-	m.Gauge("cold_upstreams", locked(func() int { return d.core.CountWarmups(d.clock()).Cold }))
-	m.Gauge("sponsored_upstreams", locked(func() int { return d.core.CountWarmups(d.clock()).Sponsored }))
+	m.Gauge("cold_upstreams", locked(func() int { return d.core.CountWarmups(d.clock.now()).Cold }))
+	m.Gauge("sponsored_upstreams", locked(func() int { return d.core.CountWarmups(d.clock.now()).Sponsored }))
 	d.coldPlacements = m.Counter("cold_placements")
 	m.Gauge("ready", func() float64 {
 		if d.Ready() {
@@ -187,6 +186,9 @@
 	if d.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(d.cfg.PacketAddress)); err != nil {
 		return errors.Wrap(err, "packet address cannot be used: check that no other process uses the port")
 	}
+	if err := enableTimestamps(d.conn); err != nil {
+		events.ArrivalTimesUnknown.Log(d.log, logrus.Fields{"error": err})
+	}
 	listener, err := net.Listen("tcp4", d.cfg.ReadinessAddress.String())
 	if err != nil {
 		return errors.Wrap(err, "readiness address cannot be used: check that no other process uses the port")
@@ -225,11 +227,11 @@
 	case <-ctx.Done():
 	}
 	d.stopping.Store(true)
-	begin := d.clock()
+	begin := d.clock.now()
 	events.DaemonStopping.Log(d.log, logrus.Fields{"daemon": d.cfg.Name})
 	for {
 		time.Sleep(checkPeriod / 5)
-		now := d.clock()
+		now := d.clock.now()
 		enoughChecks := d.failedChecks.Load() > maxFailedChecks || now-begin > (maxFailedChecks+2)*checkPeriod
 		quiet := now-time.Duration(d.lastPacketAt.Load()) > quietPeriod
 		if enoughChecks && quiet || now-begin > d.cfg.GracePeriod-shutdownReserve {
@@ -243,7 +245,7 @@
 	return supervise.Every(ctx, directoryExpiryPeriod, func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		for _, i := range d.directory.Expire(d.clock()) {
+		for _, i := range d.directory.Expire(d.clock.now()) {
 			d.core.RemoveUpstream(i)
 		}
 	})
--- a/pkg/edge/packets.go
+++ b/pkg/edge/packets.go
@@ -23,10 +23,10 @@
 
 // readPackets handles packets until the socket is closed.
 func (d *Daemon) readPackets() error {
-	in, out := make([]byte, maxDatagram), make([]byte, 0, maxDatagram)
+	in, out, control := make([]byte, maxDatagram), make([]byte, 0, maxDatagram), make([]byte, timestampSize)
 	var p forward.Packet
 	for {
-		n, _, err := d.conn.ReadFromUDPAddrPort(in)
+		n, controlSize, _, _, err := d.conn.ReadMsgUDPAddrPort(in, control)
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
@@ -40,6 +40,10 @@
 			d.malformed.Inc()
 			continue
 		}
+		if p.Flags&forward.SYN != 0 {
+			d.clock.noticeSuspension()
+			p.Waited = waitedInSocket(control[:controlSize], begin)
+		}
 		d.handlePacket(&p, out)
 		d.packetSeconds.Update(time.Since(begin).Seconds())
 	}
@@ -47,7 +51,7 @@
 
 // handlePacket decides on a packet and carries out the decision.
 func (d *Daemon) handlePacket(p *forward.Packet, out []byte) {
-	now := d.clock()
+	now := d.clock.now()
 	d.lastPacketAt.Store(int64(now))
 	d.mu.Lock()
 	a := d.core.HandlePacket(now, p)
@@ -113,8 +117,9 @@
 		suspicion, line *logLine
 	}
 	var tasks []sendTask
+	d.clock.noticeSuspension()
 	d.mu.Lock()
-	now := d.clock()
+	now := d.clock.now()
 	for _, r := range d.core.Release(now) {
 		d.decisionCounters[r.Action.Reason].Inc()
 		datagram := d.encodeDatagram(&r.Packet, r.Action, nil)
@@ -157,8 +162,8 @@
 		datagram, a := d.cfg.Codec.Reset(nil, p), forward.Action{Verdict: forward.Reset, Reason: forward.UpstreamGone}
 		d.send(datagram, netip.AddrPortFrom(p.Caller.Addr(), d.cfg.PacketAddress.Port()))
 		d.mu.Lock()
-		d.recordTraffic(d.clock(), p, a, 0, len(datagram))
-		line := d.decisionLine(d.clock(), p, a)
+		d.recordTraffic(d.clock.now(), p, a, 0, len(datagram))
+		line := d.decisionLine(d.clock.now(), p, a)
 		d.mu.Unlock()
 		d.writeLine(line)
 	}
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -234,7 +234,7 @@
 		if w.daemon.hasTable() {
 			w.recordSnapshot()
 		}
-		now := w.daemon.clock()
+		now := w.daemon.clock.now()
 		switch {
 		case u.GetStatus().GetCurrent():
 			outdatedSince = 0
@@ -256,9 +256,9 @@
 	received := w.snapshotReceived
 	first := w.snapshotRequestedAt == 0
 	if first {
-		w.snapshotRequestedAt = w.daemon.clock()
+		w.snapshotRequestedAt = w.daemon.clock.now()
 	}
-	remaining := w.snapshotRequestedAt + snapshotTimeout - w.daemon.clock()
+	remaining := w.snapshotRequestedAt + snapshotTimeout - w.daemon.clock.now()
 	w.mu.Unlock()
 	if first {
 		return
@@ -283,7 +283,7 @@
 // applyUpdate applies an update to the core and the directory. table is the latest table of the control
 // host, nil if it has sent none.
 func (w *watches) applyUpdate(host netip.AddrPort, u *entrypb.Update, table *routing.Table) {
-	d, now := w.daemon, w.daemon.clock()
+	d, now := w.daemon, w.daemon.clock.now()
 	if u.GetStatus().GetCurrent() {
 		w.lastUpdateAt.Store(int64(now))
 	}
--- a/pkg/forward/catchup.go
+++ b/pkg/forward/catchup.go
@@ -43,6 +43,18 @@
 // synAge returns the minimum time since a caller sent its first SYN, given the number of the copy.
 func synAge(copies uint32) time.Duration { return synDelays[min(int(copies), len(synDelays)-1)] }
 
+// callerTimeout is the time after its first SYN after which a caller gives up.
+const callerTimeout = 1400 * time.Millisecond
+
+// copyDelay returns the time after which a caller sends the next copy of a SYN, or gives up, given the number of
+// this copy.
+func copyDelay(copies uint32) time.Duration {
+	if next := int(copies) + 1; next < len(synDelays) {
+		return synDelays[next] - synDelays[next-1]
+	}
+	return callerTimeout - synDelays[len(synDelays)-1]
+}
+
 // catchUp decides when overdue flows of one service are placed.
 type catchUp struct {
 	window float64
@@ -59,8 +71,8 @@
 }
 
 // isOverdue reports whether the request of a new flow cannot be answered within its objective any more.
-func (c *Core) isOverdue(route *routing.Route, p *Packet, heldFor time.Duration) bool {
-	age := synAge(p.Ack) + heldFor
+func (c *Core) isOverdue(route *routing.Route, p *Packet, waited time.Duration) bool {
+	age := synAge(p.Ack) + waited
 	if route.Objective <= 0 || age == 0 {
 		return false
 	}
--- a/pkg/forward/catchup_test.go
+++ b/pkg/forward/catchup_test.go
@@ -123,7 +123,7 @@
 		}
 	}
 	fillWindow(0, 100)
-	assert.Equal(t, c.HandlePacket(0, synPacket(1, 1)), Action{Verdict: Hold, Reason: AwaitingTurn})
+	assert.Equal(t, c.HandlePacket(0, synPacket(1, 2)), Action{Verdict: Hold, Reason: AwaitingTurn})
 	fillWindow(290*time.Millisecond, 200) // earlier requests lose their places after two objectives
 	assert.Equal(t, len(c.Release(maxTurnWait-1)), 0)
 	released := c.Release(maxTurnWait)
@@ -156,7 +156,8 @@
 }
 
 // Guards against a reset of a flow whose SYN this daemon has held for so long that another daemon may have
-// placed the caller's next copy.
+// placed the caller's next copy. It must not be placed either: the late answer of a second upstream would change the
+// cookie of the open flow.
 func TestLongHeldSYNIsNotRefused(t *testing.T) {
 	c := New(Config{DataCentre: "north"}, rand.New(rand.NewPCG(1, 2)))
 	assert.Equal(t, c.HandlePacket(0, synPacket(1, 0)).Verdict, Hold)
@@ -166,10 +167,10 @@
 	c.SetPrepared()
 	l := c.limitOf("a")
 	l.active, l.size, l.slowShare, l.refusedAt = true, 0, 1, 200*time.Millisecond
-	verdicts := map[netip.AddrPort]Verdict{}
+	actions := map[netip.AddrPort]Action{}
 	for _, r := range c.Release(200 * time.Millisecond) {
-		verdicts[r.Packet.Caller] = r.Action.Verdict
+		actions[r.Packet.Caller] = r.Action
 	}
-	assert.Equal(t, verdicts[testCaller(1)], Forward)
-	assert.Equal(t, verdicts[testCaller(2)], Reset, "its caller has sent no other copy")
+	assert.Equal(t, actions[testCaller(1)], Action{Verdict: Drop, Reason: StaleSYN})
+	assert.Equal(t, actions[testCaller(2)].Verdict, Reset, "its caller has sent no other copy")
 }
--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -82,6 +82,7 @@
 	evacuations        evacuations
 	link               linkRoom
 	refused            refusedFlows
+	opened             openedFlows
 	warmups            warmups
 	outages            map[servicePlace]*outage
 	outageChanges      []OutageChange   // not yet taken by the caller
@@ -246,7 +247,7 @@
 // HandlePacket decides on a packet. The core keeps a copy of a packet that it holds.
 func (c *Core) HandlePacket(now time.Duration, p *Packet) Action {
 	c.sweep(now)
-	a := c.decide(now, now, p)
+	a := c.decide(now, now-p.Waited, p)
 	if a.Verdict == Hold && !c.holdPacket(now, p, a.Reason) {
 		return Action{Verdict: Drop, Reason: HoldBufferFull}
 	}
@@ -269,10 +270,11 @@
 		return Action{Verdict: Drop, Reason: NoCookie}
 	case p.Cookie == 0:
 		u, reason = state.upstream, KnownFlow
-	case u != nil && state != nil && u != state.upstream && !state.halfOpen && slices.Contains(state.triedUpstreams, u):
-		// Two upstreams have answered copies of the SYN. The flow opened at the one whose cookie the
-		// caller's first packet had; the later answer has only changed the cookie.
-		u, reason, cookie = state.upstream, KnownFlow, state.upstream.cookie
+	default:
+		// If two upstreams have answered copies of the SYN, the later answer has only changed the cookie.
+		if opened := c.openUpstream(now, p, state, u); opened != nil && opened != u {
+			u, reason, cookie = opened, KnownFlow, opened.cookie
+		}
 	}
 	switch {
 	case u == nil:
@@ -291,6 +293,32 @@
 	return a
 }
 
+// maxAckDistance is the largest distance between two acknowledgement numbers of one flow, in bytes. It covers what
+// a flow transfers through other daemons between two packets that this one sees; the numbers of two upstreams are
+// unrelated.
+const maxAckDistance = 1 << 20
+
+// continuesFrom reports whether a packet acknowledges what the upstream has sent that got an earlier acknowledgement.
+func continuesFrom(ack uint32, p *Packet) bool {
+	distance := int32(p.Ack - ack)
+	return p.Flags&ACK != 0 && distance <= maxAckDistance && distance >= -maxAckDistance
+}
+
+// openUpstream returns the upstream at which a packet's flow is known to be open although the packet may have the
+// cookie of another one, nil if there is none: the packet acknowledges what the upstream has sent, or the other one
+// has got a copy of the SYN from this daemon.
+func (c *Core) openUpstream(now time.Duration, p *Packet, state *flowState, other *Upstream) *Upstream {
+	switch {
+	case state == nil:
+		return c.opened.upstreamOf(now, p)
+	case state.halfOpen || state.upstream.State == directory.Gone:
+		return nil
+	case state.hasAck && continuesFrom(state.ack, p), other != nil && slices.Contains(state.triedUpstreams, other):
+		return state.upstream
+	}
+	return nil
+}
+
 // resetUnlessRST resets the flow of a packet, or drops the packet if it is itself a reset.
 func resetUnlessRST(p *Packet, reason Reason) Action {
 	if p.Flags&RST != 0 {
@@ -300,7 +328,7 @@
 }
 
 func (c *Core) holdPacket(now time.Duration, p *Packet, reason Reason) bool {
-	h := heldPacket{packet: *p, arrivedAt: now, holdUntil: now + holdTime}
+	h := heldPacket{packet: *p, arrivedAt: now - p.Waited, holdUntil: now + holdTime}
 	if reason == AwaitingTurn {
 		h.awaitTurn(now)
 	}
--- a/pkg/forward/core_test.go
+++ b/pkg/forward/core_test.go
@@ -157,11 +157,18 @@
 	c := New(Config{DataCentre: "north"}, rand.New(rand.NewPCG(1, 2)))
 	assertDropped := func(now time.Duration, reason Reason) {
 		t.Helper()
-		assert.Equal(t, c.HandlePacket(now, synPacket(1, 0)), Action{Verdict: Hold, Reason: reason})
-		assert.Equal(t, len(c.Release(now+holdTime-1)), 0)
-		released := c.Release(now + holdTime)
-		assert.Equal(t, len(released), 1)
-		assert.Equal(t, released[0].Action, Action{Verdict: Drop, Reason: reason})
+		for copies := range uint32(3) {
+			heldFor, dropped := holdTime, reason
+			if copyDelay(copies) < holdTime { // its caller has sent the next copy before
+				heldFor, dropped = copyDelay(copies), StaleSYN
+			}
+			assert.Equal(t, c.HandlePacket(now, synPacket(1, copies)), Action{Verdict: Hold, Reason: reason})
+			assert.Equal(t, len(c.Release(now+heldFor-1)), 0)
+			released := c.Release(now + heldFor)
+			assert.Equal(t, len(released), 1)
+			assert.Equal(t, released[0].Action, Action{Verdict: Drop, Reason: dropped})
+			now += heldFor
+		}
 	}
 	assertDropped(0, NoTable)
 	c.SetTable(testTable(1, route80))
--- a/pkg/forward/flows.go
+++ b/pkg/forward/flows.go
@@ -134,7 +134,8 @@
 		return false
 	}
 	if s := c.flows[p.Flow()]; s == nil && p.Length == 0 {
-		return false // the last acknowledgement of a closed flow, or of one that is idle
+		c.opened.add(now, p, u) // after the handshake, or the last acknowledgement of a closed or idle flow
+		return false
 	}
 	s := c.attachFlow(now, p.Flow(), u)
 	if s.halfOpen || len(s.triedUpstreams) == 1 {
--- a/pkg/forward/handshake.go
+++ b/pkg/forward/handshake.go
@@ -40,8 +40,9 @@
 
 // pendingHandshake is a SYN that was sent to an upstream for the first time.
 type pendingHandshake struct {
-	packet Packet
-	sentAt time.Duration
+	packet    Packet
+	arrivedAt time.Duration
+	sentAt    time.Duration
 }
 
 // handshakes are the SYNs whose flows may still be half-open, in order of time.
@@ -54,11 +55,11 @@
 	resumedAt   time.Duration // when the daemon last ran again after it was stopped
 }
 
-func (h *handshakes) add(now time.Duration, p *Packet) {
+func (h *handshakes) add(now, arrivedAt time.Duration, p *Packet) {
 	h.budget = min(h.budget+replacementShare, maxReplacements)
 	kept := *p
 	kept.Raw = slices.Clone(p.Raw)
-	h.pending = append(h.pending, pendingHandshake{kept, now})
+	h.pending = append(h.pending, pendingHandshake{kept, arrivedAt, now})
 }
 
 // limit returns the time after which a handshake counts as unanswered.
@@ -122,7 +123,7 @@
 			u.firstAnswers.recordHandshake(now, false)
 		}
 		c.recordUnansweredHandshake(now, u)
-		if a, ok := c.placeElsewhere(now, &first.packet); ok {
+		if a, ok := c.placeElsewhere(now, &first); ok {
 			out = append(out, Released{first.packet, a})
 		} else if othersOpened {
 			a := Action{Verdict: Drop, Reason: UnansweredSYN}
@@ -134,10 +135,13 @@
 	}
 }
 
-// placeElsewhere places a half-open flow on another upstream that is known to answer, if there is one.
-func (c *Core) placeElsewhere(now time.Duration, p *Packet) (Action, bool) {
+// placeElsewhere places a half-open flow on another upstream that is known to answer, if there is one. Once the
+// caller has sent another copy of the SYN, the flow may be open through another daemon, and a second upstream must
+// not answer it: a daemon that was stopped has not seen the copy.
+func (c *Core) placeElsewhere(now time.Duration, first *pendingHandshake) (Action, bool) {
+	p := &first.packet
 	route, s := c.routes.Route(p.Dest), c.flows[p.Flow()]
-	if route == nil || c.handshakes.budget < 1 {
+	if route == nil || c.handshakes.budget < 1 || now-first.arrivedAt >= copyDelay(p.Ack) {
 		return Action{}, false
 	}
 	tried := s.triedUpstreams
@@ -146,8 +150,8 @@
 		return Action{}, false
 	}
 	a := Action{Verdict: Forward, Reason: PlacedAgain, Upstream: u, Cookie: u.cookie}
-	if first := s.upstream; first.State == directory.Ready && first.markSuspect(now) {
-		a.Suspected = first
+	if unanswering := s.upstream; unanswering.State == directory.Ready && unanswering.markSuspect(now) {
+		a.Suspected = unanswering
 	}
 	c.handshakes.budget--
 	c.place(now, p, u, tried)
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -5,7 +5,10 @@
 // Invariants:
 //   - A packet of an open flow goes to the incarnation that its cookie identifies, regardless of the
 //     routing table and of the load and health of that incarnation. If several upstreams have answered
-//     copies of the SYN, it goes to the one to which the caller's first packet went.
+//     copies of the SYN, it goes to the one to which the caller's first packet went, or whose sequence
+//     numbers the caller acknowledges.
+//   - A SYN is placed only while its caller cannot have sent another copy: that copy may have opened the flow
+//     through another daemon, and the late answer of a second upstream would change the cookie of the flow.
 //   - A flow is reset only if its upstream process has certainly ended or its route was removed.
 //     An unknown cookie is no proof of that: the daemon's registrations may be outdated.
 //   - A daemon that has just started refuses no flow, because its routes and upstreams may be
@@ -42,6 +45,8 @@
 	Length int // bytes of payload
 	Cookie directory.Cookie
 	Raw    []byte // the packet as it arrived; valid only during the call
+	// Waited is how long a SYN has waited for the daemon since it arrived at the host.
+	Waited time.Duration
 }
 
 // Flow returns the flow of a packet.
@@ -92,6 +97,7 @@
 	UnansweredSYN                // nothing has followed a SYN, and it may not be sent to another upstream
 	WarmingUp                    // the service has only cold upstreams, which this daemon may not use
 	NoAnswer                     // no data centre's upstreams of the service answer handshakes
+	StaleSYN                     // the caller has sent another copy of the SYN since, which may have opened the flow elsewhere
 	reasonCount
 )
 
@@ -99,7 +105,7 @@
 	"placed", "placed_again", "known", "known_flow", "no_table", "no_route", "route_removed",
 	"no_upstream", "upstream_gone", "unknown_cookie", "no_cookie", "awaiting_cookie", "unprepared", "hold_buffer_full",
 	"overloaded", "over_limit", "late_syn", "awaiting_turn", "overdue", "evacuated", "over_link", "unanswered_syn",
-	"warming_up", "no_answer",
+	"warming_up", "no_answer", "stale_syn",
 }
 
 // String returns the name of the reason in counters and logs.
--- a/pkg/forward/random_test.go
+++ b/pkg/forward/random_test.go
@@ -12,7 +12,8 @@
 )
 
 // Guards against faults that depend on the order of tables, registrations and packets after the start of
-// a daemon. A packet of an open flow must go to the upstream that its cookie identifies, no new flow may be
+// a daemon. A packet of an open flow must go to the upstream that its cookie identifies, or whose sequence numbers
+// it acknowledges, no new flow may be
 // reset before the daemon is prepared, or while an upstream has a copy of its SYN, or be placed in an evacuated data
 // centre or on a cold upstream beyond its budget, each reset must have an allowed reason, and the load that the
 // daemon counts must be that of its flows. Every other seed has a link and a bounded warm-up.
@@ -25,6 +26,7 @@
 			cfg.Name, cfg.LinkBytesPerSecond, cfg.WarmupTolerance, cfg.AnnouncementInterval = "edge", 20_000, testTolerance, testInterval
 		}
 		c := New(cfg, rand.New(rand.NewPCG(seed, 8)))
+		acks := map[Flow][]forwardedAck{}
 		handle := func(now time.Duration, p *Packet) {
 			var tried []*Upstream
 			if s := c.flows[p.Flow()]; s != nil && p.Flags&SYN != 0 && now-s.lastSeen < synRetryWindow {
@@ -32,7 +34,7 @@
 			}
 			a := c.HandlePacket(now, p)
 			c.RecordTraffic(now, p, a, 300, 300)
-			checkAction(t, c, now, p, a)
+			checkAction(t, c, now, p, a, acks)
 			if len(tried) > 0 && a.Verdict == Reset {
 				assert.Assert(t, a.Reason == NoRoute || a.Reason == NoUpstream && len(c.placeableByService["a"]) == 0, "%v after a copy", a.Reason)
 			}
@@ -71,7 +73,7 @@
 			case 3:
 				for _, r := range c.Release(now) {
 					c.RecordTraffic(now, &r.Packet, r.Action, 0, 300)
-					checkAction(t, c, now, &r.Packet, r.Action)
+					checkAction(t, c, now, &r.Packet, r.Action, acks)
 				}
 			case 4:
 				if version > 0 && rng.IntN(10) == 0 {
@@ -157,7 +159,7 @@
 func randomPacket(rng *rand.Rand, key directory.Key) *Packet {
 	n := rng.IntN(40)
 	p := dataPacket(n, uint32(rng.IntN(5))*100, directory.Incarnation{Key: key, StartUnixMs: 1}.Cookie())
-	p.Ack = uint32(rng.IntN(20)) * 150
+	p.Ack = sequenceStart(key) + uint32(rng.IntN(20))*150
 	if rng.IntN(2) == 0 {
 		p.Dest = route80
 	}
@@ -170,16 +172,36 @@
 		p.Length = 0
 	case 4:
 		p.Cookie = directory.Cookie(rng.IntN(2)) // none, or an unknown one
+	case 5:
+		p.Cookie = directory.Incarnation{Key: directory.Key(1 + rng.IntN(6)), StartUnixMs: 1}.Cookie() // of a late answer
 	}
 	return p
 }
 
+// sequenceStart returns the first sequence number of an upstream's end of a flow.
+func sequenceStart(key directory.Key) uint32 { return uint32(key) << 28 }
+
+// forwardedAck is an acknowledgement that was forwarded, and its receiver.
+type forwardedAck struct {
+	upstream *Upstream
+	ack      uint32
+}
+
 // assertRightUpstream checks that a packet goes to the upstream that its cookie identifies, or to the one at
-// which its flow opened if the cookie is that of another upstream that had got a copy of the SYN.
-func assertRightUpstream(t *testing.T, c *Core, p *Packet, a Action) {
+// which its flow opened: if the packet acknowledges what that one has sent, or if the cookie is that of another
+// upstream that had got a copy of the SYN.
+func assertRightUpstream(t *testing.T, c *Core, p *Packet, a Action, acks map[Flow][]forwardedAck) {
 	t.Helper()
-	if a.Upstream.Cookie() == p.Cookie {
-		assert.Equal(t, a.Cookie, p.Cookie)
+	earlier := acks[p.Flow()]
+	acks[p.Flow()] = append(earlier, forwardedAck{a.Upstream, p.Ack})
+	if a.Upstream.Cookie() == p.Cookie || p.Cookie == 0 {
+		if p.Cookie != 0 {
+			assert.Equal(t, a.Cookie, p.Cookie)
+		}
+		return
+	}
+	assert.Equal(t, a.Cookie, a.Upstream.Cookie())
+	if slices.ContainsFunc(earlier, func(e forwardedAck) bool { return e.upstream == a.Upstream && continuesFrom(e.ack, p) }) {
 		return
 	}
 	state := c.flows[p.Flow()]
@@ -191,13 +213,13 @@
 	assert.Assert(t, slices.Contains(state.triedUpstreams, c.upstreamsByCookie[p.Cookie]))
 }
 
-func checkAction(t *testing.T, c *Core, now time.Duration, p *Packet, a Action) {
+func checkAction(t *testing.T, c *Core, now time.Duration, p *Packet, a Action, acks map[Flow][]forwardedAck) {
 	t.Helper()
 	switch a.Verdict {
 	case Forward:
 		assert.Assert(t, a.Upstream != nil)
-		if p.Flags&SYN == 0 && p.Cookie != 0 {
-			assertRightUpstream(t, c, p, a)
+		if p.Flags&SYN == 0 {
+			assertRightUpstream(t, c, p, a, acks)
 		}
 		if p.Flags&SYN != 0 {
 			assert.Equal(t, a.Upstream.State, directory.Ready)
--- a/pkg/forward/steps.go
+++ b/pkg/forward/steps.go
@@ -9,7 +9,7 @@
 
 // newFlow is a SYN on its way through the steps. Each step reads what earlier ones have found out.
 type newFlow struct {
-	now, arrivedAt time.Duration // the packet may have been held since its arrival
+	now, arrivedAt time.Duration // the packet may have waited in the socket, and have been held, since its arrival
 	packet         *Packet
 	route          *routing.Route
 	service        string
@@ -17,12 +17,16 @@
 	suspected      *Upstream   // became suspect because this copy shows that it has not answered
 }
 
-// heldFor returns how long the packet has been held.
-func (f *newFlow) heldFor() time.Duration { return f.now - f.arrivedAt }
+// waited returns how long ago the packet arrived.
+func (f *newFlow) waited() time.Duration { return f.now - f.arrivedAt }
+
+// isHeld reports whether the packet was held, and so decided before.
+func (f *newFlow) isHeld() bool { return f.waited() > f.packet.Waited }
 
 // newFlowSteps is the way of a SYN, in order. The first step that returns an action decides; the last one
 // always does.
 var newFlowSteps = [...]func(*Core, *newFlow) *Action{
+	(*Core).dropStale,       // can the caller have sent another copy since?
 	(*Core).findRoute,       // is there a route?
 	(*Core).findEarlier,     // is it a copy of a SYN that is placed already?
 	(*Core).refuseEvacuated, // are all upstreams in evacuated data centres?
@@ -47,6 +51,18 @@
 	return c.refuseFlow(p, NoUpstream)
 }
 
+// dropStale drops a SYN that is so old that its caller has sent another copy. It is not refused: the copy may have
+// opened the flow.
+func (c *Core) dropStale(f *newFlow) *Action {
+	if f.waited() < copyDelay(f.packet.Ack) {
+		return nil
+	}
+	if s := c.flows[f.packet.Flow()]; s != nil && !s.halfOpen {
+		return &Action{Verdict: Drop, Reason: LateSYN}
+	}
+	return &Action{Verdict: Drop, Reason: StaleSYN}
+}
+
 // findRoute finds the route and the service of the flow.
 func (c *Core) findRoute(f *newFlow) *Action {
 	if c.routes == nil {
@@ -81,7 +97,7 @@
 		c.recordPlacement(f.now, s.upstream)
 		return &Action{Verdict: Forward, Reason: Placed, Upstream: s.upstream, Cookie: s.upstream.cookie}
 	}
-	if last := len(f.tried) - 1; last >= 0 && f.packet.Ack > s.synCopy && f.heldFor() == 0 && f.tried[last].markSuspect(f.now) {
+	if last := len(f.tried) - 1; last >= 0 && f.packet.Ack > s.synCopy && !f.isHeld() && f.tried[last].markSuspect(f.now) {
 		f.suspected = f.tried[last]
 	}
 	return nil
@@ -89,7 +105,7 @@
 
 // awaitTurn holds a flow whose request is late already until the service has capacity left for it.
 func (c *Core) awaitTurn(f *newFlow) *Action {
-	if c.isOverdue(f.route, f.packet, f.heldFor()) && !c.admitsOverdue(f.now, f.service, f.packet.Flow()) {
+	if c.isOverdue(f.route, f.packet, f.waited()) && !c.admitsOverdue(f.now, f.service, f.packet.Flow()) {
 		return &Action{Verdict: Hold, Reason: AwaitingTurn}
 	}
 	return nil
@@ -99,7 +115,7 @@
 // were, nor one that was held until the caller has retransmitted it, nor a network copy of one that was placed: an
 // upstream may still answer another copy.
 func (c *Core) mayBeRefused(f *newFlow) bool {
-	return len(f.tried) == 0 && (f.packet.Ack == 0 || c.refused.includesAllBefore(f.now, f.packet)) && f.heldFor() < synDelays[1]
+	return len(f.tried) == 0 && (f.packet.Ack == 0 || c.refused.includesAllBefore(f.now, f.packet)) && f.waited() < synDelays[1]
 }
 
 // admitToService refuses the flow if its service is overloaded.
@@ -127,7 +143,7 @@
 	if len(f.tried) > 0 {
 		reason = PlacedAgain
 	} else {
-		c.handshakes.add(f.now, f.packet)
+		c.handshakes.add(f.now, f.arrivedAt, f.packet)
 	}
 	return &Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: u.cookie, ExpectedWait: wait}
 }
