--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -115,6 +115,20 @@
 	return Changed
 }
 
+// Displaces reports whether a registration would end another process that is not gone: an earlier one with its key,
+// or the one at its address.
+func (d *Directory) Displaces(r *Registration) bool {
+	start, known := d.latestStart[r.Key]
+	if r.State == Gone || d.records[r.Incarnation] != nil || known && r.StartUnixMs < start {
+		return false
+	}
+	if known && d.records[Incarnation{r.Key, start}].State != Gone {
+		return true
+	}
+	holder := d.byAddress[r.Address]
+	return holder != nil && holder.State != Gone && (holder.Key == r.Key || holder.StartUnixMs <= r.StartUnixMs)
+}
+
 func (d *Directory) update(old *record, r Registration) Outcome {
 	if r.State == Gone {
 		if old.State == Gone {
--- a/pkg/controlhost/calls.go
+++ b/pkg/controlhost/calls.go
@@ -69,10 +69,21 @@
 		h.RefuseAnnouncement(r.Name, err)
 		return err
 	}
+	if h.table.Load().Version == 0 {
+		if done, err := h.announceWithoutConfig(ctx, r); done {
+			return err
+		}
+	}
 	if err := h.checkService(r.Service); err != nil {
 		h.logAnnouncement(r, "unknown_service")
 		return err
 	}
+	return h.accept(ctx, r)
+}
+
+// accept registers what an upstream has announced and shares it with the other control hosts.
+func (h *Host) accept(ctx context.Context, r directory.Registration) error {
+	now := h.clock()
 	h.mu.Lock()
 	previous, known := h.directory.Get(r.Incarnation)
 	if r.WarmupEnd > now && previous.WarmupSponsor == "" && previous.WarmupEnd <= now {
@@ -148,12 +159,16 @@
 	if latest, known := h.directory.Latest(k); startUnixMs == 0 && known {
 		startUnixMs = latest.StartUnixMs
 	}
+	forgotten := h.forgetUnverified(k, startUnixMs)
 	found := h.directory.Deregister(k, startUnixMs, now)
 	r, _ := h.directory.Get(directory.Incarnation{Key: k, StartUnixMs: startUnixMs})
 	revision := h.directory.Revision()
 	h.mu.Unlock()
 	h.logCall(events.UpstreamLeft, logrus.Fields{"upstream": r.Name, "key": k.String(), "born": startUnixMs, "known": found})
-	if !found {
+	switch {
+	case !found && forgotten:
+		return nil
+	case !found:
 		return ErrUnknownUpstream
 	}
 	confirmed, saved := h.sharing.shareChange(r), h.saver.savedFrom(revision)
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -88,9 +88,10 @@
 	group *ensemble.Group
 	clock func() time.Duration // time since New
 
-	mu        sync.Mutex // guards directory and changed
-	directory *directory.Directory
-	changed   chan struct{} // closed at the next change of the directory or the table
+	mu         sync.Mutex // guards directory, unverified and changed
+	directory  *directory.Directory
+	unverified map[directory.Incarnation]unverifiedRegistration
+	changed    chan struct{} // closed at the next change of the directory or the table
 
 	table            atomic.Pointer[routing.Table]
 	latestDifference atomic.Pointer[tableDifference] // latest one sent
@@ -112,6 +113,7 @@
 	begin := time.Now()
 	h := &Host{
 		cfg: cfg, log: cfg.Log, clock: func() time.Duration { return time.Since(begin) }, changed: make(chan struct{}),
+		unverified: map[directory.Incarnation]unverifiedRegistration{},
 		directory: directory.New(directory.Config{
 			SilentAfter: time.Duration(maxMissedAnnouncements * float64(cfg.AnnouncementInterval)), RetainFor: cfg.FlowLifetime,
 		}),
@@ -224,6 +226,7 @@
 				events.ConfigRefused.Log(h.log, logrus.Fields{"version": d.Version, "error": err})
 			} else {
 				h.table.Store(t)
+				h.announceVerified(ctx)
 				events.ConfigInForce.Log(h.log, logrus.Fields{"version": t.Version, "routes": len(t.Routes)})
 			}
 		}
--- a/pkg/controlhost/host_test.go
+++ b/pkg/controlhost/host_test.go
@@ -250,6 +250,7 @@
 // flows or keep the true process away.
 func TestImplausibleAnnouncementsChangeNothing(t *testing.T) {
 	h := restartedHost(t, t.TempDir())
+	h.table.Store(&routing.Table{Version: 1, Services: []string{"a"}})
 	good := readyRegistration(1, time.Now().UnixMilli(), 1)
 	assert.NilError(t, h.Announce(t.Context(), good))
 	future := good
--- a/pkg/controlhost/sharing.go
+++ b/pkg/controlhost/sharing.go
@@ -375,6 +375,10 @@
 			h.RefuseAnnouncement(p.GetName(), err)
 			continue
 		}
+		if h.isUnverified(&r) {
+			h.keepUnverified(unverifiedRegistration{r, true})
+			continue
+		}
 		h.directory.Announce(r)
 	}
 	changed := h.directory.Revision() != before
--- a/pkg/events/events.go
+++ b/pkg/events/events.go
@@ -93,6 +93,7 @@
 	SnapshotNotPacked        = add(Event{3020, logrus.WarnLevel, "snapshot for an entry daemon cannot be compressed and is sent as it is", "report the error field"})
 	RegistrationNotEncoded   = add(Event{3021, logrus.WarnLevel, "registration cannot be encoded; it is left out of messages and files", "correct the writer that announces this upstream; the error names the field"})
 	ArrivalTimesUnknown      = add(Event{2022, logrus.WarnLevel, "the system does not tell when packets arrived; SYNs that waited while the daemon was stopped count as new", "use a kernel with SO_TIMESTAMPNS"})
+	RegistrationUnverified   = add(Event{3022, logrus.InfoLevel, "registration waits for a configuration that declares its service", ""})
 	RegistrationsReceived    = add(Event{3014, logrus.InfoLevel, "entry daemon received many changed registrations at once", ""})
 	ConfigInForce            = add(Event{4001, logrus.InfoLevel, "configuration in force", ""})
 	ConfigRefused            = add(Event{4002, logrus.WarnLevel, "configuration refused", "read the error field and correct the folder"})
