--- a/pkg/control/ensemble/outsiders.go
+++ b/pkg/control/ensemble/outsiders.go
@@ -15,9 +15,9 @@
 // Hosts outside the group
 //
 // A host without a log knows only the seeds of its settings. They may be gone, or have lost their logs as
-// well. So the group turns to the host: members send to its address while it is a member, and afterwards the
-// leader repeats the notice that it was removed. A host outside the group asks every host to join from which
-// it has heard. Load pattern: a message per second from the leader to each host that was removed and has not
+// well. So the group contacts the host: members send to its address while it is a member, and afterwards the
+// leader repeats the notice that it was removed. A host outside the group sends requests to join to every host
+// that has sent it a message. Load pattern: a message per second from the leader to each host that was removed and has not
 // come back; the bound of their number also bounds this traffic.
 
 const (
--- a/pkg/controlhost/outsiders_test.go
+++ b/pkg/controlhost/outsiders_test.go
@@ -30,9 +30,15 @@
 	cfg.Metrics = telemetry.NewSet()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.Host, r.stop, r.ended = New(cfg), cancel, make(chan error, 1)
-	host, ended := r.Host, r.ended
-	go func() { ended <- host.Run(ctx) }()
-	t.Cleanup(cancel)
+	host, ended, finished := r.Host, r.ended, make(chan struct{})
+	go func() {
+		ended <- host.Run(ctx)
+		close(finished)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-finished
+	})
 	r.cfg.FirstStart = false
 }
 
@@ -108,6 +114,32 @@
 	}
 }
 
+// Guards against the same after one seed was replaced by plan: the other two lose their disks at once, which the
+// deployment tolerates, and have to be voters again within the time for which they count as lost.
+func TestSeedsLoseDisksAfterReplacementOfThird(t *testing.T) {
+	hosts := startRestartable(t, 6)
+	replaceConfig(t, hosts[0].Host, testConfig(t, 1, "a"))
+	successor := &restartableHost{cfg: hosts[0].cfg}
+	successor.cfg.PeerAddress, successor.cfg.ControlAddress = freeAddress(t), freeAddress(t)
+	successor.cfg.DataDir = filepath.Join(t.TempDir(), "data")
+	successor.start(t)
+	awaitMembers(t, hosts, append(slices.Clone(hosts), successor)...)
+	hosts[0].end(t, true)
+	hosts = append(hosts[1:], successor)
+	awaitMembers(t, hosts, hosts...)
+	for _, h := range hosts[:2] {
+		h.end(t, true)
+	}
+	for _, h := range hosts[:2] {
+		h.start(t)
+	}
+	begin := time.Now()
+	awaitMembers(t, hosts, hosts...)
+	const catchUp = 6 * time.Second // of the deployments that tolerate two lost disks
+	assert.Assert(t, time.Since(begin) < catchUp, "the hosts were outside for %s", time.Since(begin))
+	t.Logf("voters again after %s", time.Since(begin))
+}
+
 // Guards against a host that stays outside the group for good because the seeds of its settings were replaced: it
 // loses its disk, and the group has removed it before it is back.
 func TestHostWhoseSeedsAreGoneJoinsAgain(t *testing.T) {
