--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -101,6 +101,7 @@
 	sharing          *sharing
 	saver            *registrationSaver
 	notifyAddresses  notifyAddresses
+	watchingDaemons  watchingDaemons
 	watchers         watchers // of this host
 	remoteWatchers   watchers // of the other control hosts
 	snapshots        snapshotCache
--- a/pkg/controlhost/watch.go
+++ b/pkg/controlhost/watch.go
@@ -1,6 +1,7 @@
 package controlhost
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	}
 	h.watchers.add(request.GetDaemon())
 	defer h.watchers.remove(request.GetDaemon())
+	watchEnded := h.watchingDaemons.add(request.GetNotifyAddress())
+	defer func() { watchEnded(h.clock()) }()
 	w := watchState{host: h, daemonVersion: request.GetVersion(), acceptsPacked: request.GetAcceptsPacked(), digests: request.GetRegistrationDigests()}
 	timer := time.NewTimer(statusInterval)
 	defer timer.Stop()
@@ -69,7 +72,8 @@
 	daemonVersion uint64         // version of the table that the daemon has
 	sentTable     *routing.Table // latest table sent on this stream, nil before the first one
 	sentRevision  uint64
-	evacuations   uint64 // revision of the evacuations sent
+	evacuations   uint64   // revision of the evacuations sent
+	sentHosts     []string // control hosts sent last
 	started       bool
 	acceptsPacked bool     // the daemon understands packed snapshots
 	digests       []uint64 // of the registrations that the daemon had at the start of the watch
@@ -79,11 +83,8 @@
 func (w *watchState) nextUpdate() *entrypb.Update {
 	h := w.host
 	u := &entrypb.Update{Snapshot: !w.started, Status: &entrypb.Status{Current: h.group.Current(), Settled: h.settled.Load()}}
-	if !w.started {
-		u.Status.ControlHosts = append(u.Status.ControlHosts, h.cfg.PeerAddress.String())
-		for _, a := range h.group.Peers() {
-			u.Status.ControlHosts = append(u.Status.ControlHosts, a.String())
-		}
+	if hosts := h.controlHosts(); !slices.Equal(hosts, w.sentHosts) {
+		u.Status.ControlHosts, w.sentHosts = hosts, hosts
 	}
 	first := !w.started
 	w.started = true
@@ -123,6 +124,15 @@
 	return u
 }
 
+// controlHosts returns the peer addresses of the control hosts that this one knows, its own one first.
+func (h *Host) controlHosts() []string {
+	hosts := []string{h.cfg.PeerAddress.String()}
+	for _, a := range h.group.Peers() {
+		hosts = append(hosts, a.String())
+	}
+	return hosts
+}
+
 // maxSnapshotAge is how long a packed snapshot is used. The ages of its registrations are too low by as much.
 const maxSnapshotAge = 200 * time.Millisecond
 
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -56,8 +56,8 @@
 	daemon         *Daemon
 	lastUpdateAt   atomic.Int64 // latest update from a current control host, monotonic clock in nanoseconds
 	mu             sync.Mutex
-	announcedHosts []netip.AddrPort // control hosts listed in the latest update that has a list
-	startedHosts   []netip.AddrPort // hosts that have told that they have started, not yet tried
+	announcedHosts [watchStreams][]netip.AddrPort // control hosts that the latest list on each stream has
+	startedHosts   []netip.AddrPort               // hosts that have told that they have started, not yet tried
 	usedHosts      [watchStreams]netip.AddrPort
 	connected      [watchStreams]bool               // by stream
 	cancelDial     [watchStreams]context.CancelFunc // by stream
@@ -128,7 +128,7 @@
 		}
 	}
 	var hosts []netip.AddrPort
-	for _, a := range slices.Concat(w.announcedHosts, w.daemon.cfg.Seeds()) {
+	for _, a := range slices.Concat(slices.Concat(w.announcedHosts[:]...), w.daemon.cfg.Seeds()) {
 		if !slices.Contains(hosts, a) && !w.usedByOtherStream(stream, a) {
 			hosts = append(hosts, a)
 		}
@@ -230,6 +230,7 @@
 				return connected, err
 			}
 		}
+		w.setAnnouncedHosts(streamIndex, u.GetStatus().GetControlHosts())
 		w.applyUpdate(host, u, table)
 		if w.daemon.hasTable() {
 			w.recordSnapshot()
@@ -287,7 +288,6 @@
 	if u.GetStatus().GetCurrent() {
 		w.lastUpdateAt.Store(int64(now))
 	}
-	w.setAnnouncedHosts(u.GetStatus().GetControlHosts())
 	d.mu.Lock()
 	newEvacuations := d.setEvacuations(now, u.GetEvacuations())
 	newTable := table != nil && d.core.SetTable(table)
@@ -342,7 +342,7 @@
 	}
 }
 
-func (w *watches) setAnnouncedHosts(hosts []string) {
+func (w *watches) setAnnouncedHosts(stream int, hosts []string) {
 	if len(hosts) == 0 {
 		return
 	}
@@ -357,7 +357,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.announcedHosts = parsed
+	w.announcedHosts[stream] = parsed
 }
 
 // updatePrepared makes the daemon ready once it has the table of a current control host and the
--- a/pkg/edge/watch_test.go
+++ b/pkg/edge/watch_test.go
@@ -30,7 +30,9 @@
 	version    atomic.Uint64
 	evacuated  atomic.Pointer[entrypb.Evacuations]
 	watchCount atomic.Int64
-	lastNotify atomic.Value // notify address in the latest watch request
+	lastNotify atomic.Value             // notify address in the latest watch request
+	listed     atomic.Pointer[[]string] // control hosts, sent after each change
+	stop       func()
 }
 
 func startFakeHost(t *testing.T) *fakeHost {
@@ -42,13 +44,14 @@
 	entrypb.RegisterWatcherServer(s, h)
 	go func() { _ = s.Serve(l) }() // ends with Stop
 	t.Cleanup(s.Stop)
+	h.stop = s.Stop
 	return h
 }
 
 func (h *fakeHost) Watch(request *entrypb.WatchRequest, stream grpc.ServerStreamingServer[entrypb.Update]) error {
 	h.watchCount.Add(1)
 	h.lastNotify.Store(request.GetNotifyAddress())
-	sent := uint64(0)
+	sent, sentList := uint64(0), (*[]string)(nil)
 	for first := true; stream.Context().Err() == nil; first = false {
 		if !h.silent.Load() {
 			u := &entrypb.Update{Snapshot: first, Status: &entrypb.Status{Current: h.current.Load(), Settled: true}}
@@ -56,6 +59,9 @@
 				u.Table, sent = &entrypb.RoutingTable{Version: v}, v
 			}
 			u.Evacuations = h.evacuated.Load()
+			if l := h.listed.Load(); l != sentList {
+				u.Status.ControlHosts, sentList = *l, l
+			}
 			if err := stream.Send(u); err != nil {
 				return err
 			}
@@ -158,6 +164,41 @@
 	}
 }
 
+// Guards against a daemon that loses all control hosts when they are replaced one after the other: it has to know the
+// present ones, whichever two it watches, when its streams end.
+func TestDaemonFollowsReplacedHosts(t *testing.T) {
+	var hosts []*fakeHost
+	start := func() {
+		h := startFakeHost(t)
+		h.current.Store(true)
+		h.version.Store(uint64(len(hosts) + 1))
+		hosts = append(hosts, h)
+	}
+	list := func(from int) {
+		var addresses []string
+		for _, h := range hosts[from:] {
+			addresses = append(addresses, h.address.String())
+		}
+		for _, h := range hosts[from:] {
+			h.listed.Store(&addresses)
+		}
+	}
+	start()
+	start()
+	list(0)
+	d := startDaemon(t, hosts...)
+	eventually(t, applyTime, "first table", func() bool { return d.version() == 2 })
+	for replaced := range 4 {
+		start()
+		list(replaced)
+		time.Sleep(200 * time.Millisecond) // the watched hosts send the new list
+		hosts[replaced].stop()
+		list(replaced + 1)
+		eventually(t, 2*applyTime, "the successor is watched", func() bool { return hosts[replaced+2].watchCount.Load() > 0 })
+	}
+	assert.Equal(t, d.version(), uint64(len(hosts)))
+}
+
 // Guards against a daemon being ready without a routing table, and against one that never becomes ready
 // in a partitioned data centre.
 func TestReadiness(t *testing.T) {
