--- a/pkg/control/ensemble/schedule_test.go
+++ b/pkg/control/ensemble/schedule_test.go
@@ -159,6 +159,9 @@
 	return s.violation
 }
 
+// commitRounds is the end of a schedule without clients; it covers five heartbeats, some of which may be lost.
+const commitRounds = 10
+
 // settle ends all faults; the group then has to acknowledge documents and serve reads.
 func (s *sim) settle() {
 	for _, h := range s.hosts {
@@ -173,6 +176,11 @@
 		s.tickHosts()
 		s.runClients()
 	}
+	// Copies of orders may be proposed until the last round. A commit reaches the followers with the next heartbeat.
+	for end := s.round + commitRounds; s.round < end && s.violation == ""; s.round++ {
+		s.deliver()
+		s.tickHosts()
+	}
 	if s.violation == "" {
 		s.checkOrdersInForce()
 	}
