Review case 11: a roll of the entry daemons resets open flows

A daemon that leaves the rotation during a handshake sends the SYN to a second target. The late answer of that one changes the echo of the flow, and a daemon that has just started sends the flow's next request to the wrong target.

--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -26,7 +26,8 @@
 	operatorTimeout = time.Second
 )
 
-var zones = []string{"zone-a", "zone-b", "zone-c"}
+// threeZones are the zones of most cases.
+var threeZones = []string{"zone-a", "zone-b", "zone-c"}
 
 // ports are the ports of all machines.
 type ports struct{ packet, readiness, control, peer, target int }
@@ -37,6 +38,7 @@
 	binary   string
 	dir      string
 	subnet   int
+	zones    []string
 	ports    ports
 	controls []*process
 	edges    []*process
@@ -72,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, binary: binary, dir: dir, subnet: 20 + rand.IntN(200), announcing: make(chan struct{})}
+	f := &fleet{record: r, binary: binary, dir: dir, subnet: 20 + rand.IntN(200), zones: threeZones, announcing: make(chan struct{})}
 	close(f.announcing)
 	f.ports = ports{packet: 8172, readiness: 8167, control: 8166, peer: 7720, target: 8080}
 	for try := 0; !f.portsFree(); try++ {
@@ -107,10 +109,10 @@
 		seeds = append(seeds, f.controlAddress(i))
 	}
 	for i := range controls {
-		f.controls = append(f.controls, f.newProcess(fmt.Sprintf("core-%d", i+1), true, f.ip(1, i), zones[i%len(zones)], seeds))
+		f.controls = append(f.controls, f.newProcess(fmt.Sprintf("core-%d", i+1), true, f.ip(1, i), f.zones[i%len(f.zones)], seeds))
 	}
 	for i := range edges {
-		f.edges = append(f.edges, f.newProcess(fmt.Sprintf("edge-%d", i+1), false, f.ip(2, i), zones[i%len(zones)], seeds))
+		f.edges = append(f.edges, f.newProcess(fmt.Sprintf("edge-%d", i+1), false, f.ip(2, i), f.zones[i%len(f.zones)], seeds))
 	}
 	for _, p := range f.processes() {
 		if err := p.start(true); err != nil {
@@ -144,9 +146,13 @@
 		addresses = map[string]string{"control": net.JoinHostPort(p.ip, fmt.Sprint(f.ports.control))}
 		dataDir = filepath.Join(p.dir, "data")
 	}
+	regions := map[string]string{}
+	for _, zone := range f.zones {
+		regions[zone] = "region-a"
+	}
 	settings := map[string]any{
 		"nodeName": p.name, "role": class, "machineClass": class, "serves": []string{serves}, "ip": p.ip, "zone": p.zone, "region": "region-a",
-		"zones":         map[string]string{zones[0]: "region-a", zones[1]: "region-a", zones[2]: "region-a"},
+		"zones":         regions,
 		"bindAddresses": addresses, "internalPortRange": []int{f.ports.peer, f.ports.peer + 15}, "seeds": p.seeds, "bootstrap": bootstrap,
 		"countsAsLoss": p.isControl,
 		"limits": map[string]any{
--- a/review/standin3/lateorder.go
+++ b/review/standin3/lateorder.go
@@ -24,7 +24,7 @@
 		return nil, fmt.Errorf("the first configuration is not accepted")
 	}
 	for i := range 6 {
-		if _, err := f.startTarget(i, zones[i%len(zones)], i); err != nil {
+		if _, err := f.startTarget(i, f.zones[i%len(f.zones)], i); err != nil {
 			return nil, err
 		}
 	}
@@ -42,7 +42,7 @@
 	defer c.end()
 	time.Sleep(stableTime)
 	viaNetwork := net.JoinHostPort(f.ip(4, 0), fmt.Sprint(f.ports.control))
-	begin, finish := "/Evacuations.Begin/"+zones[0], "/Evacuations.Finish/"+zones[0]
+	begin, finish := "/Evacuations.Begin/"+f.zones[0], "/Evacuations.Finish/"+f.zones[0]
 	if !f.order(begin, nil, 5*time.Second, f.allControls()...) {
 		return nil, fmt.Errorf("the evacuation is not acknowledged")
 	}
@@ -80,7 +80,7 @@
 	f.record.line("client: %d requests, %d served, %d reset at their opening", sent, served, resets)
 	var broken []string
 	for _, o := range f.takenOpenings(acknowledgedAt.Add(evacuateTime)) {
-		if o.zone == zones[0] {
+		if o.zone == f.zones[0] {
 			broken = append(broken, fmt.Sprintf("EVAC: target %s in %s took the opening packet of %v from %s, %v after the acknowledgement", o.target, o.zone, o.caller, o.edge, o.at.Sub(acknowledgedAt).Round(time.Millisecond)))
 		}
 	}
--- a/review/standin3/longcount.go
+++ b/review/standin3/longcount.go
@@ -31,7 +31,7 @@
 	}
 	var leaving *target
 	for i := range 8 {
-		t, err := f.startTargetWithUnit(i, zones[i%len(zones)], i, unit)
+		t, err := f.startTargetWithUnit(i, f.zones[i%len(f.zones)], i, unit)
 		if err != nil {
 			return nil, err
 		}
--- a/review/standin3/target.go
+++ b/review/standin3/target.go
@@ -41,6 +41,9 @@
 	endpoint int           // control host that gets the announcements
 	openings []opening
 	seqs     map[netip.AddrPort]uint32 // own sequence numbers by caller
+	opened   map[netip.AddrPort]bool   // flows whose handshake has ended here
+	resets   map[netip.AddrPort]bool   // flows that the target has reset
+	work     time.Duration             // of a request
 }
 
 // startTarget starts an upstream that announces itself first to a control host.
@@ -57,7 +60,7 @@
 func (f *fleet) startTargetAs(i int, zone string, endpoint int, unit time.Duration, key uint64, born int64) (*target, error) {
 	t := &target{
 		fleet: f, id: fmt.Sprintf("i-%x", key), key: key, zone: zone, address: net.JoinHostPort(f.ip(3, i), fmt.Sprint(f.ports.target)),
-		born: born, started: time.Now(), stop: make(chan struct{}), state: "ready", unit: unit, endpoint: endpoint, seqs: map[netip.AddrPort]uint32{},
+		born: born, started: time.Now(), stop: make(chan struct{}), state: "ready", unit: unit, endpoint: endpoint, seqs: map[netip.AddrPort]uint32{}, opened: map[netip.AddrPort]bool{}, resets: map[netip.AddrPort]bool{},
 	}
 	address, err := net.ResolveUDPAddr("udp4", t.address)
 	if err != nil {
@@ -149,7 +152,12 @@
 		}
 		if reply := t.reply(&p, from); reply != nil {
 			to := netip.AddrPortFrom(p.src.Addr(), uint16(t.fleet.ports.packet))
-			_, _ = t.conn.WriteToUDPAddrPort(reply.encode(), to) // a lost packet is sent again
+			send := func() { _, _ = t.conn.WriteToUDPAddrPort(reply.encode(), to) } // a lost packet is sent again
+			if t.work > 0 && len(reply.data) > 0 {
+				time.AfterFunc(t.work, send)
+			} else {
+				send()
+			}
 		}
 	}
 }
@@ -172,6 +180,7 @@
 		return nil
 	case !t.holds(p):
 		t.fleet.record.line("target %s gets a packet of %v from %s, of a flow that it does not hold, and resets it", t.id, p.src, from.Addr())
+		t.resets[p.src] = true
 		answer.flags, answer.seq, answer.ack = flagRST, p.ack, 0
 	case p.flags&flagFIN != 0:
 		answer.ack = p.seq + uint32(len(p.data)) + 1
@@ -185,10 +194,14 @@
 	return answer
 }
 
-// holds reports whether the target has taken the opening packet of the flow. The caller holds the lock.
+// holds reports whether the flow is open here, or opens with the packet because it acknowledges the target's sequence
+// number. The caller holds the lock.
 func (t *target) holds(p *packet) bool {
-	_, ok := t.seqs[p.src]
-	return ok
+	seq, ok := t.seqs[p.src]
+	if ok && p.ack == seq+1 {
+		t.opened[p.src] = true
+	}
+	return t.opened[p.src]
 }
 
 // takenOpenings returns the opening packets that all targets have taken since a time.
