--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -38,6 +38,7 @@
 	binary   string
 	dir      string
 	subnet   int
+	reserved net.Listener
 	zones    []string
 	ports    ports
 	controls []*process
@@ -77,13 +78,19 @@
 	f := &fleet{record: r, binary: binary, dir: dir, subnet: 20 + rand.IntN(200), zones: threeZones, announcing: make(chan struct{})}
 	close(f.announcing)
 	f.ports = ports{packet: 8172, readiness: 8167, control: 8166, peer: 7720, target: 8080}
-	for try := 0; !f.portsFree(); try++ {
-		if try > 50 {
-			return nil, errors.New("no free ports")
+	for range 50 {
+		// The listener keeps other cases from the same addresses.
+		reserved, err := net.Listen("tcp4", net.JoinHostPort(f.ip(9, 0), fmt.Sprint(f.ports.control)))
+		if err == nil && f.portsFree() {
+			f.reserved = reserved
+			return f, nil
+		}
+		if err == nil {
+			reserved.Close()
 		}
 		f.subnet = 20 + rand.IntN(200)
 	}
-	return f, nil
+	return nil, errors.New("no free ports")
 }
 
 func (f *fleet) ip(kind, i int) string { return fmt.Sprintf("127.%d.%d.%d", f.subnet, kind, i+1) }
@@ -264,9 +271,8 @@
 	for _, t := range f.targets {
 		t.crash()
 	}
-	if os.Getenv("KEEP") == "" {
-		os.RemoveAll(f.dir)
-	}
+	f.reserved.Close()
+	os.RemoveAll(f.dir)
 }
 
 // awaitReady waits until all entry daemons are ready for flows.
