No SYN goes to a second upstream before its caller repeats it

Cause: the rotation changed between a SYN and the packet that follows it. The daemon of the SYN saw nothing follow and after 30 ms sent it to a second upstream, whose late answer changed the cookie of the open flow. Any change of the rotation does that to all daemons of the zone, whether they stop or stay.

Not enough: waiting only while this daemon stops, since the daemons that stay do the same; asking the other daemons, since the packet may still be under way when they answer.

Now a SYN goes to another upstream only with the caller's copy, which shows that its caller had no answer. Silence counts against the upstream for new flows as before, unless it has answered on an open flow since.

--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -355,7 +355,7 @@
 func (c *Core) Release(now time.Duration) []Released {
 	c.releaseDue = false
 	c.sortHeld(now)
-	released := c.replaceUnanswered(now)
+	released := c.recordUnanswered(now)
 	stillHeld := c.held[:0]
 	for _, h := range c.held {
 		a := c.decide(now, h.arrivedAt, &h.packet)
--- a/pkg/forward/flows.go
+++ b/pkg/forward/flows.go
@@ -150,6 +150,7 @@
 		s.ack, s.hasAck = p.Ack, true
 		s.setAwaitingAnswer(false)
 		u.recordLife(now)
+		c.handshakes.answeredAt = now
 	}
 	if p.Flags&FIN != 0 { // it may carry the only acknowledgement of a short answer
 		c.abandonFlow(now, p.Flow())
@@ -200,7 +201,7 @@
 
 // recordLife ends the suspicion because the upstream has answered.
 func (u *Upstream) recordLife(now time.Duration) {
-	u.unansweredPackets, u.suspicions = 0, 0
+	u.unansweredPackets, u.suspicions, u.answeredAt = 0, 0, now
 	u.suspectUntil = min(u.suspectUntil, now)
 }
 
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -94,7 +94,7 @@
 	Overdue                      // no upstream had capacity for a request that was late already
 	Evacuated                    // the upstreams of the service, or the one that got the SYN, are in evacuated data centres
 	OverLink                     // the link of this host cannot carry a new flow in time
-	UnansweredSYN                // nothing has followed a SYN, and it may not be sent to another upstream
+	UnansweredSYN                // nothing has followed a SYN here
 	WarmingUp                    // the service has only cold upstreams, which this daemon may not use
 	NoAnswer                     // no data centre's upstreams of the service answer handshakes
 	StaleSYN                     // the caller has sent another copy of the SYN since, which may have opened the flow elsewhere
@@ -159,6 +159,7 @@
 	suspectUntil          time.Duration   // suspect because of unanswered packets until then
 	unansweredPackets     int             // unanswered packets since the last answer
 	suspicions            int             // suspicions since the last answer
+	answeredAt            time.Duration   // time of the last answer
 	slowness              slowness
 	rejectionLevel        int             // recent rejections minus later successes, sets the backoff
 	rejectionBackoffUntil time.Duration   // penalty for new flows until then
--- a/pkg/forward/steps.go
+++ b/pkg/forward/steps.go
@@ -143,7 +143,7 @@
 	if len(f.tried) > 0 {
 		reason = PlacedAgain
 	} else {
-		c.handshakes.add(f.now, f.arrivedAt, f.packet)
+		c.handshakes.add(f.now, f.packet)
 	}
 	return &Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: u.cookie, ExpectedWait: wait}
 }
