The cookie of a SYN is valid before the first answer only

The caller's copy then goes to a second upstream, both answer, and the later answer changes the cookie of the open flow. A daemon that has not seen the flow follows that cookie to the upstream that does not hold it.

Cause: the cookie in the answer to a SYN was taken for proof that the flow is open at its sender. The copies cannot all go to one upstream, which may be dead, and daemons share no state of flows.

Now a SYN carries the cookie of its upstream mixed with its own sequence number. Any daemon can read it on the packets that follow the SYN before the first answer, by their sequence numbers. On a later packet it identifies no upstream: a daemon that knows the flow sends the packet where the flow is open, others drop it. One lost request costs less than a reset.

Ruled out: a soak that identifies the upstream by the process that answers.

Remains: a caller that repeats its first request after a late answer, through a daemon that has not seen the flow. A daemon of the previous release does not know the new cookies.

--- a/pkg/forward/core.go
+++ b/pkg/forward/core.go
@@ -271,6 +271,11 @@
 	case p.Cookie == 0:
 		u, reason = state.upstream, KnownFlow
 	default:
+		if u == nil {
+			if u = c.upstreamOfHandshake(p); u != nil {
+				cookie = u.cookie
+			}
+		}
 		// If two upstreams have answered copies of the SYN, the later answer has only changed the cookie.
 		if opened := c.openUpstream(now, p, state, u); opened != nil && opened != u {
 			u, reason, cookie = opened, KnownFlow, opened.cookie
--- a/pkg/forward/core_test.go
+++ b/pkg/forward/core_test.go
@@ -293,7 +293,7 @@
 		cookie := c.HandlePacket(now, synPacket(n, 0)).Cookie
 		request := dataPacket(n, 1, cookie)
 		request.Ack = 1
-		c.HandlePacket(now, request)
+		cookie = c.HandlePacket(now, request).Cookie
 		last := dataPacket(n, 101, cookie)
 		last.Length, last.Ack, last.Flags = 0, 1+answerBytes, ACK|FIN
 		c.HandlePacket(now, last)
@@ -337,11 +337,12 @@
 	assert.Assert(t, first.Upstream != second.Upstream)
 	request := dataPacket(1, 1, first.Cookie)
 	request.Ack = 1
-	assert.Equal(t, c.HandlePacket(210*time.Millisecond, request).Upstream, first.Upstream)
+	opened := c.HandlePacket(210*time.Millisecond, request)
+	assert.Equal(t, opened.Upstream, first.Upstream)
 	request.Seq, request.Cookie = 101, second.Cookie
 	a := c.HandlePacket(211*time.Millisecond, request)
 	assert.Equal(t, a.Upstream, first.Upstream)
-	assert.Equal(t, a.Cookie, first.Cookie)
+	assert.Equal(t, a.Cookie, opened.Cookie)
 }
 
 // Guards against packets reaching the wrong one of two incarnations with the same cookie.
--- a/pkg/forward/evacuation_test.go
+++ b/pkg/forward/evacuation_test.go
@@ -24,7 +24,7 @@
 	c := newTwoCentreCore(3)
 	open := c.HandlePacket(0, synPacket(1, 0))
 	assert.Equal(t, open.Upstream.DataCentre, "north")
-	c.HandlePacket(time.Millisecond, dataPacket(1, 1, open.Cookie))
+	open = c.HandlePacket(time.Millisecond, dataPacket(1, 1, open.Cookie))
 	halfOpen := c.HandlePacket(time.Millisecond, synPacket(2, 0))
 	assert.Equal(t, halfOpen.Upstream.DataCentre, "north")
 
@@ -33,7 +33,7 @@
 		now := time.Duration(n) * time.Millisecond
 		a := c.HandlePacket(now, synPacket(n, 0))
 		assert.Equal(t, a.Upstream.DataCentre, "south")
-		for _, r := range c.Release(now) { // unanswered handshakes are placed again
+		for _, r := range c.Release(now) { // unanswered handshakes are not placed in the north
 			assert.Equal(t, r.Action.Upstream.DataCentre, "south")
 		}
 		a = c.HandlePacket(now, dataPacket(1, uint32(n), open.Cookie))
@@ -65,12 +65,12 @@
 func TestServiceWithoutDataCentreIsRefusedAtOnce(t *testing.T) {
 	c := newTwoCentreCore(3)
 	placed := c.HandlePacket(0, synPacket(1, 0))
-	c.HandlePacket(time.Millisecond, dataPacket(1, 1, placed.Cookie))
+	opened := c.HandlePacket(time.Millisecond, dataPacket(1, 1, placed.Cookie))
 	c.SetEvacuations(2*time.Millisecond, 1, []string{"north", "south"})
 	assert.Equal(t, c.HandlePacket(3*time.Millisecond, synPacket(2, 0)), Action{Verdict: Reset, Reason: Evacuated})
 	assert.Equal(t, c.HandlePacket(3*time.Millisecond, synPacket(3, 1)), Action{Verdict: Drop, Reason: Evacuated})
 	assert.Equal(t, c.HandlePacket(4*time.Millisecond, synPacket(1, 1)).Verdict, Drop)
-	assert.Equal(t, c.HandlePacket(5*time.Millisecond, dataPacket(1, 100, placed.Cookie)).Verdict, Forward)
+	assert.Equal(t, c.HandlePacket(5*time.Millisecond, dataPacket(1, 100, opened.Cookie)).Verdict, Forward)
 
 	c.SetUpstream(testUpstream(21, "east", directory.Ready))
 	assert.Equal(t, c.HandlePacket(6*time.Millisecond, synPacket(4, 0)).Upstream.DataCentre, "east")
--- a/pkg/forward/rotation_test.go
+++ b/pkg/forward/rotation_test.go
@@ -224,17 +224,21 @@
 
 // Guards against resets of open flows by an upstream that does not hold them, after changes of the rotation between a
 // SYN and the packet that follows it. The daemon that waits for that packet leaves, or stays while another one leaves
-// or returns; it keeps what it knows or restarts; upstreams answer at once or late; requests are short or long.
+// or returns; it keeps what it knows or restarts; upstreams answer at once or late, with one of them in use or, if
+// they answer after the caller's next copy, with several; requests are short or long; packets are lost.
 func TestRotationMovesNoFlow(t *testing.T) {
 	for _, restart := range []bool{true, false} {
-		for _, maxAnswer := range []time.Duration{0, 150 * time.Millisecond} {
-			for _, work := range []time.Duration{5 * time.Millisecond, 60 * time.Millisecond} {
+		for _, work := range []time.Duration{5 * time.Millisecond, 60 * time.Millisecond} {
+			for _, network := range []struct {
+				maxAnswer time.Duration
+				lossRate  float64
+			}{{0, 0}, {0, 0.03}, {150 * time.Millisecond, 0}, {150 * time.Millisecond, 0.03}, {400 * time.Millisecond, 0}} {
 				for seed := range uint64(4) {
-					r := &rotation{rng: rand.New(rand.NewPCG(seed, 43)), maxAnswer: maxAnswer, work: work}
+					r := &rotation{rng: rand.New(rand.NewPCG(seed, 43)), maxAnswer: network.maxAnswer, lossRate: network.lossRate, work: work}
 					r.play(4*time.Second, restart)
 					assert.Assert(t, r.answered > 3000, "%d requests answered", r.answered)
-					assert.Equal(t, len(r.moved), 0, "restart %v, upstreams answer within %s, work %s, seed %d: %d late answers, flows moved at %v",
-						restart, maxAnswer, work, seed, r.late, r.moved)
+					assert.Equal(t, len(r.moved), 0, "restart %v, work %s, %+v, seed %d: %d late answers, flows moved at %v",
+						restart, work, network, seed, r.late, r.moved)
 				}
 			}
 		}
--- a/pkg/forward/stale_test.go
+++ b/pkg/forward/stale_test.go
@@ -114,7 +114,8 @@
 	a := c.HandlePacket(0, synPacket(1, 0))
 	request := dataPacket(1, 1, a.Cookie)
 	request.Ack = 4_000_000_000
-	assert.Equal(t, c.HandlePacket(5*time.Millisecond, request).Upstream, a.Upstream)
+	a = c.HandlePacket(5*time.Millisecond, request)
+	assert.Equal(t, a.Reason, KnownCookie)
 	var other *Upstream
 	for _, u := range c.upstreams {
 		if u != a.Upstream {
--- a/pkg/forward/steps.go
+++ b/pkg/forward/steps.go
@@ -95,7 +95,7 @@
 			return &Action{Verdict: Drop, Reason: WarmingUp}
 		}
 		c.recordPlacement(f.now, s.upstream)
-		return &Action{Verdict: Forward, Reason: Placed, Upstream: s.upstream, Cookie: s.upstream.cookie}
+		return &Action{Verdict: Forward, Reason: Placed, Upstream: s.upstream, Cookie: c.handshakeCookie(s.upstream, f.packet.Seq)}
 	}
 	if last := len(f.tried) - 1; last >= 0 && f.packet.Ack > s.synCopy && !f.isHeld() && f.tried[last].markSuspect(f.now) {
 		f.suspected = f.tried[last]
@@ -145,7 +145,7 @@
 	} else {
 		c.handshakes.add(f.now, f.packet)
 	}
-	return &Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: u.cookie, ExpectedWait: wait}
+	return &Action{Verdict: Forward, Reason: reason, Upstream: u, Cookie: c.handshakeCookie(u, f.packet.Seq), ExpectedWait: wait}
 }
 
 func (c *Core) refuse(f *newFlow, reason Reason) *Action {
