An order is bound to what was in force when it was sent

The network had held the first copy of an earlier order, which arrived after later orders were acknowledged and undid them.

Cause: an order has no number, and SubmitOrder bound it to the latest order when it was read, however long it had been under way. The same holds for a deregistration that does not name its process.

Ruled out: waiting for the end of the connection, which follows a round trip after the bytes and never comes from a sender that keeps it open; closing idle connections, which still takes an order that was held for less; binding at the leader, which is later still.

Now a control host knows for each call a time after which it was sent: since its connection was opened, or since the answer to the call before on it, or since its bytes arrived in the socket if the process was stopped (TCP_INFO). An order that would undo one which this host has applied since then is refused with 503 and the connection is closed. A sender that still waits repeats it. A deregistration without a start does not concern a process that has announced itself since.

--- a/pkg/control/directory/directory.go
+++ b/pkg/control/directory/directory.go
@@ -36,6 +36,7 @@
 type record struct {
 	Registration
 	revision         uint64
+	firstAnnounced   time.Duration // time of the first announcement that this process knows
 	unavailableSince time.Duration // when the incarnation became gone, or Silent changed last
 	deregisteredAt   time.Duration // time of the first deregistration that this process got
 	goneAt           time.Duration // time at which a deregistered process becomes gone, 0 if none is pending
@@ -86,6 +87,12 @@
 	return Incarnation{k, start}, ok
 }
 
+// IsNewerThan reports whether the latest incarnation of a key has announced itself for the first time after a time.
+func (d *Directory) IsNewerThan(k Key, at time.Duration) bool {
+	r := d.records[Incarnation{k, d.latestStart[k]}]
+	return r != nil && r.firstAnnounced > at
+}
+
 // Changes returns the registrations that changed after a revision, oldest change first. Its cost is
 // proportional to the number of changes in the history after that revision.
 func (d *Directory) Changes(after uint64) []Registration {
@@ -213,7 +220,7 @@
 
 // add adds a new incarnation and marks earlier processes of the key or at the address as gone.
 func (d *Directory) add(r Registration) {
-	added := &record{Registration: r, unavailableSince: r.LastAnnounced}
+	added := &record{Registration: r, firstAnnounced: r.LastAnnounced, unavailableSince: r.LastAnnounced}
 	d.records[r.Incarnation] = added
 	if start, known := d.latestStart[r.Key]; known {
 		d.markGone(d.records[Incarnation{r.Key, start}], r.LastAnnounced)
--- a/pkg/control/ensemble/calls.go
+++ b/pkg/control/ensemble/calls.go
@@ -19,6 +19,9 @@
 	// submitRetryPause is the wait before a document is submitted again, for instance during an
 	// election.
 	submitRetryPause = 50 * time.Millisecond
+	// ownOrderTimeout limits the wait of a host until it has applied the order that it has just stored: its caller
+	// waits for the acknowledgement.
+	ownOrderTimeout = 100 * time.Millisecond
 )
 
 // runOnCore runs a function in the goroutine that owns the core, and waits for it.
@@ -49,19 +52,32 @@
 }
 
 // SubmitOrder binds an order to the latest one of its data centre and stores it. It returns when a majority
-// has synced it. The error is ErrOvertaken if another order was applied meanwhile, and ErrNoMajority if ctx
-// ends first; the order may still be stored in that case.
-func (g *Group) SubmitOrder(ctx context.Context, o *entrypb.EvacuationOrder) error {
+// has synced it and this host has applied it. sentAfter is a time after which the order was certainly sent: it may have
+// been under way for long, and must not undo an order that was acknowledged meanwhile. The error is ErrOvertaken if
+// another order was applied since then, and ErrNoMajority if ctx ends first; the order may still be stored in that case.
+func (g *Group) SubmitOrder(ctx context.Context, o *entrypb.EvacuationOrder, sentAfter time.Time) error {
 	if _, err := g.Read(ctx); err != nil {
 		return err
 	}
-	o.BaseRevision = latestOrder(g.Evacuations(), o.GetDataCentre()).GetRevision()
+	applied := g.evacuations.Load()
+	if applied.overtakes(o, sentAfter) {
+		return ErrOvertaken
+	}
+	o.BaseRevision = latestOrder(applied.Evacuations, o.GetDataCentre()).GetRevision()
 	// The host may have been frozen since the order arrived, and its caller gone. The timer of ctx may not have
 	// run since.
 	if deadline, ok := ctx.Deadline(); ctx.Err() != nil || ok && !time.Now().Before(deadline) {
 		return errors.Wrap(ErrNoMajority, "the caller of the order has gone")
 	}
-	return g.submit(ctx, &entrypb.ProposeRequest{EvacuationOrder: o}, func() bool { return false })
+	if err := g.submit(ctx, &entrypb.ProposeRequest{EvacuationOrder: o}, func() bool { return false }); err != nil {
+		return err
+	}
+	// The leader may have applied the order before this host. Without it the caller's next order on the same connection
+	// would be overtaken by this one. The order itself is stored, so a failed read is no failure of the order.
+	readCtx, cancel := context.WithTimeout(ctx, ownOrderTimeout)
+	defer cancel()
+	_, _ = g.Read(readCtx)
+	return nil
 }
 
 // submit proposes an entry until it is applied or obsolete.
--- a/pkg/control/ensemble/core.go
+++ b/pkg/control/ensemble/core.go
@@ -328,7 +328,9 @@
 		events.DocumentAccepted.Log(c.group.log, logrus.Fields{"version": d.Version, "index": c.appliedIndex, "term": st.Term})
 	}
 	newEvacuations := c.group.Evacuations().GetRevision() != c.state.evacuations.GetRevision()
-	c.group.evacuations.Store(c.state.evacuations)
+	if applied := c.group.evacuations.Load(); applied.Evacuations != c.state.evacuations {
+		c.group.evacuations.Store(applied.next(c.state.evacuations, time.Now()))
+	}
 	c.releaseReads() // after the state is published: a released read returns it
 	if newDocument || newEvacuations || !slices.Equal(previous.Membership, st.Membership) || previous.Leader != st.Leader {
 		c.group.notify()
--- a/pkg/control/ensemble/ensemble.go
+++ b/pkg/control/ensemble/ensemble.go
@@ -64,7 +64,7 @@
 	ErrTooFewVoters  = errors.New("the group has fewer voters than the tolerated losses need: retry when more control hosts have joined")
 	ErrTooFewMembers = errors.New("the group has too few other control hosts to replace this one: add one first if it is gone for good")
 	ErrNotReplaced   = errors.New("no other control host took over the vote in time: the host counts as lost until it is back or replaced")
-	ErrOvertaken     = errors.New("another order for the data centre was applied since this one arrived: send it again if it still holds")
+	ErrOvertaken     = errors.New("another order for the data centre was applied since this one was sent: send it again if it still holds")
 	ErrOldRelease    = errors.New("a control host runs a release without evacuations: retry when all control hosts are updated")
 	errRemoved       = errors.New("the group has removed this host: its log is discarded and it joins again")
 	errSuperseded    = errors.New("the group has a later incarnation of this host: it joins again with a new one")
@@ -114,7 +114,7 @@
 	stop      context.CancelFunc
 
 	document    atomic.Pointer[Document]
-	evacuations atomic.Pointer[entrypb.Evacuations]
+	evacuations atomic.Pointer[appliedEvacuations]
 	fresh       atomic.Bool // see freshness
 	status      atomic.Pointer[Status]
 	begin       time.Time     // of the group in this process
@@ -141,7 +141,7 @@
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.document.Store(&Document{})
-	g.evacuations.Store(&entrypb.Evacuations{})
+	g.evacuations.Store(&appliedEvacuations{Evacuations: &entrypb.Evacuations{}})
 	g.status.Store(&Status{})
 	self := &controlpb.ReplicaHost{Name: cfg.PeerAddress.String(), Address: cfg.PeerAddress.String()}
 	resolve := func(id ident.DaemonID) (string, bool) { return MemberAddress(id).String(), true }
@@ -185,7 +185,7 @@
 func (g *Group) Status() Status { return *g.status.Load() }
 
 // Evacuations returns the evacuations that this host has received. The result must not be modified.
-func (g *Group) Evacuations() *entrypb.Evacuations { return g.evacuations.Load() }
+func (g *Group) Evacuations() *entrypb.Evacuations { return g.evacuations.Load().Evacuations }
 
 // Current reports whether the host is in contact with the leader of the group and has applied what was
 // committed before, so that it holds every acknowledged document and order but the very latest.
--- a/pkg/control/ensemble/state.go
+++ b/pkg/control/ensemble/state.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -144,3 +145,29 @@
 	}
 	return nil
 }
+
+// appliedEvacuations are the evacuations in force at a host, with the time at which the host has applied the latest
+// order of each data centre. The value is not modified.
+type appliedEvacuations struct {
+	*entrypb.Evacuations
+	appliedAt map[string]time.Time // by data centre
+}
+
+// next returns the value after a change at a time.
+func (a *appliedEvacuations) next(e *entrypb.Evacuations, now time.Time) *appliedEvacuations {
+	appliedAt := map[string]time.Time{}
+	for _, d := range e.GetDataCentres() {
+		if latestOrder(a.Evacuations, d.GetDataCentre()).GetRevision() == d.GetRevision() {
+			appliedAt[d.GetDataCentre()] = a.appliedAt[d.GetDataCentre()]
+		} else {
+			appliedAt[d.GetDataCentre()] = now
+		}
+	}
+	return &appliedEvacuations{e, appliedAt}
+}
+
+// overtakes reports whether an order would undo one that may have been given after it was sent.
+func (a *appliedEvacuations) overtakes(o *entrypb.EvacuationOrder, sentAfter time.Time) bool {
+	latest := latestOrder(a.Evacuations, o.GetDataCentre())
+	return latest.GetInForce() != o.GetBegin() && a.appliedAt[o.GetDataCentre()].After(sentAfter)
+}
--- a/pkg/controlhost/calls.go
+++ b/pkg/controlhost/calls.go
@@ -59,6 +59,7 @@
 // duration, which starts now.
 func (h *Host) Announce(ctx context.Context, r directory.Registration) error {
 	defer h.observe("announce", time.Now())
+	defer answerNow(ctx)
 	now := h.clock()
 	r.LastAnnounced = now
 	if r.WarmupEnd > 0 {
@@ -150,16 +151,23 @@
 }
 
 // Deregister records that an upstream process is about to exit, and waits up to shareConfirmTimeout
-// until the other control hosts have confirmed it and this one has stored it. startUnixMs identifies the process by its start time;
-// 0 stands for the latest process.
+// until the other control hosts have confirmed it and this one has stored it. startUnixMs identifies the process by its
+// start time; 0 stands for the latest process when the call was sent. The error is ErrSuperseded if that process was
+// replaced since.
 func (h *Host) Deregister(ctx context.Context, k directory.Key, startUnixMs int64) error {
 	defer h.observe("deregister", time.Now())
 	now := h.clock()
+	sentAfter := now - time.Since(sentAfter(ctx))
 	h.mu.Lock()
+	if startUnixMs == 0 && h.directory.IsNewerThan(k, sentAfter) {
+		h.mu.Unlock()
+		h.logCall(events.UpstreamLeft, logrus.Fields{"key": k.String(), "known": true, "superseded": true})
+		return ErrSuperseded
+	}
 	if latest, known := h.directory.Latest(k); startUnixMs == 0 && known {
 		startUnixMs = latest.StartUnixMs
 	}
-	forgotten := h.forgetUnverified(k, startUnixMs)
+	forgotten := h.forgetUnverified(k, startUnixMs, sentAfter)
 	found := h.directory.Deregister(k, startUnixMs, now)
 	r, _ := h.directory.Get(directory.Incarnation{Key: k, StartUnixMs: startUnixMs})
 	revision := h.directory.Revision()
--- a/pkg/controlhost/evacuation.go
+++ b/pkg/controlhost/evacuation.go
@@ -26,8 +26,8 @@
 func (e *InvalidOrderError) Error() string { return "order for an evacuation: " + e.Problem }
 
 // OrderEvacuation begins or ends the evacuation of a data centre. It returns when a majority of the control hosts
-// has stored the order. The error is ensemble.ErrOvertaken if another order was applied meanwhile, and
-// ensemble.ErrNoMajority if the outcome is unknown.
+// has stored the order. The error is ensemble.ErrOvertaken if another order was applied since this one was
+// sent, and ensemble.ErrNoMajority if the outcome is unknown.
 func (h *Host) OrderEvacuation(ctx context.Context, dataCentre string, begin bool) error {
 	started := time.Now()
 	defer h.observe("order_evacuation", started)
@@ -45,9 +45,11 @@
 	if h.oldReleases.Load() > 0 {
 		return ensemble.ErrOldRelease
 	}
-	return h.group.SubmitOrder(ctx, &entrypb.EvacuationOrder{
+	err := h.group.SubmitOrder(ctx, &entrypb.EvacuationOrder{
 		DataCentre: dataCentre, Begin: begin, OrderedUnixMs: wallclock.Now().UnixMilli(), OrderedAt: h.cfg.Name,
-	})
+	}, sentAfter(ctx))
+	answerNow(ctx)
+	return err
 }
 
 // RefuseEvacuationOrder records that an order was refused because of its form.
--- a/pkg/controlhost/host.go
+++ b/pkg/controlhost/host.go
@@ -166,7 +166,10 @@
 	h.group.Register(grpcServer)
 	entrypb.RegisterWatcherServer(grpcServer, &watchServer{host: h})
 	entrypb.RegisterCooperationServer(grpcServer, &cooperationServer{host: h})
-	httpServer := &http.Server{Handler: h.cfg.Handler(h), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second}
+	httpServer := &http.Server{
+		Handler: recordArrivals(h.cfg.Handler(h)), ConnContext: withCallerConn,
+		ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second,
+	}
 
 	tree := supervise.New()
 	tree.Add(func(treeCtx context.Context) error {
--- a/pkg/controlhost/unverified.go
+++ b/pkg/controlhost/unverified.go
@@ -86,11 +86,12 @@
 }
 
 // forgetUnverified drops the kept registration of a process that is about to exit, and reports whether there was one. A
-// start of 0 stands for all processes with the key. The caller holds the lock.
-func (h *Host) forgetUnverified(k directory.Key, startUnixMs int64) bool {
+// start of 0 stands for all processes with the key that have not announced themselves since the call may have been sent.
+// The caller holds the lock.
+func (h *Host) forgetUnverified(k directory.Key, startUnixMs int64, sentAfter time.Duration) bool {
 	before := len(h.unverified)
-	maps.DeleteFunc(h.unverified, func(i directory.Incarnation, _ unverifiedRegistration) bool {
-		return i.Key == k && (startUnixMs == 0 || i.StartUnixMs == startUnixMs)
+	maps.DeleteFunc(h.unverified, func(i directory.Incarnation, r unverifiedRegistration) bool {
+		return i.Key == k && (startUnixMs == 0 && r.LastAnnounced <= sentAfter || i.StartUnixMs == startUnixMs)
 	})
 	return len(h.unverified) < before
 }
