--- a/pkg/controlhost/evacuation_test.go
+++ b/pkg/controlhost/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -97,6 +98,19 @@
 	orderEvacuation(t, h, "north", false)
 }
 
+// reserveAddresses waits until no other process runs a test with fixed ports of a loopback address, and keeps others from
+// it until the test ends.
+func reserveAddresses(t *testing.T, a netip.Addr) {
+	t.Helper()
+	var reservation net.Listener
+	eventually(t, "the test runs in no other process", func() (reserved bool) {
+		var err error
+		reservation, err = net.Listen("tcp4", netip.AddrPortFrom(a, 7700).String())
+		return err == nil
+	})
+	t.Cleanup(func() { reservation.Close() })
+}
+
 // Guards against data of the release before evacuations that cannot be read, and against an order that is lost
 // when the host restarts on it. testdata holds what build 492b802 wrote for a group of one host: a snapshot at
 // index 500 of the log, the log up to version 505, and a registration.
@@ -104,6 +118,7 @@
 	dir := t.TempDir()
 	assert.NilError(t, os.CopyFS(dir, os.DirFS("testdata/release-before-evacuations")))
 	peer := netip.MustParseAddrPort("127.240.0.1:7720") // in the data
+	reserveAddresses(t, peer.Addr())
 	log := logrus.New()
 	log.SetOutput(testWriter{t})
 	run := func(use func(*Host)) {
