--- a/pkg/controlhost/calls.go
+++ b/pkg/controlhost/calls.go
@@ -157,9 +157,9 @@
 func (h *Host) Deregister(ctx context.Context, k directory.Key, startUnixMs int64) error {
 	defer h.observe("deregister", time.Now())
 	now := h.clock()
-	sentAfter := now - time.Since(sentAfter(ctx))
+	earliestSent := now - time.Since(sentAfter(ctx))
 	h.mu.Lock()
-	if startUnixMs == 0 && h.directory.IsNewerThan(k, sentAfter) {
+	if startUnixMs == 0 && h.directory.IsNewerThan(k, earliestSent) {
 		h.mu.Unlock()
 		h.logCall(events.UpstreamLeft, logrus.Fields{"key": k.String(), "known": true, "superseded": true})
 		return ErrSuperseded
@@ -167,7 +167,7 @@
 	if latest, known := h.directory.Latest(k); startUnixMs == 0 && known {
 		startUnixMs = latest.StartUnixMs
 	}
-	forgotten := h.forgetUnverified(k, startUnixMs, sentAfter)
+	forgotten := h.forgetUnverified(k, startUnixMs, earliestSent)
 	found := h.directory.Deregister(k, startUnixMs, now)
 	r, _ := h.directory.Get(directory.Incarnation{Key: k, StartUnixMs: startUnixMs})
 	revision := h.directory.Revision()
--- a/pkg/forward/opened.go
+++ b/pkg/forward/opened.go
@@ -11,8 +11,8 @@
 
 // openedFlows are the flows of which this daemon has lately seen an acknowledgement and nothing else.
 //
-// The first packet after a handshake may come through another daemon than its SYN, which then sends the SYN to a
-// second upstream. The late answer of that one changes the cookie of the flow. Load pattern: an entry for each flow
+// The first packet after a handshake may come through another daemon than its SYN, and a second upstream may answer a
+// copy of the SYN later. That answer changes the cookie of the flow. Load pattern: an entry for each flow
 // whose handshake a change of the rotation has divided, and for the last acknowledgement of closed flows.
 type openedFlows struct {
 	byFlow map[Flow]openedFlow
--- a/pkg/forward/packet.go
+++ b/pkg/forward/packet.go
@@ -7,6 +7,9 @@
 //     routing table and of the load and health of that incarnation. If several upstreams have answered
 //     copies of the SYN, it goes to the one to which the caller's first packet went, or whose sequence
 //     numbers the caller acknowledges.
+//   - The cookie of a SYN identifies an upstream only on the packets before the first answer. On later ones it is the
+//     answer of an upstream that does not hold the flow.
+//   - A SYN goes to a second upstream only if its caller has sent another copy of it.
 //   - A SYN is placed only while its caller cannot have sent another copy: that copy may have opened the flow
 //     through another daemon, and the late answer of a second upstream would change the cookie of the flow.
 //   - A flow is reset only if its upstream process has certainly ended or its route was removed.
