--- a/pkg/forward/cookie.go
+++ b/pkg/forward/cookie.go
@@ -40,9 +40,12 @@
 // that of a handshake or the packet does not follow the SYN.
 func (c *Core) upstreamOfHandshake(p *Packet) *Upstream {
 	for i := range uint32(maxFirstPackets) {
-		synSeq := p.Seq - 1 - i*segmentBytes // a SYN takes one sequence number, and packets but the last are full
-		if u := c.upstreamsByCookie[HandshakeCookie(p.Cookie, synSeq)]; u != nil {
-			return u
+		first := p.Seq - i*segmentBytes // of the first packet, as packets but the last are full
+		// A SYN usually takes one sequence number. The platform's pages leave that open.
+		for _, synSeq := range [...]uint32{first - 1, first} {
+			if u := c.upstreamsByCookie[HandshakeCookie(p.Cookie, synSeq)]; u != nil {
+				return u
+			}
 		}
 	}
 	return nil
--- a/pkg/forward/cookie_test.go
+++ b/pkg/forward/cookie_test.go
@@ -20,8 +20,8 @@
 		placed := placing.HandlePacket(0, syn)
 		assert.Assert(t, placed.Cookie != 0 && placing.upstreamsByCookie[placed.Cookie] == nil)
 		for _, c := range []*Core{placing, other} {
-			for _, length := range []int{0, 100, segmentBytes} {
-				p := dataPacket(n, syn.Seq+1+uint32(length/segmentBytes)*segmentBytes, placed.Cookie)
+			for i, length := range []int{0, 100, segmentBytes, segmentBytes} {
+				p := dataPacket(n, syn.Seq+uint32(i%2)+uint32(length/segmentBytes)*segmentBytes, placed.Cookie)
 				p.Length = length
 				a := c.HandlePacket(0, p)
 				assert.Assert(t, a.Verdict == Forward && a.Upstream.Key == placed.Upstream.Key)
--- a/pkg/load/packets/link.go
+++ b/pkg/load/packets/link.go
@@ -47,6 +47,9 @@
 	}
 	core.RecordTraffic(r.now, &f.lastPacket, a, size, size)
 	wait, sent = r.links[core].send(r.now, size)
+	if sent && f.lastPacket.Flags&forward.SYN == 0 {
+		f.keepCookie(a)
+	}
 	return a, wait, sent
 }
 
@@ -65,7 +68,7 @@
 		r.schedule(wait, func() { r.retryOrGiveUp(q) })
 	case sent:
 		f.upstream = r.upstreams[a.Upstream.Key-1]
-		f.lastPacket.Flags, f.lastPacket.Cookie, f.lastPacket.Ack = forward.ACK, a.Cookie, r.rng.Uint32()|1
+		f.acceptFlow(a, r.rng.Uint32()|1)
 		r.schedule(wait+2*oneWayDelay, func() { r.sendRequestOverLink(q) })
 	default:
 		r.schedule(synCopyDelays[copies], func() { r.openFlowOverLink(q, copies+1) })
--- a/pkg/load/packets/replay.go
+++ b/pkg/load/packets/replay.go
@@ -209,7 +209,21 @@
 	r.schedule(oneWayDelay, func() { r.handleArrival(q) })
 }
 
-func (f *flow) sendPacket(now time.Duration) { f.daemon.HandlePacket(now, &f.lastPacket) }
+func (f *flow) sendPacket(now time.Duration) { f.keepCookie(f.daemon.HandlePacket(now, &f.lastPacket)) }
+
+// acceptFlow handles the answer of an upstream to the SYN. A SYN takes one sequence number.
+func (f *flow) acceptFlow(a forward.Action, ack uint32) {
+	f.lastPacket.Flags, f.lastPacket.Ack = forward.ACK, ack
+	f.lastPacket.Seq++
+	f.keepCookie(a)
+}
+
+// keepCookie takes over the cookie with which a packet has reached its upstream, which returns it.
+func (f *flow) keepCookie(a forward.Action) {
+	if a.Verdict == forward.Forward && a.Cookie != 0 {
+		f.lastPacket.Cookie = a.Cookie
+	}
+}
 
 // openFlow opens a flow through a random entry daemon, as chosen by the fabric. It returns nil if the
 // daemon refuses the flow.
@@ -223,7 +237,7 @@
 	if !from.urgent {
 		r.flowsOpen++
 	}
-	f.lastPacket.Flags, f.lastPacket.Cookie, f.lastPacket.Ack = forward.ACK, a.Cookie, r.rng.Uint32()|1
+	f.acceptFlow(a, r.rng.Uint32()|1)
 	f.sendPacket(r.now) // completes the handshake
 	return f
 }
